--- /dev/null
+++ b/audit/audit.go
@@ -0,0 +1,60 @@
+// Package audit defines the entries of the audit trail: who changed which
+// record, when, from what to what. An entry is written in the same transaction
+// as the change, so that neither exists without the other.
+//
+// # Usage
+//
+//	put, err := audit.Entry{By: "ops", At: now, Before: &old, After: r}.Put()
+package audit
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/record"
+)
+
+const prefix = "audit/"
+
+// ErrMalformed says that a row is not an audit entry.
+var ErrMalformed = errors.New("audit: malformed entry")
+
+// Entry is one change of a record.
+type Entry struct {
+	By     string         `json:"by"`
+	At     time.Time      `json:"at"`
+	Before *record.Record `json:"before,omitempty"` // absent if the record is new
+	After  record.Record  `json:"after"`
+}
+
+// Prefix is the part of the table that holds the entries of a record, or of all
+// records if id is empty.
+func Prefix(id string) string {
+	if id == "" {
+		return prefix
+	}
+	return prefix + id + "/"
+}
+
+// Put returns the write that adds the entry.
+func (e Entry) Put() (platform.Put, error) {
+	value, err := json.Marshal(e)
+	if err != nil {
+		return platform.Put{}, errors.Wrapf(err, "encode audit entry for %s", e.After.ID())
+	}
+	name := fmt.Sprintf("%s%s/%d/%010d", prefix, e.After.ID(), e.After.Schema, e.After.Revision)
+	return platform.Put{Key: name, Value: value}, nil
+}
+
+// Decode reads an entry from its row.
+func Decode(row platform.Row) (Entry, error) {
+	var e Entry
+	if err := json.Unmarshal(row.Value, &e); err != nil {
+		return Entry{}, errors.Mark(errors.Wrapf(err, "decode %s", row.Key), ErrMalformed)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/cmd/cowslipgap/demo.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cowslipgap/cowslipgap/demo"
+	"github.com/cowslipgap/cowslipgap/deployment"
+)
+
+// errViolation says that a demo counted lost, doubled or over-limit work.
+var errViolation = errors.New("work was lost, doubled or over a limit")
+
+const defaultDemoSeconds = 10
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run a whole deployment in this process and report",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "deployment", Value: "giadan", Usage: "`NAME`: giadan or banksia"},
+			&cli.IntFlag{Name: "seconds", Value: defaultDemoSeconds, Usage: "length of the load"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load"},
+			&cli.StringFlag{Name: "output", Value: "text", Usage: "text or json"},
+			&cli.StringFlag{Name: "log", Value: "error", Usage: "log level"},
+		},
+		Action: runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, cmd *cli.Command) error {
+	dep, err := deployment.Named(cmd.String("deployment"))
+	if err != nil {
+		return errors.Mark(err, errUsage)
+	}
+	seconds := cmd.Int("seconds")
+	if seconds < 1 {
+		return errors.Mark(errors.New("--seconds must be 1 or more"), errUsage)
+	}
+	d := demo.Demo{
+		Deployment: dep, Length: time.Duration(seconds) * time.Second, Seed: cmd.Uint64("seed"), Log: newLogger(cmd.String("log")),
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	report, err := d.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := printReport(cmd, report); err != nil {
+		return err
+	}
+	if !report.Clean() {
+		return errViolation
+	}
+	return nil
+}
+
+func printReport(cmd *cli.Command, report demo.Report) error {
+	if cmd.String("output") != "json" {
+		_, err := fmt.Fprint(cmd.Root().Writer, report)
+		return err
+	}
+	encoder := json.NewEncoder(cmd.Root().Writer)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(report)
+}
--- /dev/null
+++ b/control/effect.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"github.com/cowslipgap/cowslipgap/allotment"
+	"github.com/cowslipgap/cowslipgap/job"
+	"github.com/cowslipgap/cowslipgap/journal"
+	"github.com/cowslipgap/cowslipgap/peer"
+	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/task"
+)
+
+// Effects, beside those of package placement. JobAnswer is one as well.
+type (
+	// Answer tells whoever waits for a task what became of it.
+	Answer struct {
+		ID      string
+		Outcome *platform.Outcome
+		Refusal *refusal.Refusal
+		Worker  string
+		// Unguard is the key of a guard to delete first, because the work did
+		// not run and its request id may be used again.
+		Unguard string
+	}
+
+	// Forward sends a task to another entry host.
+	Forward struct {
+		Task    task.Task
+		Session string
+		Addr    string
+		Resolve bool
+	}
+
+	// Append writes to the journal.
+	Append struct{ Batch journal.Batch }
+
+	// Snapshot writes the book to the object store.
+	Snapshot struct{ States []job.State }
+
+	// Beat writes this host's heartbeat. Revision is that of the row it
+	// replaces, Fence that of the session row; both are zero for the first.
+	Beat struct {
+		Row      BeatRow
+		Revision uint64
+		Fence    uint64
+		Session  SessionRow
+	}
+
+	// Claim takes over a session with its racks, or a rack that nobody owns.
+	Claim struct {
+		Session string // empty for a rack alone
+		Row     SessionRow
+		Checks  []platform.Check
+		Racks   []string
+	}
+
+	// Adopt reads the journal of a session that was taken over.
+	Adopt struct{ Session string }
+
+	// MarkAbsorbed notes in the table that a session's jobs are in this host's
+	// own snapshot.
+	MarkAbsorbed struct {
+		Session  string
+		Row      SessionRow
+		Revision uint64
+	}
+
+	// WriteAllotment writes a team's row on condition of its revision.
+	WriteAllotment struct {
+		Team     string
+		Row      allotment.Row
+		Revision uint64
+	}
+
+	// Greet sends a greeting to another host.
+	Greet struct {
+		Session  string
+		Addr     string
+		Greeting peer.Greeting
+	}
+
+	// GreetReply answers an incoming greeting.
+	GreetReply struct {
+		Token    uint64
+		Greeting peer.Greeting
+	}
+
+	// Cut closes the connections to another host, so that calls on them end.
+	Cut struct{ Addr string }
+)
--- /dev/null
+++ b/control/request.go
@@ -0,0 +1,301 @@
+package control
+
+import (
+	"time"
+
+	"github.com/cowslipgap/cowslipgap/journal"
+	"github.com/cowslipgap/cowslipgap/placement"
+	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/task"
+)
+
+const (
+	// recentKept is for how long the outcome of a forwarded task can be asked
+	// for again.
+	recentKept = time.Minute
+	// retryRatio is how many retries a request may cause on average.
+	retryRatio  = 0.1
+	retryBurst  = 20
+	resolvePace = 500 * time.Millisecond
+)
+
+// request is a task that somebody waits for: a caller, another entry host, or
+// a job of this host.
+type request struct {
+	task     task.Task
+	guard    string // the key of its guard
+	from     string // the session that forwarded it here
+	at       string // the session that it was forwarded to
+	gone     bool   // nobody waits any more
+	lostAt   time.Time
+	resolve  time.Time // when to ask next what became of it
+	resolved bool      // a question is on its way
+}
+
+// result is the outcome of a forwarded task, kept for repeats.
+type result struct {
+	answer Answer
+	at     time.Time
+}
+
+// retryBudget bounds retries to a part of the requests.
+type retryBudget struct{ tokens float64 }
+
+func (b *retryBudget) earn() { b.tokens = min(retryBurst, b.tokens+retryRatio) }
+
+func (b *retryBudget) spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// request takes a caller's task.
+func (s *State) request(ev Request) {
+	id := ev.Task.ID
+	if s.draining {
+		s.emit(Answer{ID: id, Refusal: refusal.New(refusal.Leaving, "this entry host is leaving; send it to another").After(time.Millisecond)})
+		return
+	}
+	s.budget.earn()
+	req := &request{task: ev.Task}
+	s.requests[id] = req
+	if ev.Task.NonIdempotent && ev.RequestID != "" {
+		g := newGuard(ev.Task.Team, ev.RequestID, guardRow{Hash: ev.Hash})
+		req.guard = g.Key
+		s.append(guardToken{ev.Task, ev.Hash}, journal.Batch{Guard: g, MayDrop: true})
+		return
+	}
+	s.route(ev.Task)
+}
+
+// append writes a batch to the journal and remembers what waits for it.
+func (s *State) append(waits any, b journal.Batch) {
+	s.nextID++
+	b.Token = s.nextID
+	s.tokens[b.Token] = waits
+	s.emit(Append{Batch: b})
+}
+
+// guardWritten goes on with a request whose guard is in the table, or refuses it.
+func (s *State) guardWritten(g guardToken, r journal.Result) {
+	t := g.task
+	req := s.requests[t.ID]
+	if req == nil {
+		return
+	}
+	if r.Err == nil && req.gone {
+		s.finish(t.ID, Answer{ID: t.ID, Refusal: refusal.New(refusal.Cancelled, "the caller went away")})
+		return
+	}
+	if r.Err != nil {
+		req.guard = "" // it is not this request's
+	}
+	if refused := guardRefusal(r, g.hash); refused != nil {
+		s.finish(t.ID, Answer{ID: t.ID, Refusal: refused})
+		return
+	}
+	s.route(t)
+}
+
+// takeForwarded takes a task of another entry host.
+func (s *State) takeForwarded(ev Forwarded) {
+	id := ev.Task.ID
+	if n := s.peers[ev.From]; n != nil {
+		n.heard = s.now
+	}
+	if old, ok := s.recent[id]; ok {
+		s.emit(old.answer)
+		return
+	}
+	if r := s.requests[id]; r != nil {
+		return // the answer goes to whoever asked last
+	}
+	if ev.Resolve || s.draining {
+		a := Answer{ID: id, Refusal: refusal.New(refusal.NoOwner, "it never reached %s", s.Session).After(time.Millisecond)}
+		s.recent[id] = result{a, s.now}
+		s.emit(a)
+		return
+	}
+	s.requests[id] = &request{task: ev.Task, from: ev.From}
+	s.route(ev.Task)
+}
+
+// withdraw ends a task that nobody waits for any more.
+func (s *State) withdraw(ev Withdraw) {
+	r := s.requests[ev.ID]
+	if r == nil || r.task.Job != "" && r.from == "" {
+		return
+	}
+	r.gone = true
+	if r.at != "" {
+		s.emit(Withdrawn{ID: ev.ID, Session: r.at})
+		return
+	}
+	s.step(placement.Cancel{ID: ev.ID})
+}
+
+// finish answers whoever waits for a task.
+func (s *State) finish(id string, a Answer) {
+	r := s.requests[id]
+	if r == nil {
+		return
+	}
+	delete(s.requests, id)
+	if r.guard != "" && a.Refusal != nil && a.Refusal.Ran == refusal.NotRun {
+		a.Unguard = r.guard
+	}
+	if r.from != "" {
+		s.recent[id] = result{a, s.now}
+	}
+	s.emit(a)
+}
+
+// taskRefused handles a task that did not run here.
+func (s *State) taskRefused(t task.Task, why *refusal.Refusal) {
+	if s.isOwnJob(t) {
+		s.jobRefused(t, why)
+		return
+	}
+	r := s.requests[t.ID]
+	if r == nil {
+		return
+	}
+	if !r.gone && why.Code == refusal.Overloaded && t.Hops < maxHops && s.budget.spend() {
+		if n := s.choose(t); n != nil && n.slack > 0 {
+			s.forward(t, n)
+			return
+		}
+	}
+	s.finish(t.ID, Answer{ID: t.ID, Refusal: why})
+}
+
+// taskEnded handles the end of a task that ran, or may have run.
+func (s *State) taskEnded(t task.Task, o platform.Outcome, worker string) {
+	if s.isOwnJob(t) {
+		s.jobTaskEnded(t, o)
+		return
+	}
+	r := s.requests[t.ID]
+	if r == nil {
+		return
+	}
+	if o.End == platform.EndDone || o.End == platform.EndFailed || r.from != "" || r.gone {
+		s.finish(t.ID, Answer{ID: t.ID, Outcome: &o, Worker: worker})
+		return
+	}
+	inTime := t.Deadline.IsZero() || s.now.Before(t.Deadline)
+	if !t.NonIdempotent && inTime && s.budget.spend() {
+		t.ResumeMillis = max(t.ResumeMillis, o.ResumeMillis)
+		s.route(t)
+		return
+	}
+	s.finish(t.ID, Answer{ID: t.ID, Refusal: lostRefusal(t, o)})
+}
+
+func lostRefusal(t task.Task, o platform.Outcome) *refusal.Refusal {
+	r := refusal.New(refusal.OutcomeLost, "it started and its outcome is unknown: %s %s", o.End, o.Message)
+	if !t.NonIdempotent {
+		r = r.After(time.Second)
+	}
+	return r
+}
+
+// forwardDone handles the answer of the host that a task was forwarded to.
+func (s *State) forwardDone(ev ForwardDone) {
+	r := s.requests[ev.ID]
+	if n := s.peers[ev.Session]; n != nil && (r == nil || !r.resolved) {
+		n.sent = max(0, n.sent-1)
+	}
+	if r == nil || r.at != ev.Session {
+		return
+	}
+	r.resolved = false
+	t := r.task
+	switch {
+	case ev.Outcome != nil:
+		r.at = ""
+		s.taskEnded(t, *ev.Outcome, "")
+	case ev.Refusal != nil:
+		r.at = ""
+		s.forwardRefused(t, ev.Refusal)
+	case ev.Unsent && r.lostAt.IsZero():
+		r.at = ""
+		if n := s.peers[ev.Session]; n != nil {
+			n.heard = time.Time{}
+		}
+		s.forwardRefused(t, refusal.New(refusal.NoOwner, "the host it was forwarded to is out of reach").After(time.Second))
+	case r.gone && r.from == "":
+		delete(s.requests, ev.ID)
+	default:
+		if r.lostAt.IsZero() {
+			r.lostAt = s.now
+		}
+		r.resolve = s.now.Add(resolvePace)
+	}
+}
+
+// forwardRefused tries a refused task once more where that may help.
+func (s *State) forwardRefused(t task.Task, why *refusal.Refusal) {
+	helps := why.Code == refusal.NoOwner || why.Code == refusal.Leaving || why.Code == refusal.Overloaded
+	if helps && t.Hops < maxHops && why.Ran == refusal.NotRun && s.budget.spend() {
+		s.route(t)
+		return
+	}
+	s.taskRefused(t, why)
+}
+
+// tendRequests resolves forwarded tasks whose answer was lost, ends those whose
+// sender is silent, and forgets old results.
+func (s *State) tendRequests() {
+	for id, r := range s.requests {
+		if !r.lostAt.IsZero() {
+			s.resolve(id, r)
+		}
+		if r.from != "" && !r.gone && s.silent(r.from) {
+			s.withdraw(Withdraw{ID: id})
+		}
+	}
+	for id, old := range s.recent {
+		if s.now.Sub(old.at) > recentKept {
+			delete(s.recent, id)
+		}
+	}
+}
+
+// silent reports whether a host that forwarded tasks here has stopped greeting.
+func (s *State) silent(session string) bool {
+	n := s.peers[session]
+	return n == nil || s.now.Sub(n.heard) > peerSilence
+}
+
+// resolve asks what became of a task, until its lease has lapsed wherever it is.
+func (s *State) resolve(id string, r *request) {
+	if s.now.Sub(r.lostAt) > s.lapseAfterSilence() {
+		r.lostAt, r.at = time.Time{}, ""
+		s.taskEnded(r.task, platform.Outcome{Task: id, End: placement.EndLost, Message: "the host that ran it is out of reach"}, "")
+		return
+	}
+	past := !r.task.Deadline.IsZero() && s.now.After(r.task.Deadline)
+	if past && r.from == "" && !s.isOwnJob(r.task) {
+		s.finish(id, Answer{ID: id, Refusal: lostRefusal(r.task, platform.Outcome{End: placement.EndLost})})
+		return
+	}
+	n := s.peers[r.at]
+	if n == nil || r.resolved || s.now.Before(r.resolve) {
+		return
+	}
+	r.resolved = true
+	s.emit(Forward{Task: r.task, Session: r.at, Addr: n.addr, Resolve: true})
+}
+
+// isOwnJob reports whether a task belongs to a job that this host keeps.
+func (s *State) isOwnJob(t task.Task) bool {
+	if t.Job == "" {
+		return false
+	}
+	_, ok := s.book.Get(t.Job)
+	return ok
+}
--- /dev/null
+++ b/demo/report.go
@@ -0,0 +1,211 @@
+package demo
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/cowslipgap/cowslipgap/host"
+	"github.com/cowslipgap/cowslipgap/job"
+	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/share"
+	"github.com/cowslipgap/cowslipgap/standin"
+)
+
+// Report is what a run measured and what the workers counted.
+type Report struct {
+	Deployment  string         `json:"deployment"`
+	Seed        uint64         `json:"seed"`
+	Length      time.Duration  `json:"lengthNanos"`
+	Work        []WorkLine     `json:"work"`
+	Packing     float64        `json:"packing"` // slots used over slots there are, in the second half
+	Teams       []TeamLine     `json:"teams"`
+	Control     ControlLine    `json:"control"`
+	Refusals    map[string]int `json:"refusals"`
+	Counts      standin.Counts `json:"counts"`
+	Accepted    int            `json:"acceptedTasks"`
+	Lost        int            `json:"lost"`
+	Doubled     int            `json:"doubled"`
+	OverLimit   int            `json:"overLimit"`
+	FalseNotRun int            `json:"falseNotRun"` // refused as not run, and it ran
+}
+
+// WorkLine is the waiting time of one kind of work: from sending to the answer,
+// less the time that the work itself takes.
+type WorkLine struct {
+	Name     string        `json:"name"`
+	Class    string        `json:"class"`
+	Sent     int           `json:"sent"`
+	Answered int64         `json:"answered"`
+	P50      time.Duration `json:"p50Nanos"`
+	P99      time.Duration `json:"p99Nanos"`
+	Max      time.Duration `json:"maxNanos"`
+}
+
+// TeamLine is how near a team came to its share.
+type TeamLine struct {
+	Name string  `json:"name"`
+	Due  float64 `json:"due"`  // part of the slots used by all
+	Used float64 `json:"used"` // part of the slots used by all
+}
+
+// Off returns the distance from the share, as a part of it.
+func (t TeamLine) Off() float64 {
+	if t.Due == 0 {
+		return 0
+	}
+	return math.Abs(t.Used-t.Due) / t.Due
+}
+
+// ControlLine is what control cost.
+type ControlLine struct {
+	Hosts          int     `json:"hosts"`
+	Starts         int64   `json:"starts"`
+	CorePercent    float64 `json:"corePercent"`    // of one core in the reducer, a host
+	MicrosPerStart float64 `json:"microsPerStart"` // in the reducer
+	TableWrites    float64 `json:"tableWrites"`    // a second, whole fleet
+	PeerBytes      float64 `json:"peerBytes"`      // a second, a host, both directions
+	Forwards       int64   `json:"forwards"`
+}
+
+// Clean reports whether nothing was lost, doubled or over its limit.
+func (r Report) Clean() bool {
+	return r.Lost == 0 && r.Doubled == 0 && r.OverLimit == 0 && r.FalseNotRun == 0 && r.Counts.OverRoom == 0
+}
+
+func (d *Demo) report(began, ended time.Time, c host.Counters, writes uint64) Report {
+	length := ended.Sub(began)
+	r := Report{
+		Deployment: d.Deployment.Title, Seed: d.Seed, Length: length.Round(time.Millisecond),
+		Counts: d.standin.Ledger.Count(), Refusals: d.load.Result().Codes,
+	}
+	hosts := float64(len(d.hosts))
+	r.Control = ControlLine{
+		Hosts: len(d.hosts), Starts: c.Starts, Forwards: c.Forwards,
+		CorePercent:    100 * c.ControlTime.Seconds() / length.Seconds() / hosts,
+		MicrosPerStart: float64(c.ControlTime.Microseconds()) / float64(max(1, c.Starts)),
+		TableWrites:    float64(writes) / length.Seconds(),
+		// Every byte is counted once, by the host that opened the connection,
+		// and belongs to two hosts.
+		PeerBytes: 2 * float64(c.PeerBytesSent+c.PeerBytesReceived) / length.Seconds() / hosts,
+	}
+	d.reportWork(&r)
+	d.reportShares(&r, began.Add(length/2), ended)
+	d.reportFates(&r)
+	return r
+}
+
+func (d *Demo) reportWork(r *Report) {
+	res := d.load.Result()
+	const median, high = 50, 99
+	for _, w := range d.Deployment.Work {
+		h := res.Waits[w.Name]
+		r.Work = append(r.Work, WorkLine{
+			Name: w.Name, Class: string(w.Class), Sent: res.Sent[w.Name], Answered: h.TotalCount(),
+			P50: time.Duration(h.ValueAtQuantile(median)), P99: time.Duration(h.ValueAtQuantile(high)), Max: time.Duration(h.Max()),
+		})
+	}
+}
+
+// reportShares compares what each team used with what it was due, over the
+// samples between two times.
+func (d *Demo) reportShares(r *Report, from, to time.Time) {
+	used, samples, total := map[string]float64{}, 0, 0.0
+	for _, s := range d.standin.Ledger.Samples() {
+		if s.At.Before(from) || s.At.After(to) {
+			continue
+		}
+		samples++
+		for team, v := range s.Used {
+			used[team] += float64(v.Slots)
+			total += float64(v.Slots)
+		}
+	}
+	if samples == 0 || total == 0 {
+		return
+	}
+	slots := float64(d.Deployment.Total().Slots)
+	r.Packing = total / float64(samples) / slots
+	weights, caps := map[string]float64{}, map[string]float64{}
+	for _, t := range d.Deployment.Teams {
+		weights[t.Name] = t.Share
+		if t.Limit > 0 {
+			caps[t.Name] = float64(t.Limit)
+		}
+	}
+	mean := total / float64(samples)
+	due := share.Divide(mean, weights, caps)
+	for _, t := range d.Deployment.Teams {
+		r.Teams = append(r.Teams, TeamLine{Name: t.Name, Due: due[t.Name] / mean, Used: used[t.Name] / total})
+	}
+}
+
+// reportFates compares what callers were told with what the workers counted.
+func (d *Demo) reportFates(r *Report) {
+	res, ledger := d.load.Result(), &d.standin.Ledger
+	r.Doubled, r.OverLimit = r.Counts.Doubled, r.Counts.OverLimit
+	for _, j := range res.Jobs {
+		r.Accepted += j.Tasks
+		_, done := ledger.Tagged(j.Tag)
+		r.Lost += max(0, j.Tasks-done)
+		if j.State != job.Done && done == j.Tasks {
+			r.Lost++ // it ran, and nobody was told
+		}
+		r.Doubled += max(0, done-j.Tasks)
+	}
+	for _, q := range res.Requests {
+		started, done := ledger.Tagged(q.Tag)
+		switch q.Ran {
+		case "done":
+			r.Accepted++
+			r.Lost += max(0, 1-done)
+			r.Doubled += max(0, done-1)
+		case refusal.NotRun:
+			if started > 0 {
+				r.FalseNotRun++
+			}
+		}
+	}
+}
+
+// String shows the report for people.
+func (r Report) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %s of load, seed %d\n\n", r.Deployment, r.Length, r.Seed)
+	fmt.Fprintf(&b, "%-20s %-8s %7s %9s %10s %10s %10s\n", "waiting time", "class", "sent", "answered", "p50", "p99", "longest")
+	for _, w := range r.Work {
+		if w.Answered == 0 {
+			fmt.Fprintf(&b, "%-20s %-8s %7d %9s\n", w.Name, w.Class, w.Sent, "as jobs")
+			continue
+		}
+		fmt.Fprintf(&b, "%-20s %-8s %7d %9d %10s %10s %10s\n", w.Name, w.Class, w.Sent, w.Answered, short(w.P50), short(w.P99), short(w.Max))
+	}
+	fmt.Fprintf(&b, "\npacking              %.1f%% of the slots in use\n", 100*r.Packing)
+	fmt.Fprintf(&b, "\n%-20s %8s %8s %8s\n", "share of the use", "due", "used", "off by")
+	for _, t := range r.Teams {
+		fmt.Fprintf(&b, "%-20s %7.1f%% %7.1f%% %7.1f%%\n", t.Name, 100*t.Due, 100*t.Used, 100*t.Off())
+	}
+	c := r.Control
+	fmt.Fprintf(&b, "\ncontrol cost         %d hosts, %d starts; a host: %.2f%% of a core in decisions (%.0f µs a start), %.1f KB/s with its peers\n",
+		c.Hosts, c.Starts, c.CorePercent, c.MicrosPerStart, c.PeerBytes/1024)
+	fmt.Fprintf(&b, "                     %.1f table writes a second in all, %d tasks forwarded\n", c.TableWrites, c.Forwards)
+	if len(r.Refusals) > 0 {
+		fmt.Fprintf(&b, "refusals             %v\n", r.Refusals)
+	}
+	fmt.Fprintf(&b, "\ncounted at the workers: %d starts, %d done, %d tasks accepted or answered\n", r.Counts.Starts, r.Counts.Done, r.Accepted)
+	fmt.Fprintf(&b, "lost                 %d\ndoubled              %d\nover limit           %d\nover room            %d\nran though refused   %d\n",
+		r.Lost, r.Doubled, r.OverLimit, r.Counts.OverRoom, r.FalseNotRun)
+	return b.String()
+}
+
+func short(d time.Duration) string {
+	switch {
+	case d >= time.Second:
+		return d.Round(10 * time.Millisecond).String()
+	case d >= time.Millisecond:
+		return d.Round(10 * time.Microsecond).String()
+	default:
+		return d.Round(time.Microsecond).String()
+	}
+}
--- /dev/null
+++ b/deployment/deployment.go
@@ -0,0 +1,119 @@
+// Package deployment describes the two firms that run cowslipgap, as the brief
+// gives their sizes, for the demo, the load tool and the measurements.
+//
+// # Usage
+//
+//	d, err := deployment.Named("giadan")
+//	for _, zone := range d.Zones { ... }
+package deployment
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipgap/cowslipgap/class"
+	"github.com/cowslipgap/cowslipgap/resource"
+)
+
+// ErrUnknown says that a name is not a deployment's.
+var ErrUnknown = errors.New("deployment: unknown")
+
+// Deployment is one firm's fleet, teams and work.
+type Deployment struct {
+	Name           string
+	Title          string
+	Zones          []string
+	HostsPerZone   int // entry hosts
+	WorkersPerZone int
+	WorkersPerRack int
+	Room           resource.Vector // of a worker
+	Connections    int             // of a worker
+	Teams          []Team
+	Work           []Work
+}
+
+// Team is a client account.
+type Team struct {
+	Name  string
+	Share float64
+	Limit int // tasks running at once; none if zero
+}
+
+// Work is a kind of request or job that callers send.
+type Work struct {
+	Name     string // what callers call it
+	Class    class.Class
+	Need     resource.Vector
+	Low      time.Duration // run time, drawn evenly between Low and High
+	High     time.Duration
+	Rate     float64 // arrivals a second; for jobs of Tasks tasks if that is set
+	Tasks    int
+	Deadline time.Duration
+}
+
+// Named returns the deployment with the name.
+func Named(name string) (Deployment, error) {
+	for _, d := range All() {
+		if d.Name == name {
+			return d, nil
+		}
+	}
+	return Deployment{}, errors.Mark(errors.Newf("deployment %q does not exist; use giadan or banksia", name), ErrUnknown)
+}
+
+// All returns every deployment.
+func All() []Deployment { return []Deployment{giaDan(), banksia()} }
+
+// giaDan is Nguyễn Gia Đàn Guitar Repair in Hội An.
+func giaDan() Deployment {
+	return Deployment{
+		Name: "giadan", Title: "Nguyễn Gia Đàn Guitar Repair",
+		Zones: []string{"cam-pho", "minh-an", "son-phong"}, HostsPerZone: 2, WorkersPerZone: 16, WorkersPerRack: 8,
+		Room: resource.Vector{Slots: 8, MilliCPU: 32_000, MemoryMB: 65_536}, Connections: 64,
+		Teams: []Team{
+			{Name: "touring", Share: 4}, {Name: "school", Share: 3}, {Name: "teachers", Share: 2},
+			{Name: "players", Share: 1, Limit: 30}, {Name: "festival", Share: 1}, {Name: "walk-in", Share: 1},
+		},
+		Work: []Work{
+			{Name: "slot check", Class: class.Lookup, Need: need(250, 128), Low: 2 * time.Millisecond, High: 8 * time.Millisecond, Rate: 150, Deadline: 2 * time.Second},
+			{Name: "refret estimate", Class: class.Large, Need: need(4000, 8192), Low: 300 * time.Millisecond, High: 1200 * time.Millisecond, Rate: 30, Deadline: time.Minute},
+			{Name: "setup quote", Class: class.Small, Need: need(1000, 1024), Low: 20 * time.Millisecond, High: 120 * time.Millisecond, Rate: 100, Deadline: time.Minute},
+			{Name: "string inventory", Class: class.Batch, Need: need(2000, 2048), Low: 400 * time.Millisecond, High: 1200 * time.Millisecond, Tasks: 60},
+			{Name: "wood drying model", Class: class.Gang, Need: need(2000, 2048), Low: 300 * time.Millisecond, High: 600 * time.Millisecond, Tasks: 8, Rate: 1},
+		},
+	}
+}
+
+// banksia is Banksia Strata Minutes Co. in Perth.
+func banksia() Deployment {
+	return Deployment{
+		Name: "banksia", Title: "Banksia Strata Minutes Co.",
+		Zones: []string{"joondalup", "fremantle", "midland", "perth"}, HostsPerZone: 2, WorkersPerZone: 12, WorkersPerRack: 6,
+		Room: resource.Vector{Slots: 8, MilliCPU: 64_000, MemoryMB: 131_072}, Connections: 64,
+		Teams: []Team{
+			{Name: "swan", Share: 3}, {Name: "coast", Share: 3}, {Name: "hills", Share: 2},
+			{Name: "river", Share: 2, Limit: 40}, {Name: "south-west", Share: 1}, {Name: "great-southern", Share: 1},
+		},
+		Work: []Work{
+			{Name: "notice check", Class: class.Lookup, Need: need(250, 128), Low: 2 * time.Millisecond, High: 10 * time.Millisecond, Rate: 120, Deadline: 2 * time.Second},
+			{Name: "minute pack", Class: class.Large, Need: need(8000, 16384), Low: 400 * time.Millisecond, High: 1500 * time.Millisecond, Rate: 24, Deadline: time.Minute},
+			{Name: "motion recount", Class: class.Small, Need: need(1000, 2048), Low: 30 * time.Millisecond, High: 150 * time.Millisecond, Rate: 80, Deadline: time.Minute},
+			{Name: "archive index", Class: class.Batch, Need: need(4000, 4096), Low: 400 * time.Millisecond, High: 1200 * time.Millisecond, Tasks: 60},
+			{Name: "levy model", Class: class.Gang, Need: need(4000, 4096), Low: 300 * time.Millisecond, High: 600 * time.Millisecond, Tasks: 6, Rate: 1},
+		},
+	}
+}
+
+func need(milliCPU, memoryMB int64) resource.Vector {
+	return resource.Vector{Slots: 1, MilliCPU: milliCPU, MemoryMB: memoryMB}
+}
+
+// Total returns the room of the whole fleet.
+func (d Deployment) Total() resource.Vector {
+	var total resource.Vector
+	for range len(d.Zones) * d.WorkersPerZone {
+		total = total.Add(d.Room)
+	}
+	return total
+}
--- /dev/null
+++ b/gateway/caller.go
@@ -0,0 +1,238 @@
+package gateway
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/cowslipgap/cowslipgap/class"
+	"github.com/cowslipgap/cowslipgap/job"
+	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/task"
+)
+
+const (
+	maxTasks = 1_000_000
+	// maxAmount bounds every dimension of a need, so that sums cannot overflow.
+	maxAmount = 1 << 40
+	// lookupDeadline is the deadline of lookups that name none.
+	lookupDeadline = 5 * time.Second
+)
+
+var requestIDPattern = regexp.MustCompile(`^[A-Za-z0-9._~-]{1,128}$`)
+
+// Body is what a caller sends for a request or a job. Tasks counts only for
+// jobs, and DeadlineMillis only for requests.
+type Body struct {
+	Queue          string          `json:"queue,omitempty"`
+	Class          string          `json:"class"`
+	Need           resource.Vector `json:"need,omitzero"` // one slot if empty
+	Tasks          int             `json:"tasks,omitempty"`
+	Zone           string          `json:"zone,omitempty"`
+	Rack           string          `json:"rack,omitempty"`
+	Urgent         bool            `json:"urgent,omitempty"`
+	NonIdempotent  bool            `json:"nonIdempotent,omitempty"`
+	RequestID      string          `json:"requestId,omitempty"`
+	DeadlineMillis int64           `json:"deadlineMillis,omitempty"`
+	Payload        json.RawMessage `json:"payload,omitempty"`
+}
+
+// answerBody is the answer to a request.
+type answerBody struct {
+	ID     string          `json:"id"`
+	Worker string          `json:"worker,omitempty"`
+	Output json.RawMessage `json:"output,omitempty"`
+}
+
+// jobBody is the answer to the submission of a job.
+type jobBody struct {
+	ID string `json:"id"`
+}
+
+// check returns the class that the body names, or says what is wrong with it.
+func (b *Body) check() (class.Class, *refusal.Refusal) {
+	c, err := class.Parse(b.Class)
+	if err != nil {
+		return "", refusal.New(refusal.BadRequest, "%v", err)
+	}
+	if b.Need == (resource.Vector{}) {
+		b.Need.Slots = 1
+	}
+	if b.Need.Negative() || b.Need.Slots < 1 {
+		return "", refusal.New(refusal.BadRequest, "need %+v must have one slot or more and nothing below 0", b.Need)
+	}
+	limit := resource.Vector{Slots: maxAmount, MilliCPU: maxAmount, MemoryMB: maxAmount, Accelerators: maxAmount}
+	if !b.Need.Fits(limit) {
+		return "", refusal.New(refusal.BadRequest, "need %+v has an amount above %d", b.Need, int64(maxAmount))
+	}
+	if b.RequestID != "" && !requestIDPattern.MatchString(b.RequestID) {
+		return "", refusal.New(refusal.BadRequest, "requestId must be 1 to 128 letters, digits and . _ ~ -")
+	}
+	return c, nil
+}
+
+// admit authenticates a call.
+func (g *Gateway) admit(r *http.Request, queue string) (string, *refusal.Refusal) {
+	if !g.Ready() && !g.Leaving() {
+		return "", refusal.New(refusal.NotReady, "this entry host has not read the records yet").After(time.Second)
+	}
+	return g.Catalog().Authenticate(bearer(r), queue, time.Now())
+}
+
+// decode reads a body and finds out whose it is. An unauthenticated caller is
+// not told what is wrong with its body beyond what makes it unreadable.
+func (g *Gateway) decode(w http.ResponseWriter, r *http.Request) (b Body, c class.Class, team, hash string, refused *refusal.Refusal) {
+	data, refused := g.readBody(w, r, &b)
+	if refused != nil {
+		return b, "", "", "", refused
+	}
+	if team, refused = g.admit(r, b.Queue); refused != nil {
+		return b, "", "", "", refused
+	}
+	sum := sha256.Sum256(data)
+	c, refused = b.check()
+	return b, c, team, hex.EncodeToString(sum[:]), refused
+}
+
+func (g *Gateway) postRequest(w http.ResponseWriter, r *http.Request) {
+	b, c, team, hash, refused := g.decode(w, r)
+	if refused == nil {
+		refused = b.checkRequest(c, g.Settings.MaxDeadline)
+	}
+	if refused != nil {
+		refuse(w, refused)
+		return
+	}
+	now := time.Now()
+	t := task.Task{
+		ID: newRequestID(g.Settings.Name), Team: team, Class: c, Need: b.Need, Zone: b.Zone, Rack: b.Rack, Urgent: b.Urgent,
+		NonIdempotent: b.NonIdempotent, Submitted: now, Payload: b.Payload, Deadline: now.Add(g.deadline(b, c)),
+	}
+	answer, refused := g.repeats.do(r.Context(), repeatKey{team, b.RequestID}, hash, func() (answerBody, *refusal.Refusal) {
+		outcome, worker, refused := g.Submit(r.Context(), t, b.RequestID, hash)
+		return answerBody{ID: t.ID, Worker: worker, Output: outcome.Output}, refused
+	})
+	if refused != nil {
+		refuse(w, refused)
+		return
+	}
+	write(w, http.StatusOK, answer)
+}
+
+// checkRequest checks what concerns requests alone.
+func (b *Body) checkRequest(c class.Class, maxDeadline time.Duration) *refusal.Refusal {
+	switch {
+	case !c.Interactive():
+		return refusal.New(refusal.BadRequest, "class %q is for jobs; send it to /v1/jobs", c)
+	case b.Tasks != 0:
+		return refusal.New(refusal.BadRequest, "tasks is for jobs; send it to /v1/jobs")
+	case b.DeadlineMillis < 0 || b.DeadlineMillis > maxDeadline.Milliseconds():
+		return refusal.New(refusal.BadRequest, "deadlineMillis %d is not 0 to %d", b.DeadlineMillis, maxDeadline.Milliseconds())
+	}
+	return nil
+}
+
+func (g *Gateway) deadline(b Body, c class.Class) time.Duration {
+	switch {
+	case b.DeadlineMillis > 0:
+		return time.Duration(b.DeadlineMillis) * time.Millisecond
+	case c == class.Lookup:
+		return min(lookupDeadline, g.Settings.DefaultDeadline)
+	default:
+		return g.Settings.DefaultDeadline
+	}
+}
+
+func newRequestID(host string) string { return host + "-" + strings.ToLower(rand.Text()) }
+
+func (g *Gateway) postJob(w http.ResponseWriter, r *http.Request) {
+	b, c, team, hash, refused := g.decode(w, r)
+	if refused == nil {
+		refused = b.checkJob(c)
+	}
+	if refused != nil {
+		refuse(w, refused)
+		return
+	}
+	j := job.Job{
+		Team: team, RequestID: b.RequestID, Class: c, Need: b.Need, Tasks: b.Tasks, Zone: b.Zone, Rack: b.Rack,
+		Urgent: b.Urgent, NonIdempotent: b.NonIdempotent, Payload: b.Payload,
+	}
+	id, refused := g.Job(r.Context(), j, hash)
+	if refused != nil {
+		refuse(w, refused)
+		return
+	}
+	write(w, http.StatusAccepted, jobBody{ID: id})
+}
+
+// checkJob checks what concerns jobs alone.
+func (b *Body) checkJob(c class.Class) *refusal.Refusal {
+	switch {
+	case c == class.Lookup:
+		return refusal.New(refusal.BadRequest, "class %q is for requests; send it to /v1/requests", c)
+	case b.DeadlineMillis != 0:
+		return refusal.New(refusal.BadRequest, "deadlineMillis is for requests; send it to /v1/requests")
+	case b.Tasks < 0 || b.Tasks > maxTasks:
+		return refusal.New(refusal.BadRequest, "tasks %d is not 1 to %d", b.Tasks, maxTasks)
+	}
+	b.Tasks = max(1, b.Tasks)
+	return nil
+}
+
+// jobCaller returns the team of a call about jobs.
+func (g *Gateway) jobCaller(w http.ResponseWriter, r *http.Request) (string, bool) {
+	team, refused := g.admit(r, r.URL.Query().Get("queue"))
+	if refused != nil {
+		refuse(w, refused)
+		return "", false
+	}
+	return team, true
+}
+
+func (g *Gateway) getJobs(w http.ResponseWriter, r *http.Request) {
+	team, ok := g.jobCaller(w, r)
+	if !ok {
+		return
+	}
+	list, refused := g.Jobs(r.Context(), team, "")
+	if refused != nil {
+		refuse(w, refused)
+		return
+	}
+	write(w, http.StatusOK, map[string][]job.Status{"jobs": list})
+}
+
+func (g *Gateway) getJob(w http.ResponseWriter, r *http.Request) {
+	team, ok := g.jobCaller(w, r)
+	if !ok {
+		return
+	}
+	list, refused := g.Jobs(r.Context(), team, pathvar.Vars(r)["id"])
+	if refused != nil {
+		refuse(w, refused)
+		return
+	}
+	write(w, http.StatusOK, list[0])
+}
+
+func (g *Gateway) deleteJob(w http.ResponseWriter, r *http.Request) {
+	team, ok := g.jobCaller(w, r)
+	if !ok {
+		return
+	}
+	status, refused := g.Cancel(r.Context(), team, pathvar.Vars(r)["id"])
+	if refused != nil {
+		refuse(w, refused)
+		return
+	}
+	write(w, http.StatusOK, status)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,201 @@
+// Package gateway is the HTTP interface of an entry host for callers and
+// operators. It checks keys and bodies, and leaves all decisions to the
+// functions it is given. docs/API.md lists the calls.
+//
+// # Usage
+//
+//	g := gateway.Gateway{Settings: s, Catalog: h.catalog.Load, Submit: h.submit, ...}
+//	handler, err := g.Handler()
+//	http.Serve(listener, handler)
+package gateway
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/stat"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/cowslipgap/cowslipgap/audit"
+	"github.com/cowslipgap/cowslipgap/catalog"
+	"github.com/cowslipgap/cowslipgap/document"
+	"github.com/cowslipgap/cowslipgap/job"
+	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/record"
+	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/settings"
+	"github.com/cowslipgap/cowslipgap/task"
+)
+
+// Records is what the gateway needs for operators' records.
+type Records interface {
+	List(ctx context.Context, kind string) ([]record.Record, *refusal.Refusal)
+	Get(ctx context.Context, kind, name string) ([]record.Record, []string, *refusal.Refusal)
+	Put(ctx context.Context, r record.Record, seen uint64) (record.Record, *refusal.Refusal)
+	Withdraw(ctx context.Context, kind, name, by string, seen uint64) (record.Record, *refusal.Refusal)
+	History(ctx context.Context, id string) ([]audit.Entry, *refusal.Refusal)
+}
+
+// EntryHost is a live entry host, for operators.
+type EntryHost struct {
+	Name     string `json:"name"`
+	Zone     string `json:"zone"`
+	Session  string `json:"session"`
+	HTTPAddr string `json:"httpAddr"`
+	PeerAddr string `json:"peerAddr"`
+	Records  uint64 `json:"records"` // revision of the records in force
+	Leaving  bool   `json:"leaving"`
+}
+
+// Gateway serves HTTP. Every field must be set.
+type Gateway struct {
+	Settings settings.Settings
+	Log      *slog.Logger
+	Catalog  func() *catalog.Catalog
+	Ready    func() bool
+	Leaving  func() bool
+	Submit   func(ctx context.Context, t task.Task, requestID, hash string) (platform.Outcome, string, *refusal.Refusal)
+	Job      func(ctx context.Context, j job.Job, hash string) (string, *refusal.Refusal)
+	Jobs     func(ctx context.Context, team, id string) ([]job.Status, *refusal.Refusal)
+	Cancel   func(ctx context.Context, team, id string) (*job.Status, *refusal.Refusal)
+	Records  Records
+	Hosts    func(ctx context.Context) ([]EntryHost, []platform.Host, *refusal.Refusal)
+	Vars     *expvar.Map
+
+	repeats repeats
+}
+
+// quiet turns off what the HTTP library logs and reports by itself.
+var quiet = sync.OnceFunc(func() {
+	logx.Disable()
+	stat.DisableLog()
+})
+
+// Handler returns the routes.
+func (g *Gateway) Handler() (http.Handler, error) {
+	var conf rest.RestConf
+	conf.Name = g.Settings.Name
+	conf.Log.Mode = "console"
+	conf.Middlewares.Recover = true
+	server, err := rest.NewServer(conf)
+	if err != nil {
+		return nil, errors.Wrap(err, "gateway: build server")
+	}
+	quiet()
+	server.AddRoutes(g.routes())
+	serverless, err := rest.NewServerless(server)
+	if err != nil {
+		return nil, errors.Wrap(err, "gateway: build routes")
+	}
+	return http.HandlerFunc(serverless.Serve), nil
+}
+
+func (g *Gateway) routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: "/healthz", Handler: g.health},
+		{Method: http.MethodGet, Path: "/readyz", Handler: g.readiness},
+		{Method: http.MethodGet, Path: "/debug/vars", Handler: g.variables},
+		{Method: http.MethodPost, Path: "/v1/requests", Handler: g.postRequest},
+		{Method: http.MethodPost, Path: "/v1/jobs", Handler: g.postJob},
+		{Method: http.MethodGet, Path: "/v1/jobs", Handler: g.getJobs},
+		{Method: http.MethodGet, Path: "/v1/jobs/:id", Handler: g.getJob},
+		{Method: http.MethodDelete, Path: "/v1/jobs/:id", Handler: g.deleteJob},
+		{Method: http.MethodGet, Path: "/v1/records", Handler: g.operator(g.listRecords)},
+		{Method: http.MethodGet, Path: "/v1/records/:kind/:name", Handler: g.operator(g.getRecord)},
+		{Method: http.MethodPut, Path: "/v1/records/:kind/:name", Handler: g.operator(g.putRecord)},
+		{Method: http.MethodDelete, Path: "/v1/records/:kind/:name", Handler: g.operator(g.withdrawRecord)},
+		{Method: http.MethodGet, Path: "/v1/audit", Handler: g.operator(g.getAudit)},
+		{Method: http.MethodGet, Path: "/v1/hosts", Handler: g.operator(g.getHosts)},
+	}
+}
+
+func (g *Gateway) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = fmt.Fprintln(w, "ok")
+}
+
+func (g *Gateway) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !g.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "ready")
+}
+
+func (g *Gateway) variables(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	fields := []string{fmt.Sprintf("%q: %s", "host", g.Vars.String())}
+	expvar.Do(func(kv expvar.KeyValue) {
+		fields = append(fields, fmt.Sprintf("%q: %s", kv.Key, kv.Value))
+	})
+	_, _ = fmt.Fprintf(w, "{\n%s\n}\n", strings.Join(fields, ",\n"))
+}
+
+// operator lets only operators through.
+func (g *Gateway) operator(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(bearer(r)), []byte(g.Settings.OperatorKey)) != 1 {
+			refuse(w, refusal.New(refusal.BadKey, "this call needs the operators' key"))
+			return
+		}
+		next(w, r)
+	}
+}
+
+func bearer(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return token
+}
+
+// readBody reads and decodes a body of bounded size, and returns its bytes.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, out any) ([]byte, *refusal.Refusal) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.Settings.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refusal.New(refusal.TooLarge, "the body is larger than %d bytes", g.Settings.MaxBodyBytes)
+	case err != nil:
+		return nil, refusal.New(refusal.BadRequest, "the body cannot be read: %v", err)
+	}
+	if err := document.Decode(data, out); err != nil {
+		return nil, refusal.New(refusal.BadRequest, "%v", err)
+	}
+	return data, nil
+}
+
+// errorBody is the form of every refusal.
+type errorBody struct {
+	Error *refusal.Refusal `json:"error"`
+}
+
+const millisPerSecond = 1000
+
+func refuse(w http.ResponseWriter, r *refusal.Refusal) {
+	if r.RetryMillis > 0 {
+		w.Header().Set("Retry-After", fmt.Sprint((r.RetryMillis+millisPerSecond-1)/millisPerSecond))
+	}
+	write(w, r.Status(), errorBody{r})
+}
+
+func write(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/integration/integration_test.go
@@ -0,0 +1,299 @@
+// Package integration tests real processes: the stand-in and entry hosts, built
+// once and driven over their published interfaces.
+package integration
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/client"
+	"github.com/cowslipgap/cowslipgap/gateway"
+	"github.com/cowslipgap/cowslipgap/record"
+	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/standin"
+)
+
+const (
+	operatorSecret = "integration-operator-key"
+	peerSecret     = "integration-peer-key"
+	callerSecret   = "integration-caller-secret"
+	patience       = 30 * time.Second
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "cowslipgap")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "github.com/cowslipgap/cowslipgap/cmd/...")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	status := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(status)
+}
+
+// process is one running program.
+type process struct {
+	t   *testing.T
+	cmd *exec.Cmd
+}
+
+func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(binaries, name), args...)
+	log, err := os.Create(filepath.Join(t.TempDir(), name+".log"))
+	require.NoError(t, err)
+	cmd.Stderr = log
+	out, err := cmd.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, cmd.Start())
+	p := &process{t, cmd}
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if t.Failed() {
+			data, _ := os.ReadFile(log.Name())
+			t.Logf("%s %v:\n%s", name, args, data)
+		}
+	})
+	if name == "standin" {
+		line, err := bufio.NewReader(out).ReadString('\n')
+		require.NoError(t, err)
+		require.Contains(t, line, "serving")
+	}
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	require.NoError(p.t, p.cmd.Process.Signal(s))
+}
+
+// fleet is a stand-in with entry hosts.
+type fleet struct {
+	t        *testing.T
+	platform string
+	dir      string
+	hosts    []*entryHost
+}
+
+type entryHost struct {
+	*process
+	name, url string
+	config    string
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// newFleet starts a stand-in of Gia Đàn's and an entry host in each named zone.
+func newFleet(t *testing.T, zones ...string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir()}
+	addr := freeAddr(t)
+	f.platform = "http://" + addr
+	start(t, "standin", "--listen", addr, "--deployment", "giadan")
+	require.NoError(t, os.WriteFile(filepath.Join(f.dir, "operator.key"), []byte(operatorSecret), 0o600))
+	require.NoError(t, os.WriteFile(filepath.Join(f.dir, "peer.key"), []byte(peerSecret), 0o600))
+	for i, zone := range zones {
+		f.addHost(fmt.Sprintf("%s-%d", zone, i), zone)
+	}
+	for _, h := range f.hosts {
+		f.waitReady(h)
+	}
+	return f
+}
+
+func (f *fleet) addHost(name, zone string) *entryHost {
+	f.t.Helper()
+	httpAddr := freeAddr(f.t)
+	config := filepath.Join(f.dir, name+".ini")
+	text := fmt.Sprintf("[host]\nname = %s\nzone = %s\nhttpAddr = %s\npeerAddr = %s\n[platform]\nurl = %s\n[keys]\noperatorKeyFile = %s\npeerKeyFile = %s\n",
+		name, zone, httpAddr, freeAddr(f.t), f.platform, filepath.Join(f.dir, "operator.key"), filepath.Join(f.dir, "peer.key"))
+	require.NoError(f.t, os.WriteFile(config, []byte(text), 0o600))
+	h := &entryHost{process: start(f.t, "cowslipgap", "serve", "--config", config), name: name, url: "http://" + httpAddr, config: config}
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+func (f *fleet) eventually(what string, check func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, check, patience, 50*time.Millisecond, what)
+}
+
+func (f *fleet) waitReady(h *entryHost) {
+	f.t.Helper()
+	f.eventually(h.name+" is ready", func() bool {
+		resp, err := http.Get(h.url + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+func (f *fleet) operator(h *entryHost) client.Client {
+	return client.Client{Base: h.url, Key: operatorSecret, Operator: "test"}
+}
+
+func (f *fleet) caller(h *entryHost, team string) client.Client {
+	return client.Client{Base: h.url, Key: team + "." + callerSecret}
+}
+
+func (f *fleet) put(kind, name string, revision uint64, data string) {
+	f.t.Helper()
+	_, err := f.operator(f.hosts[0]).PutRecord(f.t.Context(), kind, name, gateway.RecordBody{Schema: 1, Revision: revision, Data: json.RawMessage(data)})
+	require.NoError(f.t, err)
+}
+
+// addTeam writes a team's key and waits until it is accepted.
+func (f *fleet) addTeam(team string) {
+	f.t.Helper()
+	f.put(record.KindKey, team, 0, fmt.Sprintf(`{"team":%q,"secret":%q}`, team, callerSecret))
+	f.waitAccepted(record.KindKey, team)
+}
+
+func (f *fleet) waitAccepted(kind, name string) {
+	f.t.Helper()
+	f.eventually(kind+"/"+name+" is accepted", func() bool {
+		s, err := f.operator(f.hosts[0]).GetRecord(f.t.Context(), kind, name)
+		return err == nil && s.State == "accepted"
+	})
+}
+
+func (f *fleet) ledger() standin.Counts {
+	f.t.Helper()
+	resp, err := http.Get(f.platform + "/admin/ledger")
+	require.NoError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var c standin.Counts
+	require.NoError(f.t, json.NewDecoder(resp.Body).Decode(&c))
+	return c
+}
+
+func lookup() gateway.Body {
+	return gateway.Body{Class: "lookup", DeadlineMillis: 20_000, Payload: json.RawMessage(`{"workMillis":5}`)}
+}
+
+// TestRequestAndJob follows a request and a job from end to end, through hosts
+// of three zones.
+func TestRequestAndJob(t *testing.T) {
+	f := newFleet(t, "cam-pho", "minh-an", "son-phong")
+	f.addTeam("touring")
+	for _, h := range f.hosts {
+		answer, err := f.caller(h, "touring").Submit(t.Context(), lookup())
+		require.NoError(t, err)
+		require.Contains(t, string(answer.Output), `"workMillis":5`)
+	}
+	body := gateway.Body{Class: "batch", Tasks: 20, RequestID: "nightly", Payload: json.RawMessage(`{"workMillis":20}`)}
+	id, err := f.caller(f.hosts[0], "touring").SubmitJob(t.Context(), body)
+	require.NoError(t, err)
+	again, err := f.caller(f.hosts[1], "touring").SubmitJob(t.Context(), body)
+	require.NoError(t, err)
+	require.Equal(t, id, again, "a repeat is the same job")
+	f.eventually("the job is done, read from another zone", func() bool {
+		st, err := f.caller(f.hosts[2], "touring").Job(t.Context(), id)
+		return err == nil && st.State == "done" && st.Counts["done"] == 20
+	})
+	require.Equal(t, standin.Counts{Starts: 23, Done: 23}, f.ledger())
+}
+
+// TestWithdrawnKeyStops withdraws a key at one host and uses it at all.
+func TestWithdrawnKeyStops(t *testing.T) {
+	f := newFleet(t, "cam-pho", "minh-an", "son-phong")
+	f.addTeam("school")
+	_, err := f.operator(f.hosts[1]).WithdrawRecord(t.Context(), record.KindKey, "school", 1)
+	require.NoError(t, err)
+	f.waitAccepted(record.KindKey, "school")
+	for _, h := range f.hosts {
+		_, err := f.caller(h, "school").Submit(t.Context(), lookup())
+		var r *refusal.Refusal
+		require.ErrorAs(t, err, &r)
+		require.Equal(t, refusal.KeyWithdrawn, r.Code)
+		require.Equal(t, refusal.NotRun, r.Ran)
+	}
+	require.Zero(t, f.ledger().Starts)
+}
+
+// TestGracefulShutdown ends a host under load: no request is cut off.
+func TestGracefulShutdown(t *testing.T) {
+	f := newFleet(t, "cam-pho")
+	f.addTeam("touring")
+	h := f.hosts[0]
+	const senders, each = 8, 20
+	results := make(chan error, senders*each)
+	for range senders {
+		go func() {
+			for range each {
+				_, err := f.caller(h, "touring").Submit(context.Background(), gateway.Body{
+					Class: "small", DeadlineMillis: 20_000, Payload: json.RawMessage(`{"workMillis":60}`),
+				})
+				results <- err
+			}
+		}()
+	}
+	answered, refused := 0, 0
+	for i := range senders * each {
+		if i == senders*each/4 {
+			h.signal(syscall.SIGTERM)
+		}
+		err := <-results
+		if err == nil {
+			answered++
+			continue
+		}
+		refused++
+		var r *refusal.Refusal
+		if errors.As(err, &r) {
+			require.Equal(t, refusal.NotRun, r.Ran)
+		} else {
+			require.Contains(t, err.Error(), "connection refused", "a request was cut off")
+		}
+	}
+	require.Positive(t, refused)
+	require.NoError(t, h.cmd.Wait())
+	c := f.ledger()
+	require.Equal(t, answered, c.Done)
+	require.Equal(t, answered, c.Starts)
+}
+
+// TestSettingsRefused starts a host with wrong settings.
+func TestSettingsRefused(t *testing.T) {
+	config := filepath.Join(t.TempDir(), "bad.ini")
+	require.NoError(t, os.WriteFile(config, []byte("[host]\nname = A!\nspeed = 9\n"), 0o600))
+	out, err := exec.Command(filepath.Join(binaries, "cowslipgap"), "serve", "--config", config).CombinedOutput()
+	var exit *exec.ExitError
+	require.ErrorAs(t, err, &exit)
+	require.Equal(t, 2, exit.ExitCode())
+	for _, part := range []string{`[host] name = "A!" is not allowed`, `[host] speed = "9" does not exist`, "[platform] url is missing"} {
+		require.True(t, strings.Contains(string(out), part), "%s lacks %s", out, part)
+	}
+}
--- /dev/null
+++ b/placement/effect.go
@@ -0,0 +1,60 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/task"
+)
+
+// Effect is something for the runtime to do. The types of this file are all
+// there are.
+type Effect interface{ effect() }
+
+// Start sends a task to a worker, unless NotAfter has passed by then.
+type Start struct {
+	Task     task.Task
+	Worker   platform.Host
+	NotAfter time.Time
+}
+
+// Stop ends tasks on a worker.
+type Stop struct {
+	Worker     platform.Host
+	Tasks      []string
+	Checkpoint bool
+}
+
+// Renew renews the leases of tasks on a worker and reads its report. The worker
+// must ignore a renewal that reaches it after NotAfter.
+type Renew struct {
+	Worker   platform.Host
+	Tasks    []string
+	After    uint64
+	NotAfter time.Time
+}
+
+// Refuse tells that a task did not run here.
+type Refuse struct {
+	Task    task.Task
+	Refusal *refusal.Refusal
+}
+
+// Finish tells how a task ended, beside the ways of package platform also with
+// [EndLost].
+type Finish struct {
+	Task    task.Task
+	Outcome platform.Outcome
+	Worker  string
+}
+
+// EndLost is the end of a task that runs no longer and of which nobody knows
+// whether it ran.
+const EndLost = "lost"
+
+func (Start) effect()  {}
+func (Stop) effect()   {}
+func (Renew) effect()  {}
+func (Refuse) effect() {}
+func (Finish) effect() {}
--- /dev/null
+++ b/placement/load.go
@@ -0,0 +1,109 @@
+package placement
+
+import (
+	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/task"
+)
+
+// Load is a summary of a Core for other entry hosts and for metrics.
+type Load struct {
+	Workers    int
+	FreeSlots  int64
+	TotalSlots int64
+	Waiting    int
+	Running    int
+}
+
+// Load returns the present summary.
+func (c *Core) Load() Load {
+	return Load{
+		Workers: len(c.order), FreeSlots: max(0, c.free-c.reserve()), TotalSlots: c.total.Slots,
+		Waiting: c.waiting, Running: len(c.entries) - c.waiting,
+	}
+}
+
+// Room returns the room of all workers owned.
+func (c *Core) Room() resource.Vector { return c.total }
+
+// Largest returns the largest room of a worker, dimension by dimension.
+func (c *Core) Largest() resource.Vector { return c.largest }
+
+// Fits reports whether some worker owned could run the task if it were empty.
+func (c *Core) Fits(t task.Task) bool {
+	if !t.Need.Fits(c.largest) {
+		return false
+	}
+	return c.checkFits([]task.Task{t}) == nil
+}
+
+// Capacity returns how many tasks of a size the workers owned, or those of one
+// rack, hold at once when empty.
+func (c *Core) Capacity(need resource.Vector, rack string) int {
+	return c.capacity(need, rack, int(^uint(0)>>1))
+}
+
+// capacity counts up to enough.
+func (c *Core) capacity(need resource.Vector, rack string, enough int) int {
+	places := 0
+	for _, n := range c.order {
+		if rack != "" && n.host.Rack != rack {
+			continue
+		}
+		if places += n.capacityFor(need); places >= enough {
+			break
+		}
+	}
+	return places
+}
+
+// Used returns what each team uses here; teams that use nothing are left out.
+func (c *Core) Used() map[string]resource.Vector {
+	used := map[string]resource.Vector{}
+	for name, t := range c.teams {
+		if t.running > 0 {
+			used[name] = c.ledger.Local(name)
+		}
+	}
+	return used
+}
+
+// ActiveTeams returns how many teams run tasks here.
+func (c *Core) ActiveTeams() int {
+	count := 0
+	for _, t := range c.teams {
+		if t.running > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// Demand returns how many of a team's tasks run and wait here.
+func (c *Core) Demand(name string) (running, waiting int) {
+	t := c.teams[name]
+	if t == nil {
+		return 0, 0
+	}
+	return t.running, t.waiting
+}
+
+// Standings returns each team's use of its share, for operators.
+func (c *Core) Standings() map[string]float64 {
+	list := map[string]float64{}
+	for name := range c.teams {
+		list[name] = c.ledger.Standing(name)
+	}
+	return list
+}
+
+// Quarantined returns the workers that are sent nothing because they fail what
+// others do not.
+func (c *Core) Quarantined() []string {
+	var names []string
+	for _, n := range c.order {
+		if n.record.quarantined(c.now) {
+			names = append(names, n.host.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/record/record.go
@@ -0,0 +1,317 @@
+// Package record defines the records by which operators drive the system:
+// teams, keys, shares, limits, queues and the draining of hosts.
+//
+// A record has a schema version and a revision. Versions of one record under
+// different schemas are separate rows and stay in force side by side: a host
+// uses the newest schema that it knows, and carries newer ones untouched.
+//
+// # Usage
+//
+//	r := record.Record{Kind: record.KindShare, Name: "workshop", Schema: 1, Data: data}
+//	if err := r.Validate(); err != nil {
+//		return err
+//	}
+//	weight, err := r.Share()
+package record
+
+import (
+	"encoding/json"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipgap/cowslipgap/document"
+	"github.com/cowslipgap/cowslipgap/key"
+)
+
+// Kinds of records.
+const (
+	KindTeam  = "team"
+	KindKey   = "key"
+	KindShare = "share"
+	KindLimit = "limit"
+	KindQueue = "queue"
+	KindHost  = "host"
+)
+
+// newestSchema is the newest schema version that this build knows, by kind.
+var newestSchema = map[string]int{
+	KindTeam: 1, KindKey: 1, KindShare: 2, KindLimit: 2, KindQueue: 1, KindHost: 1,
+}
+
+const (
+	maxWeight    = 1e6
+	maxLimit     = 10_000_000 // tasks
+	maxDataBytes = 64 << 10
+	prefix       = "shared/record/"
+)
+
+var (
+	// ErrInvalid says that a record cannot be accepted.
+	ErrInvalid = errors.New("record: invalid")
+	// ErrUnknownSchema says that this build does not know a record's schema version.
+	ErrUnknownSchema = errors.New("record: unknown schema version")
+
+	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+)
+
+// Record is one version of a record under one schema.
+type Record struct {
+	Kind      string          `json:"kind"`
+	Name      string          `json:"name"`
+	Schema    int             `json:"schema"`
+	Revision  uint64          `json:"revision"` // counts the writes of this record under this schema
+	Withdrawn bool            `json:"withdrawn,omitempty"`
+	Data      json.RawMessage `json:"data,omitempty"`
+	By        string          `json:"by,omitempty"`
+	At        time.Time       `json:"at,omitzero"`
+	WriteID   string          `json:"writeId,omitempty"` // tells a writer whether its write took effect
+}
+
+// Team is the data of a team record.
+type Team struct {
+	Title string `json:"title,omitempty"`
+}
+
+// Queue is the data of a queue record. Work for an open queue needs no key and
+// counts for the queue's team.
+type Queue struct {
+	Team string `json:"team"`
+	Open bool   `json:"open,omitempty"`
+}
+
+// Host is the data of a host record.
+type Host struct {
+	Drain bool `json:"drain"`
+}
+
+// Prefix is the part of the table that holds records of a kind, or of every
+// kind if it is empty.
+func Prefix(kind string) string {
+	if kind == "" {
+		return prefix
+	}
+	return prefix + kind + "/"
+}
+
+// ID names the record under all its schemas.
+func (r Record) ID() string { return r.Kind + "/" + r.Name }
+
+// RowKey is the record's place in the table.
+func (r Record) RowKey() string { return prefix + r.ID() + "/" + strconv.Itoa(r.Schema) }
+
+// Known reports whether this build knows the record's schema version.
+func (r Record) Known() bool { return r.Schema >= 1 && r.Schema <= newestSchema[r.Kind] }
+
+// NewestSchema returns the newest schema version this build knows for a kind.
+func NewestSchema(kind string) int { return newestSchema[kind] }
+
+// ValidName reports whether a name may be used for a record, team or host.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
+
+// Decode reads a record from a table row or a request.
+func Decode(data []byte) (Record, error) {
+	var r Record
+	if err := document.Decode(data, &r); err != nil {
+		return Record{}, invalid(err, "record")
+	}
+	return r, nil
+}
+
+// Validate checks a record that an operator wants to write.
+func (r Record) Validate() error {
+	newest, ok := newestSchema[r.Kind]
+	if !ok {
+		return invalid(nil, "kind %q does not exist; use team, key, share, limit, queue or host", r.Kind)
+	}
+	if !ValidName(r.Name) {
+		return invalid(nil, "name %q is not 1 to 63 lower-case letters, digits and hyphens", r.Name)
+	}
+	if r.Schema < 1 || r.Schema > newest {
+		return errors.Mark(errors.Newf("%s has schema version %d; this host knows 1 to %d", r.ID(), r.Schema, newest), ErrUnknownSchema)
+	}
+	if len(r.Data) > maxDataBytes {
+		return invalid(nil, "%s has %d bytes of data; at most %d are allowed", r.ID(), len(r.Data), maxDataBytes)
+	}
+	return r.validateData()
+}
+
+func (r Record) validateData() error {
+	var err error
+	switch r.Kind {
+	case KindTeam:
+		var t Team
+		err = r.decode(&t)
+	case KindKey:
+		_, err = r.Key()
+	case KindShare:
+		_, err = r.Share()
+	case KindLimit:
+		_, err = r.Limit()
+	case KindQueue:
+		_, err = r.Queue()
+	case KindHost:
+		_, err = r.Host()
+	}
+	return err
+}
+
+// Share returns the weight of a share record.
+func (r Record) Share() (float64, error) {
+	weight := 0.0
+	switch r.Schema {
+	case 1:
+		var data struct {
+			Weight int64 `json:"weight"`
+		}
+		if err := r.decode(&data); err != nil {
+			return 0, err
+		}
+		weight = float64(data.Weight)
+	case 2:
+		var data struct {
+			Weight float64 `json:"weight"`
+		}
+		if err := r.decode(&data); err != nil {
+			return 0, err
+		}
+		weight = data.Weight
+	default:
+		return 0, r.unknownSchema()
+	}
+	if !(weight > 0 && weight <= maxWeight) {
+		return 0, invalid(nil, "%s: weight %v is not above 0 and at most %v", r.ID(), weight, maxWeight)
+	}
+	return weight, nil
+}
+
+// Limit returns the upper limit of a limit record: how many tasks of the team
+// may run at once in the whole fleet.
+func (r Record) Limit() (int, error) {
+	limit := int64(0)
+	switch r.Schema {
+	case 1:
+		var data struct {
+			Tasks int64 `json:"tasks"`
+		}
+		if err := r.decode(&data); err != nil {
+			return 0, err
+		}
+		limit = data.Tasks
+	case 2:
+		var data struct {
+			Running struct {
+				Tasks int64 `json:"tasks"`
+			} `json:"running"`
+		}
+		if err := r.decode(&data); err != nil {
+			return 0, err
+		}
+		limit = data.Running.Tasks
+	default:
+		return 0, r.unknownSchema()
+	}
+	if limit < 0 || limit > maxLimit {
+		return 0, invalid(nil, "%s: limit %d is not 0 to %d tasks", r.ID(), limit, maxLimit)
+	}
+	return int(limit), nil
+}
+
+// Key returns the key of a key record.
+func (r Record) Key() (key.Key, error) {
+	var k key.Key
+	if r.Schema != 1 {
+		return k, r.unknownSchema()
+	}
+	if err := r.decode(&k); err != nil {
+		return key.Key{}, err
+	}
+	if !ValidName(k.Team) {
+		return key.Key{}, invalid(nil, "%s: team %q is not a valid name", r.ID(), k.Team)
+	}
+	if k.Hash == "" || k.Salt == "" {
+		return key.Key{}, invalid(nil, "%s: the secret is missing", r.ID())
+	}
+	if k.MaxStaleMillis < 0 {
+		return key.Key{}, invalid(nil, "%s: maxStaleMillis %d is below 0", r.ID(), k.MaxStaleMillis)
+	}
+	return k, nil
+}
+
+// Queue returns the data of a queue record.
+func (r Record) Queue() (Queue, error) {
+	var q Queue
+	if err := r.decode(&q); err != nil {
+		return Queue{}, err
+	}
+	if !ValidName(q.Team) {
+		return Queue{}, invalid(nil, "%s: team %q is not a valid name", r.ID(), q.Team)
+	}
+	return q, nil
+}
+
+// Host returns the data of a host record.
+func (r Record) Host() (Host, error) {
+	var h Host
+	err := r.decode(&h)
+	return h, err
+}
+
+// SealSecret replaces the secret in the data of a key record that an operator
+// wrote by its salted hash.
+func (r Record) SealSecret() (Record, error) {
+	if r.Kind != KindKey || r.Schema != 1 {
+		return r, nil
+	}
+	var data struct {
+		Team           string `json:"team"`
+		Secret         string `json:"secret"`
+		MaxStaleMillis int64  `json:"maxStaleMillis"`
+	}
+	if err := r.decode(&data); err != nil {
+		return Record{}, err
+	}
+	k, err := key.Seal(data.Team, data.Secret)
+	if err != nil {
+		return Record{}, invalid(err, "%s", r.ID())
+	}
+	k.MaxStaleMillis = data.MaxStaleMillis
+	r.Data, err = json.Marshal(k)
+	if err != nil {
+		return Record{}, invalid(err, "%s", r.ID())
+	}
+	return r, nil
+}
+
+func (r Record) decode(out any) error {
+	if len(r.Data) == 0 {
+		return invalid(nil, "%s has no data", r.ID())
+	}
+	if err := document.Decode(r.Data, out); err != nil {
+		return invalid(err, "%s", r.ID())
+	}
+	return nil
+}
+
+func (r Record) unknownSchema() error {
+	return errors.Mark(errors.Newf("%s: schema version %d", r.ID(), r.Schema), ErrUnknownSchema)
+}
+
+func invalid(cause error, format string, args ...any) error {
+	if cause != nil {
+		return errors.Mark(errors.Wrapf(cause, format, args...), ErrInvalid)
+	}
+	return errors.Mark(errors.Newf(format, args...), ErrInvalid)
+}
+
+// ParseID takes "kind/name" apart.
+func ParseID(id string) (kind, name string, err error) {
+	kind, name, ok := strings.Cut(id, "/")
+	if !ok || newestSchema[kind] == 0 || !ValidName(name) {
+		return "", "", invalid(nil, `%q is not of the form "kind/name" with a kind of team, key, share, limit, queue or host`, id)
+	}
+	return kind, name, nil
+}
--- /dev/null
+++ b/resource/resource.go
@@ -0,0 +1,76 @@
+// Package resource describes amounts of what a worker offers and a task needs.
+//
+// # Usage
+//
+//	need := resource.Vector{Slots: 1, MilliCPU: 4000, MemoryMB: 8192}
+//	if need.Fits(free) {
+//		free = free.Sub(need)
+//	}
+package resource
+
+// Vector is an amount in every dimension. The zero Vector is nothing.
+type Vector struct {
+	Slots        int64 `json:"slots,omitempty"`
+	MilliCPU     int64 `json:"milliCpu,omitempty"` // thousandths of a processor
+	MemoryMB     int64 `json:"memoryMb,omitempty"` // mebibytes
+	Accelerators int64 `json:"accelerators,omitempty"`
+}
+
+// Add returns v + o.
+func (v Vector) Add(o Vector) Vector {
+	return Vector{
+		Slots:        v.Slots + o.Slots,
+		MilliCPU:     v.MilliCPU + o.MilliCPU,
+		MemoryMB:     v.MemoryMB + o.MemoryMB,
+		Accelerators: v.Accelerators + o.Accelerators,
+	}
+}
+
+// Sub returns v - o, which may be negative.
+func (v Vector) Sub(o Vector) Vector {
+	return Vector{
+		Slots:        v.Slots - o.Slots,
+		MilliCPU:     v.MilliCPU - o.MilliCPU,
+		MemoryMB:     v.MemoryMB - o.MemoryMB,
+		Accelerators: v.Accelerators - o.Accelerators,
+	}
+}
+
+// Max returns the larger amount in each dimension.
+func (v Vector) Max(o Vector) Vector {
+	return Vector{
+		Slots:        max(v.Slots, o.Slots),
+		MilliCPU:     max(v.MilliCPU, o.MilliCPU),
+		MemoryMB:     max(v.MemoryMB, o.MemoryMB),
+		Accelerators: max(v.Accelerators, o.Accelerators),
+	}
+}
+
+// Fits reports whether v is at most room in every dimension.
+func (v Vector) Fits(room Vector) bool {
+	return v.Slots <= room.Slots && v.MilliCPU <= room.MilliCPU &&
+		v.MemoryMB <= room.MemoryMB && v.Accelerators <= room.Accelerators
+}
+
+// Negative reports whether any dimension is below zero.
+func (v Vector) Negative() bool {
+	return v.Slots < 0 || v.MilliCPU < 0 || v.MemoryMB < 0 || v.Accelerators < 0
+}
+
+// Dominant returns the largest fraction of total that v takes in any
+// dimension. Dimensions that total does not have are left out.
+func (v Vector) Dominant(total Vector) float64 {
+	return max(
+		fraction(v.Slots, total.Slots),
+		fraction(v.MilliCPU, total.MilliCPU),
+		fraction(v.MemoryMB, total.MemoryMB),
+		fraction(v.Accelerators, total.Accelerators),
+	)
+}
+
+func fraction(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/room/room_test.go
@@ -0,0 +1,44 @@
+package room_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/room"
+)
+
+// TestFirstMatchesScan compares the tree with a linear search.
+func TestFirstMatchesScan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vector := rapid.Custom(func(t *rapid.T) resource.Vector {
+			return resource.Vector{
+				Slots: rapid.Int64Range(0, 4).Draw(t, "slots"), MilliCPU: rapid.Int64Range(0, 4).Draw(t, "cpu"),
+				MemoryMB: rapid.Int64Range(0, 4).Draw(t, "memory"),
+			}
+		})
+		var tree room.Tree
+		amounts := make([]resource.Vector, rapid.IntRange(1, 70).Draw(t, "size"))
+		for i := range amounts {
+			amounts[i] = vector.Draw(t, "amount")
+			tree.Set(i, amounts[i])
+		}
+		for range 8 {
+			i := rapid.IntRange(0, len(amounts)-1).Draw(t, "changed")
+			amounts[i] = vector.Draw(t, "amount")
+			tree.Set(i, amounts[i])
+			need := vector.Draw(t, "need")
+			lo, hi := rapid.IntRange(0, len(amounts)).Draw(t, "lo"), rapid.IntRange(0, len(amounts)+2).Draw(t, "hi")
+			want := room.NotFound
+			for j := lo; j < min(hi, len(amounts)); j++ {
+				if need.Fits(amounts[j]) {
+					want = j
+					break
+				}
+			}
+			require.Equal(t, want, tree.First(lo, hi, need))
+		}
+	})
+}
--- /dev/null
+++ b/standin/standin.go
@@ -0,0 +1,352 @@
+// Package standin imitates, in memory and on loopback, the systems that
+// cowslipgap meets: the platform's table, object store and list of hosts, and
+// the workers with their endpoints. Tests, the demo and cmd/standin use it; the
+// product itself never does. The protocol is in docs/PLATFORM.md.
+//
+// The stand-in keeps a [Ledger] of what truly ran, which is where lost, doubled
+// and over-limit work is counted.
+//
+// # Usage
+//
+//	s := standin.Standin{Zones: []string{"a", "b"}, WorkersPerZone: 8, WorkersPerRack: 4}
+//	if err := s.Start("127.0.0.1:0"); err != nil {
+//		return err
+//	}
+//	defer s.Close()
+//	client := platform.Client{Base: s.URL()}
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/resource"
+)
+
+const (
+	defaultWritesPerSecond = 400
+	defaultReadsPerSecond  = 2000
+	maxRequestBytes        = 8 << 20
+)
+
+// Standin is the platform and all its workers.
+type Standin struct {
+	Zones          []string
+	WorkersPerZone int
+	WorkersPerRack int
+	Room           resource.Vector // of each worker
+	Connections    int             // that each worker accepts
+	HostListLag    time.Duration   // by which the list of hosts is late
+	UsageLag       time.Duration   // by which reports of usage are late
+	// WritesPerSecond and ReadsPerSecond bound the table; a call over the
+	// budget is refused with status 429. 400 and 2000 if zero.
+	WritesPerSecond int
+	ReadsPerSecond  int
+
+	Ledger Ledger
+
+	mu       sync.Mutex
+	table    table
+	objects  map[string]json.RawMessage
+	workers  []*worker
+	server   *http.Server
+	listener net.Listener
+	fault    TableFault
+}
+
+// TableFault is how the table and the object store misbehave.
+type TableFault struct {
+	// Outage is "" for none, "refuse" for status 503, or "hang" for no answer.
+	Outage string `json:"outage"`
+	// LoseReplies is the probability that a write takes effect and its reply is lost.
+	LoseReplies float64 `json:"loseReplies"`
+	// DelayMillis is added to every call.
+	DelayMillis int64 `json:"delayMillis"`
+}
+
+// Start serves the platform on addr and each worker on a port of its own.
+func (s *Standin) Start(addr string) error {
+	s.setDefaults()
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrapf(err, "standin: listen on %s", addr)
+	}
+	s.listener = listener
+	for _, zone := range s.Zones {
+		for i := range s.WorkersPerZone {
+			w := &worker{
+				name: fmt.Sprintf("%s-w%02d", zone, i), zone: zone,
+				rack: fmt.Sprintf("%s-r%d", zone, i/s.WorkersPerRack),
+				room: s.Room, connections: s.Connections, usageLag: s.UsageLag, ledger: &s.Ledger,
+			}
+			if err := w.start(); err != nil {
+				s.Close()
+				return err
+			}
+			s.workers = append(s.workers, w)
+		}
+	}
+	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.server.Serve(listener) }()
+	return nil
+}
+
+func (s *Standin) setDefaults() {
+	if s.WritesPerSecond == 0 {
+		s.WritesPerSecond = defaultWritesPerSecond
+	}
+	if s.ReadsPerSecond == 0 {
+		s.ReadsPerSecond = defaultReadsPerSecond
+	}
+	if s.WorkersPerRack == 0 {
+		s.WorkersPerRack = max(1, s.WorkersPerZone)
+	}
+	if s.Room == (resource.Vector{}) {
+		s.Room = resource.Vector{Slots: 8, MilliCPU: 32000, MemoryMB: 65536}
+	}
+	if s.Connections == 0 {
+		s.Connections = 64
+	}
+	s.objects = map[string]json.RawMessage{}
+	s.table.writes.rate = float64(s.WritesPerSecond)
+	s.table.reads.rate = float64(s.ReadsPerSecond)
+}
+
+// URL returns the platform's address.
+func (s *Standin) URL() string { return "http://" + s.listener.Addr().String() }
+
+// Close stops the platform and every worker.
+func (s *Standin) Close() {
+	if s.server != nil {
+		_ = s.server.Close()
+	} else if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for _, w := range s.workers {
+		w.close()
+	}
+}
+
+// Break makes the table and the object store misbehave until the next call.
+func (s *Standin) Break(f TableFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// SetWorker changes how the named worker behaves: "" for well, "failAll" to
+// fail all that it starts, "leaving" to be listed as leaving, and "down" to
+// refuse every call and forget its tasks.
+func (s *Standin) SetWorker(name, mode string) error {
+	for _, w := range s.workers {
+		if w.name == name {
+			w.setMode(mode)
+			return nil
+		}
+	}
+	return errors.Newf("standin: worker %q does not exist", name)
+}
+
+// Workers returns the names of all workers.
+func (s *Standin) Workers() []string {
+	names := make([]string, 0, len(s.workers))
+	for _, w := range s.workers {
+		names = append(names, w.name)
+	}
+	return names
+}
+
+// TableCounts returns how many writes and reads the table has served so far.
+func (s *Standin) TableCounts() (writes, reads uint64) { return s.table.counts() }
+
+func (s *Standin) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /table/transact", s.faulty(true, s.transact))
+	mux.HandleFunc("GET /table/row", s.faulty(false, s.row))
+	mux.HandleFunc("GET /table/scan", s.faulty(false, s.scan))
+	mux.HandleFunc("GET /table/changes", s.faulty(false, s.changes))
+	mux.HandleFunc("PUT /objects/{name}", s.faulty(true, s.putObject))
+	mux.HandleFunc("GET /objects/{name}", s.faulty(false, s.getObject))
+	mux.HandleFunc("GET /hosts", s.listHosts)
+	mux.HandleFunc("POST /admin/table", s.adminTable)
+	mux.HandleFunc("POST /admin/worker", s.adminWorker)
+	mux.HandleFunc("GET /admin/ledger", s.adminLedger)
+	return mux
+}
+
+// faulty applies the fault in force around a handler of the table or the store.
+func (s *Standin) faulty(write bool, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		fault := s.fault
+		s.mu.Unlock()
+		time.Sleep(time.Duration(fault.DelayMillis) * time.Millisecond)
+		switch fault.Outage {
+		case "refuse":
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		case "hang":
+			// The body must be read for the server to notice that the caller left.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
+		if write && s.table.drawLoss(fault.LoseReplies) {
+			next(discard{}, r)
+			panic(http.ErrAbortHandler)
+		}
+		next(w, r)
+	}
+}
+
+// discard takes the reply that is to be lost.
+type discard struct{}
+
+func (discard) Header() http.Header            { return http.Header{} }
+func (discard) Write(data []byte) (int, error) { return len(data), nil }
+func (discard) WriteHeader(int)                {}
+
+func (s *Standin) transact(w http.ResponseWriter, r *http.Request) {
+	var tx platform.Tx
+	if !read(w, r, &tx) {
+		return
+	}
+	revision, conflict, ok := s.table.transact(tx)
+	switch {
+	case !ok:
+		http.Error(w, "write budget", http.StatusTooManyRequests)
+	case conflict != "":
+		http.Error(w, conflict, http.StatusConflict)
+	default:
+		reply(w, map[string]uint64{"revision": revision})
+	}
+}
+
+func (s *Standin) row(w http.ResponseWriter, r *http.Request) {
+	row, exists, ok := s.table.get(r.URL.Query().Get("key"))
+	switch {
+	case !ok:
+		http.Error(w, "read budget", http.StatusTooManyRequests)
+	case !exists:
+		http.Error(w, "no such row", http.StatusNotFound)
+	default:
+		reply(w, row)
+	}
+}
+
+func (s *Standin) scan(w http.ResponseWriter, r *http.Request) {
+	s.replyRows(w, r.URL.Query().Get("prefix"), 0, false)
+}
+
+func (s *Standin) changes(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after is not a number", http.StatusBadRequest)
+		return
+	}
+	s.replyRows(w, r.URL.Query().Get("prefix"), after, true)
+}
+
+func (s *Standin) replyRows(w http.ResponseWriter, prefix string, after uint64, deleted bool) {
+	rows, next, ok := s.table.since(prefix, after, deleted)
+	if !ok {
+		http.Error(w, "read budget", http.StatusTooManyRequests)
+		return
+	}
+	reply(w, platform.Rows{Rows: rows, Next: next})
+}
+
+func (s *Standin) putObject(w http.ResponseWriter, r *http.Request) {
+	var data json.RawMessage
+	if !read(w, r, &data) {
+		return
+	}
+	s.mu.Lock()
+	s.objects[r.PathValue("name")] = data
+	s.mu.Unlock()
+	reply(w, struct{}{})
+}
+
+func (s *Standin) getObject(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	data, ok := s.objects[r.PathValue("name")]
+	s.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	reply(w, data)
+}
+
+func (s *Standin) listHosts(w http.ResponseWriter, r *http.Request) {
+	zone := r.URL.Query().Get("zone")
+	hosts := []platform.Host{}
+	for _, wk := range s.workers {
+		if zone == "" || wk.zone == zone {
+			hosts = append(hosts, wk.listed(s.HostListLag))
+		}
+	}
+	data, _ := json.Marshal(hosts)
+	sum := fnv.New64a()
+	_, _ = sum.Write(data)
+	list := platform.HostList{Version: sum.Sum64()}
+	if strconv.FormatUint(list.Version, 10) != r.URL.Query().Get("version") {
+		list.Hosts = hosts
+	}
+	reply(w, list)
+}
+
+func (s *Standin) adminTable(w http.ResponseWriter, r *http.Request) {
+	var fault TableFault
+	if read(w, r, &fault) {
+		s.Break(fault)
+		reply(w, struct{}{})
+	}
+}
+
+func (s *Standin) adminWorker(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Name string `json:"name"`
+		Mode string `json:"mode"`
+	}
+	if !read(w, r, &order) {
+		return
+	}
+	if err := s.SetWorker(order.Name, order.Mode); err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	reply(w, struct{}{})
+}
+
+func (s *Standin) adminLedger(w http.ResponseWriter, _ *http.Request) {
+	reply(w, s.Ledger.Count())
+}
+
+func read(w http.ResponseWriter, r *http.Request, out any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(out); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
