Allotments that move: gangs gather a block, forwarded tasks never return

Cause: a capped team's tasks starved. Three causes were found. A gang larger than the host's part of the limit never got it (193 tasks lost in 5 s of load plus 60 s of settling); forwarded tasks could be sent back to their origin, where both hosts then waited for each other; and every change of a queue's length rewrote the team's row, so that six hosts conflicted and each conflict cost a second.

Change: one session at a time gathers a block; asks are yes or no; a conflict goes on from the row that was read; a task carries the sessions it passed.

--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -22,10 +22,13 @@
 
 // Row is what the table holds for a team.
 type Row struct {
-	Limit  int            `json:"limit"`
-	Record uint64         `json:"record"`          // revision of the limit's record
-	Parts  map[string]int `json:"parts,omitempty"` // tasks, by session
-	Asks   map[string]int `json:"asks,omitempty"`  // tasks wanted beyond the part, by session
+	Limit  int             `json:"limit"`
+	Record uint64          `json:"record"`          // revision of the limit's record
+	Parts  map[string]int  `json:"parts,omitempty"` // tasks, by session
+	Asks   map[string]bool `json:"asks,omitempty"`  // sessions that want more than their part
+	// Block is the session whose turn it is to gather a large part for a gang.
+	Block     string `json:"block,omitempty"`
+	BlockSize int    `json:"blockSize,omitempty"` // tasks of the gang
 }
 
 // Need is what one host runs and wants of a team.
@@ -33,6 +36,8 @@
 	Session string
 	Running int // tasks; the part never falls below it
 	Want    int // tasks running and waiting
+	Floor   int // tasks to keep a part for although nothing waits
+	Block   int // tasks of a gang that needs a larger part to start, 0 if none
 	// BreakSum makes the host take its part without looking at the others. It
 	// exists so that tests can show that the check finds a broken rule.
 	BreakSum bool
@@ -53,7 +58,7 @@
 	return sum
 }
 
-// Target returns how many tasks a session should run: its part, or less while
+// Target returns how many tasks a session should run. It is its part, unless
 // the parts exceed a limit that was lowered.
 func (r Row) Target(session string) int {
 	part, sum := r.Parts[session], r.Sum()
@@ -63,46 +68,101 @@
 	return part * r.Limit / sum
 }
 
+// Fair returns how many tasks a session should hold on to while others ask: an
+// even division among those that hold or ask for something, where a block that
+// is being gathered comes first. Without asks it is the session's part.
+func (r Row) Fair(session string) int {
+	if !r.othersAsk(session) {
+		return r.Parts[session]
+	}
+	claimants := len(r.claimants(session))
+	switch r.Block {
+	case "":
+		return r.Limit / claimants
+	case session:
+		return max(r.BlockSize, r.Limit/claimants)
+	default:
+		return (r.Limit - r.BlockSize) / max(1, claimants-1)
+	}
+}
+
 // Settle returns the row as the host would have it, and whether it differs.
 func (r Row) Settle(n Need) (Row, bool) {
-	next := Row{Limit: r.Limit, Record: r.Record, Parts: maps.Clone(r.Parts), Asks: maps.Clone(r.Asks)}
+	next := r.clone()
 	if next.Parts == nil {
 		next.Parts = map[string]int{}
 	}
 	if next.Asks == nil {
-		next.Asks = map[string]int{}
-	}
-	mine := next.Parts[n.Session]
-	mine = next.giveBack(mine, n)
-	mine = next.take(mine, n)
-	set(next.Parts, n.Session, mine)
-	set(next.Asks, n.Session, max(0, n.Want-mine))
-	return next, !maps.Equal(next.Parts, r.Parts) || !maps.Equal(next.Asks, r.Asks)
+		next.Asks = map[string]bool{}
+	}
+	n.Want = max(n.Want, n.Running, n.Floor)
+	next.settleBlock(n)
+	mine := next.take(next.giveBack(next.Parts[n.Session], n), n)
+	if mine > 0 {
+		next.Parts[n.Session] = mine
+	} else {
+		delete(next.Parts, n.Session)
+	}
+	if n.Want > mine || n.Block > mine {
+		next.Asks[n.Session] = true
+	} else {
+		delete(next.Asks, n.Session)
+	}
+	return next, !next.Equal(r)
 }
 
-// giveBack lowers the host's part to what it uses where the limit was lowered,
-// and towards an even division where others ask.
-func (r Row) giveBack(mine int, n Need) int {
-	others := r.Sum() - r.Parts[n.Session]
-	least := max(n.Running, 0)
-	if excess := mine + others - r.Limit; excess > 0 {
-		mine = max(min(mine, least), mine-excess)
-	}
-	asked := 0
-	for session, ask := range r.Asks {
-		if session != n.Session {
-			asked += ask
+// Equal reports whether two rows are the same.
+func (r Row) Equal(o Row) bool {
+	return r.Limit == o.Limit && r.Record == o.Record && r.Block == o.Block && r.BlockSize == o.BlockSize &&
+		maps.Equal(r.Parts, o.Parts) && maps.Equal(r.Asks, o.Asks)
+}
+
+func (r Row) clone() Row {
+	r.Parts, r.Asks = maps.Clone(r.Parts), maps.Clone(r.Asks)
+	return r
+}
+
+// settleBlock takes the turn to gather a block when it is free, and passes it
+// on when the gang has started.
+func (r *Row) settleBlock(n Need) {
+	switch {
+	case r.Block == n.Session:
+		r.BlockSize = min(n.Block, r.Limit)
+		if n.Block == 0 {
+			r.Block = ""
 		}
+	case r.Block == "" && n.Block > 0 && n.Block <= r.Limit:
+		r.Block, r.BlockSize = n.Session, n.Block
+	}
+}
+
+// blockMissing returns how much of a block another session has yet to gather.
+func (r Row) blockMissing(self string) int {
+	if r.Block == "" || r.Block == self {
+		return 0
 	}
-	if asked == 0 {
+	return max(0, r.BlockSize-r.Parts[r.Block])
+}
+
+// giveBack lowers the host's part where the limit was lowered, and towards an
+// even division where others ask. It never falls below what runs.
+func (r Row) giveBack(mine int, n Need) int {
+	if excess := r.Sum() - r.Limit; excess > 0 {
+		mine = max(min(mine, n.Running), mine-excess)
+	}
+	if !r.othersAsk(n.Session) {
 		return mine
 	}
-	even := r.Limit / max(1, len(r.claimants(n.Session)))
-	keep := max(least, min(mine, max(even, 0)), 0)
-	if n.Want < keep {
-		keep = max(least, n.Want)
+	return min(mine, max(n.Running, min(n.Want, r.Fair(n.Session))))
+}
+
+func (r Row) othersAsk(self string) bool {
+	for session := range r.Asks {
+		if session != self {
+			return true
+		}
 	}
-	return max(min(mine, keep), mine-asked)
+	return false
 }
 
 // claimants are the sessions that hold or ask for something, and the host.
@@ -118,47 +178,37 @@
 }
 
 // take raises the host's part from what nobody holds. When others ask as well
-// it takes no more than an even division.
+// it takes no more than an even division, or one if that is less than one.
 func (r Row) take(mine int, n Need) int {
-	if n.Want <= mine {
+	if n.Want <= mine && n.Block <= mine {
 		return mine
 	}
+	n.Want = max(n.Want, n.Block)
 	if n.BreakSum {
 		return min(n.Want, r.Limit)
 	}
-	left := r.Limit - (r.Sum() - r.Parts[n.Session]) - mine
+	left := r.Limit - (r.Sum() - r.Parts[n.Session]) - mine - r.blockMissing(n.Session)
 	if left <= 0 {
 		return mine
 	}
-	extra := min(n.Want-mine, left)
-	asking := 1
-	for session := range r.Asks {
-		if session != n.Session {
-			asking++
-		}
+	most := n.Want
+	if r.othersAsk(n.Session) {
+		most = max(mine, min(most, max(r.Fair(n.Session), 1)))
 	}
-	if asking > 1 {
-		extra = min(extra, (left+asking-1)/asking)
-	}
-	return mine + extra
+	return mine + min(most-mine, left)
 }
 
 // Drop returns the row without a session that is at its end and whose tasks
 // have all ended.
 func (r Row) Drop(session string) Row {
-	next := Row{Limit: r.Limit, Record: r.Record, Parts: maps.Clone(r.Parts), Asks: maps.Clone(r.Asks)}
+	next := r.clone()
 	delete(next.Parts, session)
 	delete(next.Asks, session)
+	if next.Block == session {
+		next.Block, next.BlockSize = "", 0
+	}
 	return next
 }
 
 // Sessions returns every session named in the row, in order.
 func (r Row) Sessions() []string { return slices.Sorted(maps.Keys(r.claimants(""))) }
-
-func set(m map[string]int, name string, n int) {
-	if n > 0 {
-		m[name] = n
-	} else {
-		delete(m, name)
-	}
-}
--- a/cmd/cowslipgap/demo.go
+++ b/cmd/cowslipgap/demo.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
 	"os/signal"
+	"runtime/pprof"
 	"syscall"
 	"time"
 
@@ -30,6 +32,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load"},
 			&cli.StringFlag{Name: "output", Value: "text", Usage: "text or json"},
 			&cli.StringFlag{Name: "log", Value: "error", Usage: "log level"},
+			&cli.StringFlag{Name: "cpu-profile", Usage: "write a processor profile to `FILE`"},
 		},
 		Action: runDemo,
 	}
@@ -49,6 +52,17 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if path := cmd.String("cpu-profile"); path != "" {
+		file, err := os.Create(path)
+		if err != nil {
+			return errors.Wrap(err, "create the profile")
+		}
+		defer func() { _ = file.Close() }()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return errors.Wrap(err, "start the profile")
+		}
+		defer pprof.StopCPUProfile()
+	}
 	report, err := d.Run(ctx)
 	if err != nil {
 		return err
--- a/control/batch.go
+++ b/control/batch.go
@@ -120,6 +120,9 @@
 // neverFits refuses a job whose tasks fit no worker that this host knows of.
 func (s *State) neverFits(j job.Job) *refusal.Refusal {
 	t := (&job.State{Job: j}).Task(0)
+	if p := s.cat.Teams()[j.Team]; j.Class == class.Gang && p.Capped && p.Limit < j.Tasks {
+		return refusal.New(refusal.NeverFits, "team %q may run %d tasks at once, and the job has %d that start together", j.Team, p.Limit, j.Tasks)
+	}
 	if j.Zone != "" && j.Zone != s.Zone {
 		return nil
 	}
@@ -347,7 +350,7 @@
 		// It was journalled as begun, and certainly did not run.
 		s.requests[t.ID] = &request{task: t}
 		w.fed++
-		t.Hops = 0
+		t.Path = nil
 		s.route(t)
 		return
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -75,7 +75,11 @@
 	adopting map[string]time.Time // sessions whose journal is being read
 	absorbed map[string]bool
 
+	zones        map[string]zoneState
+	zoneInFlight bool
+
 	quotas  map[string]*quota
+	pushed  time.Time            // when limits were last told to the placement core
 	endedAt map[string]time.Time // when sessions were first seen to be taken over
 }
 
@@ -95,6 +99,7 @@
 	s.adopting = map[string]time.Time{}
 	s.absorbed = map[string]bool{}
 	s.quotas = map[string]*quota{}
+	s.zones = map[string]zoneState{}
 	s.endedAt = map[string]time.Time{}
 	return s
 }
@@ -137,6 +142,10 @@
 		s.takeAllotments(ev)
 	case AllotmentDone:
 		s.allotmentDone(ev)
+	case ZoneList:
+		s.takeZones(ev)
+	case ZoneDone:
+		s.zoneDone(ev)
 	case Hosts:
 		s.setHosts(ev)
 	case BeatDone:
--- a/control/effect.go
+++ b/control/effect.go
@@ -72,6 +72,12 @@
 		Revision uint64
 	}
 
+	// WriteZone writes this zone's row on condition of its revision.
+	WriteZone struct {
+		Row      ZoneRow
+		Revision uint64
+	}
+
 	// Greet sends a greeting to another host.
 	Greet struct {
 		Session  string
--- a/control/event.go
+++ b/control/event.go
@@ -89,8 +89,8 @@
 	// AllotmentRows brings changed rows of teams' allotments.
 	AllotmentRows struct{ Rows []platform.Row }
 
-	// AllotmentDone says what became of a WriteAllotment. Without error, the row
-	// has the revision.
+	// AllotmentDone says what became of a WriteAllotment. Row and Revision are
+	// what the table has now; after a conflict, as far as it could be read.
 	AllotmentDone struct {
 		Team     string
 		Row      allotment.Row
@@ -98,6 +98,16 @@
 		Err      error
 	}
 
+	// ZoneList brings changed rows that describe all zones.
+	ZoneList struct{ Rows []platform.Row }
+
+	// ZoneDone says what became of a WriteZone.
+	ZoneDone struct {
+		Row      ZoneRow
+		Revision uint64
+		Err      error
+	}
+
 	// Hosts brings the platform's list of this zone's workers.
 	Hosts struct{ List []platform.Host }
 
--- a/control/member.go
+++ b/control/member.go
@@ -44,6 +44,8 @@
 	Records   uint64 `json:"records"` // revision of the records in force
 	Leaving   bool   `json:"leaving,omitempty"`
 	Beat      uint64 `json:"beat"` // counts up, so that no two rows are alike
+	// LeaseMillis is the authority that this heartbeat gives.
+	LeaseMillis int64 `json:"leaseMillis"`
 }
 
 // RackRow says who owns a rack.
@@ -51,6 +53,30 @@
 	Owner string `json:"owner"` // session
 }
 
+// ZoneRow tells hosts of other zones about an availability zone. The first live
+// session of the zone keeps it.
+type ZoneRow struct {
+	Hosts   int     `json:"hosts"`
+	Entries []Entry `json:"entries"` // up to maxEntries of its hosts
+}
+
+// Entry is a host of another availability zone.
+type Entry struct {
+	Session  string `json:"session"`
+	PeerAddr string `json:"peerAddr"`
+}
+
+// ZoneRowPrefix is the part of the table that holds the rows of all zones.
+const ZoneRowPrefix = "shared/zone/"
+
+const (
+	maxEntries = 3
+	// beatShare is the part of the fleet's budget of writes that heartbeats take.
+	beatShare = 0.5
+	// beatsPerLease is how many heartbeats a lease is long.
+	beatsPerLease = 5
+)
+
 // member is a session of this availability zone.
 type member struct {
 	session SessionRow
@@ -59,6 +85,11 @@
 	beatRev uint64 // revision of the heartbeat row, 0 if there is none
 }
 
+type zoneState struct {
+	row      ZoneRow
+	revision uint64
+}
+
 type rackState struct {
 	owner    string
 	revision uint64
@@ -69,6 +100,7 @@
 	sent     time.Time
 	inFlight bool
 	count    uint64
+	lease    time.Duration // that the heartbeat in flight gives
 	revision uint64
 	fence    uint64
 }
@@ -162,7 +194,8 @@
 	}
 	m.beat, m.beatRev = b, row.Revision
 	if session != s.Session {
-		s.holder.See(s.now, lease.Row{Session: session, Addr: b.PeerAddr, Beat: row.Revision, Successor: b.Successor})
+		s.holder.See(s.now, lease.Row{Session: session, Addr: b.PeerAddr, Beat: row.Revision, Successor: b.Successor,
+			Lease: time.Duration(b.LeaseMillis) * time.Millisecond})
 	}
 }
 
@@ -188,8 +221,69 @@
 	return list[(i+1)%len(list)]
 }
 
+// fleetHosts returns the number of entry hosts in all zones, as far as known.
+func (s *State) fleetHosts() int {
+	count := len(s.live())
+	for zone, z := range s.zones {
+		if zone != s.Zone {
+			count += z.row.Hosts
+		}
+	}
+	return count
+}
+
 // beatInterval stretches the heartbeat where many hosts share the table's budget.
-func (s *State) beatInterval() time.Duration { return s.Heartbeat }
+func (s *State) beatInterval() time.Duration {
+	return max(s.Heartbeat, s.budgetInterval(beatShare))
+}
+
+// JournalInterval returns the least time between two segments of the journal.
+func (s *State) JournalInterval() time.Duration { return s.budgetInterval(1 - beatShare) }
+
+func (s *State) budgetInterval(part float64) time.Duration {
+	return time.Duration(float64(s.fleetHosts()) / (part * float64(max(1, s.WritesPerSecond))) * float64(time.Second))
+}
+
+// takeZones takes the rows that describe all zones.
+func (s *State) takeZones(ev ZoneList) {
+	for _, row := range ev.Rows {
+		zone := strings.TrimPrefix(row.Key, ZoneRowPrefix)
+		var r ZoneRow
+		if old := s.zones[zone]; row.Revision <= old.revision || row.Deleted || json.Unmarshal(row.Value, &r) != nil {
+			continue
+		}
+		s.zones[zone] = zoneState{r, row.Revision}
+	}
+}
+
+// tendZone keeps this zone's row, if this host is the first of it.
+func (s *State) tendZone() {
+	live := s.live()
+	if live[0] != s.Session || s.zoneInFlight || s.now.Sub(s.started) < settleTime {
+		return
+	}
+	row := ZoneRow{Hosts: len(live)}
+	for _, session := range live[:min(len(live), maxEntries)] {
+		addr := s.PeerAddr
+		if session != s.Session {
+			addr = s.members[session].beat.PeerAddr
+		}
+		row.Entries = append(row.Entries, Entry{session, addr})
+	}
+	old := s.zones[s.Zone]
+	if old.row.Hosts == row.Hosts && slices.Equal(old.row.Entries, row.Entries) {
+		return
+	}
+	s.zoneInFlight = true
+	s.emit(WriteZone{Row: row, Revision: old.revision})
+}
+
+func (s *State) zoneDone(ev ZoneDone) {
+	s.zoneInFlight = false
+	if ev.Err == nil && ev.Revision > s.zones[s.Zone].revision {
+		s.zones[s.Zone] = zoneState{ev.Row, ev.Revision}
+	}
+}
 
 // tendMembers beats and claims.
 func (s *State) tendMembers() {
@@ -204,6 +298,7 @@
 	}
 	s.claimSessions()
 	s.claimRacks()
+	s.tendZone()
 }
 
 func (s *State) sendBeat() {
@@ -212,10 +307,13 @@
 	s.beat.count++
 	s.beat.sent = s.now
 	s.holder.SendHeartbeat(successor)
+	lease := max(s.Rules.Lease, beatsPerLease*s.beatInterval())
+	s.beat.lease = lease
 	s.emit(Beat{
 		Row: BeatRow{
 			Name: s.Name, PeerAddr: s.PeerAddr, HTTPAddr: s.HTTPAddr, Successor: successor,
 			Records: s.cat.Revision, Leaving: s.draining, Beat: s.beat.count,
+			LeaseMillis: lease.Milliseconds(),
 		},
 		Revision: s.beat.revision,
 		Fence:    s.beat.fence,
@@ -229,7 +327,7 @@
 	case ev.Fenced:
 		s.holder.Fence()
 	case ev.Err == nil:
-		s.holder.AckHeartbeat(ev.Sent, ev.Successor)
+		s.holder.AckHeartbeat(ev.Sent, ev.Successor, s.beat.lease)
 		s.beat.revision = ev.Revision
 		if ev.Fence != 0 {
 			s.beat.fence = ev.Fence
--- a/control/quota.go
+++ b/control/quota.go
@@ -12,8 +12,12 @@
 	"github.com/cowslipgap/cowslipgap/platform"
 )
 
-// quotaEvery is the pause between two moves of a team's allotment by this host.
-const quotaEvery = 300 * time.Millisecond
+const (
+	// quotaEvery is the pause between two moves of a team's allotment by this host.
+	quotaEvery = 300 * time.Millisecond
+	// softAfter is for how long a part may be used that is more than even.
+	softAfter = time.Second
+)
 
 // quota is this host's part of a team's upper limit.
 type quota struct {
@@ -23,6 +27,7 @@
 	inFlight bool
 	unsure   bool // a write's outcome is unknown; wait for the row
 	next     time.Time
+	since    time.Time // when the part was last raised from nothing
 }
 
 func (s *State) quota(team string) *quota {
@@ -34,6 +39,15 @@
 	return q
 }
 
+// soft returns how many tasks to start up to, so that others that ask get their
+// even part as tasks end. A part that was just taken may be used for softAfter.
+func (q *quota) soft(session string, now time.Time) int {
+	if now.Sub(q.since) < softAfter {
+		return q.part
+	}
+	return q.row.Fair(session)
+}
+
 func (s *State) takeAllotments(ev AllotmentRows) {
 	for _, row := range ev.Rows {
 		team := strings.TrimPrefix(row.Key, allotment.Prefix)
@@ -52,6 +66,9 @@
 
 // setAllotment takes a row as it stands in the table.
 func (s *State) setAllotment(q *quota, r allotment.Row, revision uint64) {
+	if q.row.Parts[s.Session] == 0 && r.Parts[s.Session] > 0 {
+		q.since = s.now
+	}
 	q.row, q.revision, q.unsure = r, revision, false
 	if !q.inFlight {
 		q.part = r.Parts[s.Session]
@@ -74,7 +91,8 @@
 		}
 		changed = s.moveQuota(team, q, p.Limit, p.LimitRevision) || changed
 	}
-	if changed {
+	if changed || s.now.Sub(s.pushed) >= softAfter {
+		s.pushed = s.now
 		s.pushTeams()
 	}
 }
@@ -87,13 +105,17 @@
 		row.Limit, row.Record = limit, record
 	}
 	row = s.dropEnded(row)
-	running, waiting := s.core.Demand(team)
-	next, changed := row.Settle(allotment.Need{Session: s.Session, Running: running, Want: running + waiting})
-	if !changed && row.Record == q.row.Record && len(row.Parts) == len(q.row.Parts) && len(row.Asks) == len(q.row.Asks) {
+	d := s.core.Demand(team)
+	need := allotment.Need{Session: s.Session, Running: d.Running, Want: d.Running + d.Waiting, Block: d.Gang}
+	if d.LooksUp && row.Limit >= 2*s.fleetHosts() {
+		need.Floor = 1
+	}
+	next, _ := row.Settle(need)
+	if next.Equal(q.row) {
 		return false
 	}
 	q.inFlight, q.next = true, s.now.Add(quotaEvery)
-	q.part = min(q.row.Parts[s.Session], next.Target(s.Session), next.Parts[s.Session])
+	q.part = min(q.row.Parts[s.Session], next.Parts[s.Session])
 	s.emit(WriteAllotment{Team: team, Row: next, Revision: q.revision})
 	return true
 }
@@ -123,6 +145,8 @@
 		} else {
 			q.part = q.row.Parts[s.Session]
 		}
+	case errors.Is(ev.Err, platform.ErrConflict) && ev.Revision > q.revision:
+		s.setAllotment(q, ev.Row, ev.Revision)
 	case errors.Is(ev.Err, platform.ErrUnavailable), errors.Is(ev.Err, platform.ErrConflict):
 		q.part = q.row.Parts[s.Session]
 	default:
@@ -139,7 +163,8 @@
 		if p.Capped {
 			q := s.quota(team)
 			tp.Capped = true
-			tp.Limit = min(q.part, q.row.Target(s.Session), p.Limit)
+			tp.Hard = min(q.part, q.row.Target(s.Session), p.Limit)
+			tp.Limit = min(tp.Hard, q.soft(s.Session, s.now))
 		}
 		ev.Policies[team] = tp
 	}
--- a/control/request.go
+++ b/control/request.go
@@ -26,16 +26,19 @@
 	task     task.Task
 	guard    string // the key of its guard
 	from     string // the session that forwarded it here
+	order    int    // of that forwarding
 	at       string // the session that it was forwarded to
 	gone     bool   // nobody waits any more
 	lostAt   time.Time
 	resolve  time.Time // when to ask next what became of it
 	resolved bool      // a question is on its way
+	orders   int       // times it was forwarded from here
 }
 
 // result is the outcome of a forwarded task, kept for repeats.
 type result struct {
 	answer Answer
+	order  int // that it answers
 	at     time.Time
 }
 
@@ -103,10 +106,8 @@
 // takeForwarded takes a task of another entry host.
 func (s *State) takeForwarded(ev Forwarded) {
 	id := ev.Task.ID
-	if n := s.peers[ev.From]; n != nil {
-		n.heard = s.now
-	}
-	if old, ok := s.recent[id]; ok {
+	s.neighbor(ev.From).heard = s.now
+	if old, ok := s.recent[id]; ok && old.order >= ev.Task.Order {
 		s.emit(old.answer)
 		return
 	}
@@ -115,11 +116,11 @@
 	}
 	if ev.Resolve || s.draining {
 		a := Answer{ID: id, Refusal: refusal.New(refusal.NoOwner, "it never reached %s", s.Session).After(time.Millisecond)}
-		s.recent[id] = result{a, s.now}
+		s.recent[id] = result{a, ev.Task.Order, s.now}
 		s.emit(a)
 		return
 	}
-	s.requests[id] = &request{task: ev.Task, from: ev.From}
+	s.requests[id] = &request{task: ev.Task, from: ev.From, order: ev.Task.Order}
 	s.route(ev.Task)
 }
 
@@ -148,7 +149,7 @@
 		a.Unguard = r.guard
 	}
 	if r.from != "" {
-		s.recent[id] = result{a, s.now}
+		s.recent[id] = result{a, r.order, s.now}
 	}
 	s.emit(a)
 }
@@ -163,7 +164,7 @@
 	if r == nil {
 		return
 	}
-	if !r.gone && why.Code == refusal.Overloaded && t.Hops < maxHops && s.budget.spend() {
+	if !r.gone && why.Code == refusal.Overloaded && len(t.Path) < maxHops && s.budget.spend() {
 		if n := s.choose(t); n != nil && n.slack > 0 {
 			s.forward(t, n)
 			return
@@ -240,7 +241,7 @@
 // forwardRefused tries a refused task once more where that may help.
 func (s *State) forwardRefused(t task.Task, why *refusal.Refusal) {
 	helps := why.Code == refusal.NoOwner || why.Code == refusal.Leaving || why.Code == refusal.Overloaded
-	if helps && t.Hops < maxHops && why.Ran == refusal.NotRun && s.budget.spend() {
+	if helps && len(t.Path) < maxHops && why.Ran == refusal.NotRun && s.budget.spend() {
 		s.route(t)
 		return
 	}
--- a/control/route.go
+++ b/control/route.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/peer"
@@ -26,6 +27,8 @@
 	// bytesPerTeam is about what a team's use takes in a greeting.
 	bytesPerTeam  = 24
 	greetingBytes = 96
+	// remoteKept is for how long a report of use counts.
+	remoteKept = 30 * time.Second
 )
 
 // neighbor is another entry host, as its greetings show it.
@@ -45,14 +48,13 @@
 // tendPeers greets the other hosts of the zone.
 func (s *State) tendPeers() {
 	s.listPeers()
-	siblings := max(1, len(s.peers))
-	fullEvery := time.Duration(float64(siblings*(greetingBytes+bytesPerTeam*s.core.ActiveTeams())) / greetBudget * float64(time.Second))
+	fullEvery := s.fullEvery()
 	carried := s.holder.Successors()
 	for session, n := range s.peers {
-		if n.inFlight || s.now.Sub(n.greeted) < greetEvery {
+		if n.addr == "" || n.inFlight || s.now.Sub(n.greeted) < greetEvery {
 			continue
 		}
-		full := s.now.Sub(n.full) >= max(greetEvery, fullEvery)
+		full := s.now.Sub(n.full) >= fullEvery
 		needed := n.sent > 0
 		for _, c := range carried {
 			needed = needed || c == session
@@ -61,26 +63,40 @@
 			continue
 		}
 		n.inFlight, n.greeted = true, s.now
-		g := s.greeting(full)
+		g := s.greeting(full, n.zone)
 		if full {
 			n.full = s.now
 		}
-		g.AskPromise = true
+		g.AskPromise = n.zone == s.Zone
 		s.emit(Greet{Session: session, Addr: n.addr, Greeting: g})
 	}
 }
 
+// neighbor returns what is known of a session. One that is known by its
+// greetings or its forwarded tasks alone has no address, and is sent nothing.
+func (s *State) neighbor(session string) *neighbor {
+	n := s.peers[session]
+	if n == nil {
+		n = &neighbor{session: session}
+		s.peers[session] = n
+	}
+	return n
+}
+
 // listPeers follows the zone's rows.
 func (s *State) listPeers() {
 	for session, m := range s.members {
 		if session == s.Session || m.beatRev == 0 || m.session.State != sessionLive {
 			continue
 		}
-		if s.peers[session] == nil {
-			s.peers[session] = &neighbor{session: session, addr: m.beat.PeerAddr, zone: s.Zone}
-		}
+		n := s.neighbor(session)
+		n.addr, n.zone = m.beat.PeerAddr, s.Zone
 	}
+	s.listFarPeers()
 	for session, n := range s.peers {
+		if n.zone != s.Zone {
+			continue
+		}
 		m := s.members[session]
 		gone := m == nil || m.session.State != sessionLive || m.beatRev == 0
 		if gone && n.sent == 0 {
@@ -89,7 +105,29 @@
 	}
 }
 
-func (s *State) greeting(full bool) peer.Greeting {
+// listFarPeers picks one entry host of every other zone, the same as long as it
+// is listed, and another for each host of this zone as far as there are.
+func (s *State) listFarPeers() {
+	chosen := map[string]bool{}
+	for zone, z := range s.zones {
+		if zone == s.Zone || len(z.row.Entries) == 0 {
+			continue
+		}
+		e := z.row.Entries[slices.Index(s.live(), s.Session)%len(z.row.Entries)]
+		chosen[e.Session] = true
+		n := s.neighbor(e.Session)
+		n.addr, n.zone = e.PeerAddr, zone
+	}
+	for session, n := range s.peers {
+		if n.zone != s.Zone && !chosen[session] && n.sent == 0 && s.now.Sub(n.heard) > peerSilence {
+			delete(s.peers, session)
+		}
+	}
+}
+
+// greeting describes this host; towards another zone, its room and use are
+// those of the whole zone.
+func (s *State) greeting(full bool, towards string) peer.Greeting {
 	l := s.core.Load()
 	g := peer.Greeting{
 		Session: s.Session, Zone: s.Zone, Leaving: s.draining, FreeSlots: l.FreeSlots, Slots: l.TotalSlots,
@@ -98,14 +136,32 @@
 	if full {
 		g.Used = s.core.Used()
 	}
+	if towards == s.Zone {
+		return g
+	}
+	for _, n := range s.peers {
+		if n.zone != s.Zone || s.now.Sub(n.heard) > remoteKept {
+			continue
+		}
+		g.Room = g.Room.Add(n.greeting.Room)
+		if full {
+			addUse(g.Used, n.greeting.Used)
+		}
+	}
 	return g
 }
 
+func addUse(sum, more map[string]resource.Vector) {
+	for team, used := range more {
+		sum[team] = sum[team].Add(used)
+	}
+}
+
 func (s *State) greeted(ev Greeted) {
 	g := ev.Greeting
 	n := s.peers[g.Session]
 	if ev.Incoming {
-		reply := s.greeting(true)
+		reply := s.greeting(true, g.Zone)
 		if g.AskPromise && g.Zone == s.Zone {
 			reply.Promise = s.holder.Grant(s.now, g.Session)
 		}
@@ -118,9 +174,11 @@
 		}
 		s.noteReplaced(ev.Addr, g.Session)
 	}
-	if n == nil {
+	if n == nil && !ev.Incoming {
 		return
 	}
+	n = s.neighbor(g.Session)
+	n.zone = g.Zone
 	used := n.greeting.Used
 	n.greeting, n.heard, n.slack = g, s.now, g.FreeSlots
 	if g.Used == nil {
@@ -160,22 +218,31 @@
 // pushRemote tells the placement core what the other hosts use.
 func (s *State) pushRemote() {
 	ev := placement.Remote{Used: map[string]resource.Vector{}}
+	far := map[string]*neighbor{} // the last heard of each other zone
 	for _, n := range s.peers {
-		if s.now.Sub(n.heard) > 10*peerSilence {
+		if s.now.Sub(n.heard) > remoteKept {
 			continue
 		}
-		ev.Room = ev.Room.Add(n.greeting.Room)
-		for team, used := range n.greeting.Used {
-			ev.Used[team] = ev.Used[team].Add(used)
+		if n.zone != s.Zone {
+			if old := far[n.zone]; old == nil || n.heard.After(old.heard) {
+				far[n.zone] = n
+			}
+			continue
 		}
+		ev.Room = ev.Room.Add(n.greeting.Room)
+		addUse(ev.Used, n.greeting.Used)
+	}
+	for _, n := range far {
+		ev.Room = ev.Room.Add(n.greeting.Room)
+		addUse(ev.Used, n.greeting.Used)
 	}
 	s.step(ev)
 }
 
 // usable reports whether a neighbor may be sent a task.
 func (s *State) usable(n *neighbor, t task.Task) bool {
-	return s.now.Sub(n.heard) < peerSilence && !n.greeting.Leaving && n.greeting.Slots > 0 &&
-		t.Need.Fits(n.greeting.Largest) && (t.Zone == "" || t.Zone == n.zone)
+	return n.addr != "" && s.now.Sub(n.heard) < s.freshness(n) && !n.greeting.Leaving && n.greeting.Slots > 0 &&
+		!slices.Contains(t.Path, n.session) && t.Need.Fits(n.greeting.Largest) && (t.Zone == "" || t.Zone == n.zone)
 }
 
 // route places a task here or sends it to another host.
@@ -191,21 +258,32 @@
 	s.taskRefused(t, refusal.New(refusal.NoOwner, "no entry host with workers for it is in reach").After(time.Second))
 }
 
+// freshness is how old the last greeting of a neighbor may be. Greetings that
+// are paced by their budget come more rarely than once a second.
+func (s *State) freshness(n *neighbor) time.Duration {
+	if n.sent > 0 {
+		return peerSilence
+	}
+	return max(peerSilence, 3*s.fullEvery())
+}
+
+// fullEvery is the pause between greetings with the use of teams that keeps
+// them within their budget.
+func (s *State) fullEvery() time.Duration {
+	bytes := len(s.peers) * (greetingBytes + bytesPerTeam*s.core.ActiveTeams())
+	return max(greetEvery, time.Duration(float64(bytes)/greetBudget*float64(time.Second)))
+}
+
 func (s *State) hasWorkers() bool { return s.core.Load().Workers > 0 }
 
 // choose returns the host to send a task to, or nil to keep it here.
 func (s *State) choose(t task.Task) *neighbor {
 	local := s.core.Load()
 	here := local.Workers > 0 && s.now.Before(s.holder.Until()) && s.core.Fits(t) && (t.Zone == "" || t.Zone == s.Zone)
-	if t.Hops >= maxHops || here && local.Waiting == 0 && local.FreeSlots > 0 {
+	if len(t.Path) >= maxHops || here && local.Waiting == 0 && local.FreeSlots > 0 {
 		return nil
 	}
-	var best *neighbor
-	for _, n := range s.peers {
-		if s.usable(n, t) && (best == nil || busier(best, n)) {
-			best = n
-		}
-	}
+	best := s.best(t)
 	if best == nil || !here {
 		return best
 	}
@@ -220,6 +298,27 @@
 	return nil
 }
 
+// best returns the least busy host that a task can be sent to, in this zone if
+// there is one with room.
+func (s *State) best(t task.Task) *neighbor {
+	var near, far *neighbor
+	for _, n := range s.peers {
+		switch {
+		case !s.usable(n, t):
+		case n.zone == s.Zone:
+			if near == nil || busier(near, n) {
+				near = n
+			}
+		case far == nil || busier(far, n):
+			far = n
+		}
+	}
+	if near == nil || near.slack <= 0 && far != nil && far.slack > 0 {
+		return far
+	}
+	return near
+}
+
 // busier reports whether a has less room than b.
 func busier(a, b *neighbor) bool {
 	if (a.slack > 0) != (b.slack > 0) {
@@ -234,7 +333,11 @@
 }
 
 func (s *State) forward(t task.Task, n *neighbor) {
-	t.Hops++
+	t.Path = append(slices.Clone(t.Path), s.Session)
+	if r := s.requests[t.ID]; r != nil {
+		r.orders++
+		t.Order = r.orders
+	}
 	n.sent++
 	n.slack--
 	if r := s.requests[t.ID]; r != nil {
--- a/host/host.go
+++ b/host/host.go
@@ -67,6 +67,7 @@
 	ready    atomic.Bool
 	leaving  atomic.Bool
 	busy     atomic.Int64
+	interval atomic.Int64 // nanoseconds between segments of the journal
 	tokens   atomic.Uint64
 	counters counters
 
@@ -157,10 +158,7 @@
 }
 
 // journalInterval divides the fleet's budget of writes among the hosts known.
-func (h *Host) journalInterval() time.Duration {
-	hosts := max(1, len(h.summary.Load().Members))
-	return time.Duration(hosts) * time.Second / time.Duration(h.Settings.WritesPerSecond)
-}
+func (h *Host) journalInterval() time.Duration { return time.Duration(h.interval.Load()) }
 
 func (h *Host) config() control.Config {
 	s := h.Settings
--- a/host/loop.go
+++ b/host/loop.go
@@ -95,6 +95,7 @@
 	h.summary.Store(&sum)
 	h.ready.Store(state.Ready())
 	h.busy.Store(int64(state.Busy()))
+	h.interval.Store(int64(state.JournalInterval()))
 	if state.Fenced() {
 		h.fencedMu.Do(func() {
 			h.Log.Warn("host: taken over by a sibling")
--- a/host/perform.go
+++ b/host/perform.go
@@ -67,6 +67,8 @@
 		go h.markAbsorbed(ctx, e)
 	case control.WriteAllotment:
 		go h.writeAllotment(ctx, e)
+	case control.WriteZone:
+		go h.writeZone(ctx, e)
 	case control.Greet:
 		go h.greet(ctx, e)
 	case control.Cut:
@@ -306,6 +308,27 @@
 	key := allotment.Key(e.Team)
 	tx := platform.Tx{Checks: []platform.Check{{Key: key, Revision: e.Revision}}, Puts: []platform.Put{{Key: key, Value: value}}}
 	done.Revision, done.Err = h.commit(ctx, tx, key, value)
+	if errors.Is(done.Err, platform.ErrConflict) {
+		// Another host was first: go on from its row at once.
+		if row, err := h.platform.Get(ctx, key); err == nil {
+			var r allotment.Row
+			if json.Unmarshal(row.Value, &r) == nil {
+				done.Row, done.Revision = r, row.Revision
+			}
+		}
+	}
+	h.post(done)
+}
+
+func (h *Host) writeZone(ctx context.Context, e control.WriteZone) {
+	done := control.ZoneDone{Row: e.Row}
+	value, err := json.Marshal(e.Row)
+	if err != nil {
+		return
+	}
+	key := control.ZoneRowPrefix + h.Settings.Zone
+	tx := platform.Tx{Checks: []platform.Check{{Key: key, Revision: e.Revision}}, Puts: []platform.Put{{Key: key, Value: value}}}
+	done.Revision, done.Err = h.commit(ctx, tx, key, value)
 	h.post(done)
 }
 
--- a/host/poll.go
+++ b/host/poll.go
@@ -37,19 +37,24 @@
 			h.Log.Debug("table: reading records failed", "err", err.Error())
 			return
 		}
-		var records, allotments []platform.Row
+		var records, allotments, zones []platform.Row
 		for _, row := range rows {
 			switch {
 			case strings.HasPrefix(row.Key, record.Prefix("")):
 				records = append(records, row)
 			case strings.HasPrefix(row.Key, allotment.Prefix):
 				allotments = append(allotments, row)
+			case strings.HasPrefix(row.Key, control.ZoneRowPrefix):
+				zones = append(zones, row)
 			}
 		}
 		after = next
 		cat := h.catalog.Load().Apply(records, next, asked)
 		h.catalog.Store(cat)
 		h.post(control.Catalog{Catalog: cat})
+		if len(zones) > 0 {
+			h.post(control.ZoneList{Rows: zones})
+		}
 		if len(allotments) > 0 {
 			h.post(control.AllotmentRows{Rows: allotments})
 		}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -13,7 +13,7 @@
 //
 //	h := lease.Holder{Self: "a1-x7", Addr: "127.0.0.1:9001", Rules: rules}
 //	h.SendHeartbeat("a2-p3")              // before the row is written
-//	h.AckHeartbeat(sentAt, "a2-p3")       // after the table said yes
+//	h.AckHeartbeat(sentAt, "a2-p3", 5*time.Second) // after the table said yes
 //	if now.Before(h.Until()) { ... }      // this host may act
 //	if h.MayClaim(now, "a2-p3") { ... }   // it may take over that host's racks
 package lease
@@ -22,7 +22,7 @@
 
 // Rules are the durations that all hosts of an availability zone share.
 type Rules struct {
-	Lease     time.Duration // authority that one renewal gives
+	Lease     time.Duration // authority that a promise gives
 	Margin    time.Duration // by which clocks may drift apart over a lease
 	SoloLimit time.Duration // longest authority without the table
 
@@ -36,8 +36,9 @@
 type Row struct {
 	Session   string
 	Addr      string
-	Beat      uint64 // changes with each heartbeat
-	Successor string // empty if there is none
+	Beat      uint64        // changes with each heartbeat
+	Successor string        // empty if there is none
+	Lease     time.Duration // authority that the heartbeat gives
 }
 
 // Holder is the state of one host's session.
@@ -47,6 +48,7 @@
 	Rules
 
 	acked    time.Time            // when the last accepted heartbeat was sent
+	given    time.Duration        // authority that it gives
 	named    map[string]bool      // successors that the row in the table may name
 	promised map[string]time.Time // until when a successor promised to us
 	granted  map[string]time.Time // until when we promised to a sibling
@@ -73,12 +75,13 @@
 	}
 }
 
-// AckHeartbeat notes that the table took the heartbeat that was sent at sentAt.
-func (h *Holder) AckHeartbeat(sentAt time.Time, successor string) {
+// AckHeartbeat notes that the table took the heartbeat that was sent at sentAt
+// and whose row says the lease.
+func (h *Holder) AckHeartbeat(sentAt time.Time, successor string, lease time.Duration) {
 	if !sentAt.After(h.acked) {
 		return
 	}
-	h.acked = sentAt
+	h.acked, h.given = sentAt, lease
 	h.named = map[string]bool{}
 	if successor != "" {
 		h.named[successor] = true
@@ -122,7 +125,7 @@
 	if h.fenced || h.released || h.acked.IsZero() {
 		return time.Time{}
 	}
-	byTable := h.acked.Add(h.Lease)
+	byTable := h.acked.Add(h.given)
 	solo := h.acked.Add(h.SoloLimit)
 	byPromise := solo
 	for s := range h.named {
@@ -169,7 +172,7 @@
 // Lapsed reports whether a sibling's heartbeat has stood still for a lease.
 func (h *Holder) Lapsed(now time.Time, session string) bool {
 	s, ok := h.seen[session]
-	return ok && now.Sub(s.since) >= h.Lease+h.Margin
+	return ok && now.Sub(s.since) >= max(s.row.Lease, h.Lease)+h.Margin
 }
 
 // MayClaim reports whether this host may take over a sibling's racks, if the
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -60,8 +60,8 @@
 	Slots      int64                      `cbor:"8,keyasint"`
 	Waiting    int64                      `cbor:"9,keyasint"`
 	Room       resource.Vector            `cbor:"10,keyasint"`
-	Largest    resource.Vector            `cbor:"11,keyasint"` // the room of the largest worker, by dimension
-	Used       map[string]resource.Vector `cbor:"12,keyasint,omitempty"`
+	Largest    resource.Vector            `cbor:"11,keyasint"`           // the room of the largest worker, by dimension
+	Used       map[string]resource.Vector `cbor:"12,keyasint,omitempty"` // by team; of the whole zone towards another zone
 }
 
 // Order asks another host to run a task. The task's form is JSON.
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -124,7 +124,7 @@
 	}
 	for name, p := range ev.Policies {
 		t := c.team(name)
-		t.limit, t.capped = p.Limit, p.Capped
+		t.limit, t.hard, t.capped = p.Limit, p.Hard, p.Capped
 		c.ledger.SetWeight(name, p.Weight)
 		c.unpark(t)
 		c.rekey(t)
--- a/placement/event.go
+++ b/placement/event.go
@@ -59,7 +59,8 @@
 // TeamPolicy is a team's share and how many of its tasks may run here.
 type TeamPolicy struct {
 	Weight float64
-	Limit  int // tasks running here at most
+	Limit  int // tasks running here at most; none is started beyond it
+	Hard   int // tasks beyond which some are stopped
 	Capped bool
 }
 
--- a/placement/load.go
+++ b/placement/load.go
@@ -78,13 +78,25 @@
 	return count
 }
 
-// Demand returns how many of a team's tasks run and wait here.
-func (c *Core) Demand(name string) (running, waiting int) {
+// Demand is what a team runs and wants here.
+type Demand struct {
+	Running int
+	Waiting int
+	Gang    int // tasks of the next gang, if the team's limit here is below it
+	LooksUp bool
+}
+
+// Demand returns what a team runs and wants here.
+func (c *Core) Demand(name string) Demand {
 	t := c.teams[name]
 	if t == nil {
-		return 0, 0
+		return Demand{}
+	}
+	d := Demand{Running: t.running, Waiting: t.waiting, LooksUp: t.looksUp}
+	if it := t.queues[kindGang].peek(); it != nil && t.capped && len(it.entries) > t.limit {
+		d.Gang = len(it.entries)
 	}
-	return t.running, t.waiting
+	return d
 }
 
 // Standings returns each team's use of its share, for operators.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -308,6 +308,7 @@
 	c.ledger.Remove(e.task.Team, e.task.Need)
 	if e.task.Class == class.Lookup {
 		c.lookups.running--
+		t.lookups--
 	}
 	c.unpark(t)
 	c.rekey(t)
--- a/placement/preempt.go
+++ b/placement/preempt.go
@@ -13,6 +13,9 @@
 	maxPreemptScan = 512
 	// maxPreemptPerTick bounds the items that one tick makes room for.
 	maxPreemptPerTick = 32
+	// shrinkAfter is how long a team may run more than a limit that was lowered,
+	// while the hosts divide the new limit among them.
+	shrinkAfter = 2 * time.Second
 	// deprivedBelow and borrowsAbove are parts of the fair standing.
 	deprivedBelow = 0.7
 	borrowsAbove  = 1.15
@@ -152,15 +155,21 @@
 // batch first, the youngest first.
 func (c *Core) shrinkToLimits() {
 	for _, t := range c.teams {
-		if !t.capped || t.running <= t.limit {
+		if !t.capped || t.running <= t.hard {
+			t.over = time.Time{}
 			continue
 		}
-		c.shrink(t)
+		if t.over.IsZero() {
+			t.over = c.now
+		}
+		if c.now.Sub(t.over) >= shrinkAfter {
+			c.shrink(t)
+		}
 	}
 }
 
 func (c *Core) shrink(t *team) {
-	excess := t.running - t.limit
+	excess := t.running - t.hard
 	var victims []*entry
 	for _, e := range c.entries {
 		switch {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -115,9 +115,13 @@
 type team struct {
 	name    string
 	limit   int
+	hard    int
 	capped  bool
+	over    time.Time // since when more runs than hard
 	running int
-	waiting int // tasks in its queues
+	lookups int  // lookups running
+	looksUp bool // it has sent a lookup
+	waiting int  // tasks in its queues
 	queues  [kindCount]fifo
 	turn    [kindCount]float64 // stride scheduling: the lowest goes next
 	inTier  [tierCount]tierSlot
@@ -152,6 +156,15 @@
 	return t.limit - t.running
 }
 
+// roomIn returns how many more tasks of a tier may run here. A team that sends
+// lookups keeps one unit of a limit of two or more free for them.
+func (t *team) roomIn(tier int) int {
+	if tier != tierLookup && t.capped && t.looksUp && t.limit > 1 && t.lookups == 0 {
+		return t.roomFor() - 1
+	}
+	return t.roomFor()
+}
+
 // hasWork reports whether anything waits in the tier.
 func (t *team) hasWork(tier int) bool {
 	for k := range kindCount {
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -37,7 +37,7 @@
 	misses := 0
 	for t.Len() > 0 && misses < maxMisses {
 		slot := t.slots[0]
-		if slot.team.roomFor() <= 0 {
+		if slot.team.roomIn(index) <= 0 {
 			c.park(slot.team, index)
 			continue
 		}
@@ -64,7 +64,16 @@
 		}
 		tried[k] = true
 		it := t.queues[k].peek()
-		if it == nil || len(it.entries) > t.roomFor() {
+		if it == nil {
+			continue
+		}
+		if len(it.entries) > t.roomIn(tier) {
+			if it.missed.IsZero() {
+				it.missed = c.now
+			}
+			if c.now.Sub(it.missed) >= c.Policy.HoldAfter && len(it.entries) <= t.limit {
+				return false // the team gathers room under its limit for a gang
+			}
 			continue
 		}
 		if c.place(it) {
@@ -221,6 +230,8 @@
 	c.ledger.Add(e.task.Team, e.task.Need)
 	if e.task.Class == class.Lookup {
 		c.lookups.add(c.now)
+		t.lookups++
+		t.looksUp = true
 	}
 	c.refresh(n)
 	c.rekey(t)
--- a/task/task.go
+++ b/task/task.go
@@ -29,7 +29,8 @@
 	Deadline      time.Time       `json:"deadline,omitzero"`       // refused if not started by then
 	Submitted     time.Time       `json:"submitted"`
 	Attempt       int             `json:"attempt,omitempty"` // starts so far
-	Hops          int             `json:"hops,omitempty"`    // times forwarded between entry hosts
+	Path          []string        `json:"path,omitempty"`    // sessions that forwarded it since it was last handed on
+	Order         int             `json:"order,omitempty"`   // counts all times it was forwarded, to tell repeats apart
 	ResumeMillis  int64           `json:"resumeMillis,omitempty"`
 	Payload       json.RawMessage `json:"payload,omitempty"`
 }
