--- /dev/null
+++ b/cmd/cowslipgap/script_test.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/cowslipgap/cowslipgap/deployment"
+	"github.com/cowslipgap/cowslipgap/standin"
+)
+
+const patience = 30 * time.Second
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"cowslipgap": main})
+}
+
+// TestScripts runs the scenarios in testdata. Each has a stand-in of Gia Đàn's
+// platform, whose URL is in PLATFORM, and free addresses in A1 to A6.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setUp,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"ready": waitReady, "eventually": eventually, "table": breakTable, "worker": setWorker,
+		},
+	})
+}
+
+type standinKey struct{}
+
+func setUp(env *testscript.Env) error {
+	d, err := deployment.Named("giadan")
+	if err != nil {
+		return err
+	}
+	s := &standin.Standin{Zones: d.Zones, WorkersPerZone: d.WorkersPerZone, WorkersPerRack: d.WorkersPerRack}
+	if err := s.Start("127.0.0.1:0"); err != nil {
+		return err
+	}
+	env.Defer(s.Close)
+	env.Values[standinKey{}] = s
+	env.Setenv("PLATFORM", s.URL())
+	for i := 1; i <= 6; i++ {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		env.Setenv(fmt.Sprint("A", i), l.Addr().String())
+		if err := l.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// waitReady is "ready ADDR...": waits until entry hosts are ready.
+func waitReady(ts *testscript.TestScript, _ bool, args []string) {
+	for _, addr := range args {
+		retry(ts, addr+" is not ready", func() bool {
+			resp, err := http.Get("http://" + addr + "/readyz")
+			if err != nil {
+				return false
+			}
+			_ = resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+	}
+}
+
+// eventually is "eventually TEXT PROGRAM ARG...": repeats a command until its
+// output has the text.
+func eventually(ts *testscript.TestScript, _ bool, args []string) {
+	retry(ts, fmt.Sprintf("%v does not print %q", args[1:], args[0]), func() bool {
+		_ = ts.Exec(args[1], args[2:]...) // the output tells
+		return strings.Contains(ts.ReadFile("stdout")+ts.ReadFile("stderr"), args[0])
+	})
+}
+
+// breakTable is "table OUTAGE": "none", "refuse" or "hang".
+func breakTable(ts *testscript.TestScript, _ bool, args []string) {
+	outage := strings.TrimPrefix(args[0], "none")
+	ts.Value(standinKey{}).(*standin.Standin).Break(standin.TableFault{Outage: outage})
+}
+
+// setWorker is "worker NAME MODE".
+func setWorker(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(ts.Value(standinKey{}).(*standin.Standin).SetWorker(args[0], args[1]))
+}
+
+func retry(ts *testscript.TestScript, what string, done func() bool) {
+	for deadline := time.Now().Add(patience); !done(); time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s", what)
+		}
+	}
+}
--- a/control/batch.go
+++ b/control/batch.go
@@ -36,6 +36,7 @@
 	again   []rerun   // tasks to hand on once more
 	notTill time.Time // an adopted job's tasks may still run until then
 	resume  map[int]int64
+	taken   []int // tasks of an adopted job that run here already
 }
 
 type rerun struct {
@@ -217,6 +218,7 @@
 	}
 	s.jobOrder = kept
 	s.book.Forget(s.now)
+	s.forgetStrays()
 }
 
 // feed hands on up to most tasks of a job and returns how many it did.
@@ -233,7 +235,7 @@
 	for count < most && w.fed < maxFed && w.next < st.Job.Tasks {
 		index := w.next
 		w.next++
-		if st.Ends[index].State == "" {
+		if st.Ends[index].State == "" && !slices.Contains(w.taken, index) {
 			s.handOn(st, w, index)
 			count++
 		}
@@ -508,7 +510,7 @@
 		return
 	}
 	s.adopting[session] = s.now
-	s.emit(Adopt{Session: session})
+	s.emit(Adopt{Session: session, Peers: s.allPeers()})
 	for other, m := range s.members {
 		if m.session.State == sessionClaimed && m.session.Holder == session && !m.session.Absorbed {
 			s.adopt(other)
@@ -522,7 +524,7 @@
 		return
 	}
 	if ev.Err != nil {
-		s.emit(Adopt{Session: ev.Session}) // the runtime paces the attempts
+		s.emit(Adopt{Session: ev.Session, Peers: s.allPeers()}) // the runtime paces the attempts
 		return
 	}
 	delete(s.adopting, ev.Session)
@@ -536,9 +538,14 @@
 	s.book.Restore(states)
 	p := s.core.Policy
 	notTill := since.Add(p.StartWindow + p.TaskLease + 2*p.ClockMargin)
+	for _, o := range append(ev.Ended, s.endedFor(ev.Session)...) {
+		s.takeStray(o)
+	}
 	for _, st := range states {
 		if st.Open > 0 {
 			s.openJob(st.Job.ID, notTill)
+			s.applyStrays(st)
+			s.takeBack(st)
 		}
 	}
 	s.emit(Snapshot{States: s.book.Snapshot()})
--- a/control/control.go
+++ b/control/control.go
@@ -74,6 +74,7 @@
 	nextID   uint64
 	adopting map[string]time.Time // sessions whose journal is being read
 	absorbed map[string]bool
+	strays   map[string]stray // ends of tasks whose job is not known here, by ID
 
 	zones        map[string]zoneState
 	zoneInFlight bool
@@ -98,6 +99,7 @@
 	s.tokens = map[uint64]any{}
 	s.adopting = map[string]time.Time{}
 	s.absorbed = map[string]bool{}
+	s.strays = map[string]stray{}
 	s.quotas = map[string]*quota{}
 	s.zones = map[string]zoneState{}
 	s.endedAt = map[string]time.Time{}
@@ -162,6 +164,8 @@
 		s.release()
 	case Deliver:
 		s.emit(ev.Answer)
+	case QueryEnded:
+		s.emit(EndedAnswer{Token: ev.Token, Ended: s.endedFor(ev.Session)})
 	case TakeSnapshot:
 		s.emit(Snapshot{States: s.book.Snapshot()})
 	case Tick:
@@ -182,6 +186,8 @@
 			s.taskRefused(e.Task, e.Refusal)
 		case placement.Finish:
 			s.taskEnded(e.Task, e.Outcome, e.Worker)
+		case placement.Stray:
+			s.takeStray(e.Outcome)
 		default:
 			s.emit(e)
 		}
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,217 @@
+package control_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/class"
+	"github.com/cowslipgap/cowslipgap/control"
+	"github.com/cowslipgap/cowslipgap/job"
+	"github.com/cowslipgap/cowslipgap/journal"
+	"github.com/cowslipgap/cowslipgap/lease"
+	"github.com/cowslipgap/cowslipgap/peer"
+	"github.com/cowslipgap/cowslipgap/placement"
+	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/task"
+)
+
+const (
+	self    = "a1-self"
+	sibling = "a2-sibling"
+)
+
+// rig is a State of zone "a" with a sibling, and the rows it has written.
+type rig struct {
+	t        *testing.T
+	s        *control.State
+	now      time.Time
+	revision uint64
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, now: time.Unix(5000, 0)}
+	r.s = control.New(control.Config{
+		Session: self, Name: "a1", Zone: "a", PeerAddr: "127.0.0.1:1", Heartbeat: time.Second, WritesPerSecond: 200,
+		Rules: lease.Rules{Lease: 5 * time.Second, Margin: 500 * time.Millisecond, SoloLimit: 10 * time.Minute},
+	})
+	beat := take[control.Beat](r.update(control.Tick{}))
+	require.Len(t, beat, 1)
+	r.update(control.BeatDone{Sent: r.now, Revision: 1, Fence: 1})
+	r.update(control.ZoneRows{Rows: []platform.Row{
+		r.row(control.SessionKey("a", sibling), control.SessionRow{Name: "a2", PeerAddr: "127.0.0.1:2", State: "live"}),
+		r.row(control.BeatKey("a", sibling), control.BeatRow{Name: "a2", PeerAddr: "127.0.0.1:2", Successor: self, LeaseMillis: 5000}),
+	}})
+	r.update(control.Tick{})
+	return r
+}
+
+func (r *rig) row(key string, value any) platform.Row {
+	data, err := json.Marshal(value)
+	require.NoError(r.t, err)
+	r.revision++
+	return platform.Row{Key: key, Value: data, Revision: r.revision + 10}
+}
+
+func (r *rig) update(ev any) []any { return append([]any(nil), r.s.Update(r.now, ev)...) }
+
+// greet lets the sibling report free slots.
+func (r *rig) greet(slots int64) {
+	room := resource.Vector{Slots: slots, MilliCPU: 100_000, MemoryMB: 100_000}
+	r.update(control.Greeted{Incoming: true, Greeting: peer.Greeting{
+		Session: sibling, Zone: "a", FreeSlots: slots, Slots: slots, Room: room, Largest: room,
+	}})
+}
+
+// take returns the effects of one type.
+func take[E any](effects []any) []E {
+	var found []E
+	for _, e := range effects {
+		if e, ok := e.(E); ok {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+func small(id string) task.Task {
+	return task.Task{ID: id, Team: "t", Class: class.Small, Need: resource.Vector{Slots: 1}}
+}
+
+// TestForwardsOnceAndNotBack forwards a caller's task to the sibling, and never
+// one that came from it.
+func TestForwardsOnceAndNotBack(t *testing.T) {
+	r := newRig(t)
+	r.greet(8)
+	sent := take[control.Forward](r.update(control.Request{Task: small("x")}))
+	require.Len(t, sent, 1)
+	require.Equal(t, sibling, sent[0].Session)
+	require.Equal(t, []string{self}, sent[0].Task.Path)
+
+	back := small("y")
+	back.Path = []string{sibling}
+	effects := r.update(control.Forwarded{From: sibling, Task: back})
+	require.Empty(t, take[control.Forward](effects))
+	answers := take[control.Answer](effects)
+	require.Len(t, answers, 1)
+	require.Equal(t, refusal.NoOwner, answers[0].Refusal.Code)
+	require.Equal(t, refusal.NotRun, answers[0].Refusal.Ran)
+}
+
+// TestLostForwardIsResolved loses the answer of a forwarded non-idempotent task:
+// it is asked for, never sent again, and at last said to be unknown.
+func TestLostForwardIsResolved(t *testing.T) {
+	r := newRig(t)
+	r.greet(8)
+	x := small("x")
+	x.NonIdempotent = true
+	require.Len(t, take[control.Forward](r.update(control.Request{Task: x})), 1)
+	r.update(control.ForwardDone{ID: "x", Session: sibling})
+	asked := 0
+	var answers []control.Answer
+	for range 400 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		effects := r.update(control.Tick{})
+		answers = append(answers, take[control.Answer](effects)...)
+		for _, f := range take[control.Forward](effects) {
+			require.True(t, f.Resolve, "it must not be sent again")
+			asked++
+			r.update(control.ForwardDone{ID: "x", Session: sibling, Resolved: true})
+		}
+	}
+	require.Positive(t, asked)
+	require.Len(t, answers, 1)
+	require.Equal(t, refusal.Unknown, answers[0].Refusal.Ran)
+}
+
+// TestForwardedWorkEndsWhenItsSenderIsSilent stops tasks of a host that greets
+// no more.
+func TestForwardedWorkEndsWhenItsSenderIsSilent(t *testing.T) {
+	r := newRig(t)
+	r.ownWorker()
+	y := small("y")
+	y.Path = []string{sibling}
+	require.Len(t, take[placement.Start](r.update(control.Forwarded{From: sibling, Task: y})), 1)
+	stopped := 0
+	for range 50 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		stopped += len(take[placement.Stop](r.update(control.Tick{})))
+		for _, b := range take[control.Beat](r.update(control.Tick{})) {
+			r.update(control.BeatDone{Sent: r.now, Revision: 2, Successor: b.Row.Successor})
+		}
+	}
+	require.Equal(t, 1, stopped)
+}
+
+// ownWorker gives the State a rack with one worker.
+func (r *rig) ownWorker() {
+	r.update(control.Hosts{List: []platform.Host{{Name: "w1", Zone: "a", Rack: "r0", State: "live", Room: resource.Vector{Slots: 8}}}})
+	r.update(control.ZoneRows{Rows: []platform.Row{r.row(control.RackKey("a", "r0"), control.RackRow{Owner: self})}})
+	r.update(placement.Reported{Worker: "w1", Sent: r.now})
+}
+
+// TestJobIsAcknowledgedAfterTheJournal accepts a job only once it is written,
+// and refuses it as not run where the table did not take it.
+func TestJobIsAcknowledgedAfterTheJournal(t *testing.T) {
+	r := newRig(t)
+	r.ownWorker()
+	submit := control.SubmitJob{Token: 7, Job: job.Job{Team: "t", Class: class.Batch, Need: resource.Vector{Slots: 1}, Tasks: 2}}
+	effects := r.update(submit)
+	require.Empty(t, take[control.JobAnswer](effects))
+	require.Empty(t, take[placement.Start](effects))
+	appends := take[control.Append](effects)
+	require.Len(t, appends, 1)
+	effects = r.update(control.Journaled{Result: journal.Result{Token: appends[0].Batch.Token}})
+	require.NotEmpty(t, take[control.JobAnswer](effects)[0].ID)
+	require.Len(t, take[placement.Start](effects), 2)
+
+	appends = take[control.Append](r.update(submit))
+	effects = r.update(control.Journaled{Result: journal.Result{Token: appends[0].Batch.Token, Err: journal.ErrDropped}})
+	answer := take[control.JobAnswer](effects)[0]
+	require.Equal(t, refusal.TableUnavailable, answer.Refusal.Code)
+	require.Equal(t, refusal.NotRun, answer.Refusal.Ran)
+	require.Empty(t, take[placement.Start](effects))
+}
+
+// TestAdoptedJobWaitsAndUsesStrays takes over a job: what a worker reports as
+// done is not run again, and the rest not before the old leases have lapsed.
+func TestAdoptedJobWaitsAndUsesStrays(t *testing.T) {
+	r := newRig(t)
+	r.ownWorker()
+	j := job.Job{ID: "a." + sibling + ".1", Team: "t", Class: class.Batch, Need: resource.Vector{Slots: 1}, Tasks: 2, Accepted: r.now}
+	claimed := control.SessionRow{Name: "a2", State: "claimed", Holder: self}
+	require.Len(t, take[control.Adopt](r.update(control.ZoneRows{Rows: []platform.Row{r.row(control.SessionKey("a", sibling), claimed)}})), 1)
+	done := platform.Outcome{Task: job.TaskID(j.ID, 0), Attempt: 1, End: platform.EndDone}
+	r.update(placement.Reported{Worker: "w1", Sent: r.now, Report: platform.Report{Ended: []platform.Outcome{done}, Next: 1}})
+	r.update(control.Adopted{Session: sibling, Entries: []job.Entry{{Accept: &j}}})
+	began := r.now
+	var starts []placement.Start
+	for range 200 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.update(placement.Reported{Worker: "w1", Sent: r.now, Report: platform.Report{Next: 1}})
+		effects := r.update(control.Tick{})
+		for _, b := range take[control.Beat](effects) {
+			r.update(control.BeatDone{Sent: r.now, Revision: 2, Successor: b.Row.Successor})
+		}
+		starts = take[placement.Start](effects)
+		if len(starts) > 0 {
+			break
+		}
+	}
+	require.Len(t, starts, 1)
+	require.Equal(t, job.TaskID(j.ID, 1), starts[0].Task.ID)
+	require.Greater(t, r.now.Sub(began), 6*time.Second)
+}
+
+// TestPausedHostStartsNothing wakes a host whose authority has lapsed meanwhile.
+func TestPausedHostStartsNothing(t *testing.T) {
+	r := newRig(t)
+	r.ownWorker()
+	r.now = r.now.Add(time.Hour) // paused
+	effects := r.update(control.Request{Task: small("x")})
+	require.Empty(t, take[placement.Start](effects))
+}
--- a/control/effect.go
+++ b/control/effect.go
@@ -54,8 +54,18 @@
 		Racks   []string
 	}
 
-	// Adopt reads the journal of a session that was taken over.
-	Adopt struct{ Session string }
+	// Adopt reads the journal of a session that was taken over, and asks the
+	// hosts at Peers which of its forwarded tasks have ended there.
+	Adopt struct {
+		Session string
+		Peers   []string
+	}
+
+	// EndedAnswer answers a QueryEnded.
+	EndedAnswer struct {
+		Token uint64
+		Ended []platform.Outcome
+	}
 
 	// MarkAbsorbed notes in the table that a session's jobs are in this host's
 	// own snapshot.
--- a/control/event.go
+++ b/control/event.go
@@ -77,6 +77,7 @@
 		Session string
 		States  []job.State
 		Entries []job.Entry
+		Ended   []platform.Outcome // of tasks that the session had forwarded
 		Err     error
 	}
 
@@ -150,6 +151,13 @@
 	// Deliver answers whoever waits for a task.
 	Deliver struct{ Answer Answer }
 
+	// QueryEnded asks for the outcomes of tasks that a session forwarded here. The
+	// answer is an EndedAnswer.
+	QueryEnded struct {
+		Token   uint64
+		Session string
+	}
+
 	// TakeSnapshot asks for a snapshot of the accepted jobs.
 	TakeSnapshot struct{}
 
--- /dev/null
+++ b/document/document_test.go
@@ -0,0 +1,53 @@
+package document_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/document"
+)
+
+type body struct {
+	Name string          `json:"name"`
+	Data json.RawMessage `json:"data"`
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	deep := strings.Repeat("[", document.MaxDepth+1) + strings.Repeat("]", document.MaxDepth+1)
+	for what, text := range map[string]string{
+		"empty": "", "truncated": `{"name":"x"`, "unknown field": `{"nom":"x"}`, "repeated field": `{"name":"x","name":"y"}`,
+		"more after it": `{"name":"x"} 1`, "not UTF-8": "{\"name\":\"\xff\"}", "too deep": `{"data":` + deep + `}`,
+		"repeated field inside": `{"data":{"a":1,"a":2}}`,
+	} {
+		t.Run(what, func(t *testing.T) {
+			var b body
+			require.True(t, errors.Is(document.Decode([]byte(text), &b), document.ErrMalformed))
+		})
+	}
+	var b body
+	require.NoError(t, document.Decode([]byte(`{"name":"x","data":[{"a":1},{"a":2}]}`), &b))
+	require.Equal(t, "x", b.Name)
+}
+
+// FuzzDecode checks that what is accepted is valid JSON and survives a round trip.
+func FuzzDecode(f *testing.F) {
+	for _, text := range []string{`{"name":"x","data":[1,{"a":null}]}`, `{"data":{}}`, `[]`, `{"name":"é"}`, `{"name":1}`} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var b body
+		if document.Decode(data, &b) != nil {
+			return
+		}
+		require.True(t, json.Valid(data))
+		again, err := json.Marshal(b)
+		require.NoError(t, err)
+		var c body
+		require.NoError(t, document.Decode(again, &c))
+		require.Equal(t, b.Name, c.Name)
+	})
+}
--- a/host/calls.go
+++ b/host/calls.go
@@ -16,6 +16,10 @@
 	"github.com/cowslipgap/cowslipgap/task"
 )
 
+// acceptTimeout is how long a caller waits for a job to be accepted before it is
+// told that the outcome is unknown.
+const acceptTimeout = 10 * time.Second
+
 // submit runs a caller's request and waits for its answer.
 func (h *Host) submit(ctx context.Context, t task.Task, requestID, hash string) (platform.Outcome, string, *refusal.Refusal) {
 	a, err := h.runTask(ctx, t.ID, control.Request{Task: t, RequestID: requestID, Hash: hash})
@@ -48,6 +52,8 @@
 }
 
 func (h *Host) submitHere(ctx context.Context, o order, final bool) (string, *refusal.Refusal) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
 	a, r := h.ask(ctx, func(token uint64) any {
 		return control.SubmitJob{Token: token, Job: o.Job, Hash: o.Hash, Final: final}
 	})
@@ -109,6 +115,16 @@
 	return a.List, r
 }
 
+// endedLocal returns the outcomes of tasks that a session forwarded here.
+func (h *Host) endedLocal(ctx context.Context, session string) ([]platform.Outcome, *refusal.Refusal) {
+	token := h.tokens.Add(1)
+	value, err := h.await(ctx, token, control.QueryEnded{Token: token, Session: session})
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+	return value.(control.EndedAnswer).Ended, nil
+}
+
 func (h *Host) askPeer(ctx context.Context, addr string, q peer.Question, out any) *refusal.Refusal {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
--- a/host/host.go
+++ b/host/host.go
@@ -174,8 +174,13 @@
 // HTTPAddr returns the address for callers.
 func (h *Host) HTTPAddr() string { return h.httpLis.Addr().String() }
 
-// PeerAddr returns the address for other entry hosts.
-func (h *Host) PeerAddr() string { return h.peerLis.Addr().String() }
+// PeerAddr returns the address at which other entry hosts reach this one.
+func (h *Host) PeerAddr() string {
+	if h.Settings.PeerAdvertise != "" {
+		return h.Settings.PeerAdvertise
+	}
+	return h.peerLis.Addr().String()
+}
 
 // Session returns the identity of this process.
 func (h *Host) Session() string { return h.session }
--- a/host/perform.go
+++ b/host/perform.go
@@ -44,6 +44,8 @@
 		w.answer(e)
 	case control.JobAnswer:
 		w.reply(e.Token, e)
+	case control.EndedAnswer:
+		w.reply(e.Token, e)
 	case control.GreetReply:
 		w.reply(e.Token, e.Greeting)
 	case control.Forward:
@@ -57,6 +59,18 @@
 		h.journal.Append(e.Batch)
 	case control.Snapshot:
 		h.journal.Snapshot(e.States)
+	case control.Greet:
+		go h.greet(ctx, e)
+	case control.Cut:
+		go h.pool.Cut(e.Addr)
+	default:
+		h.performOnTable(ctx, effect)
+	}
+}
+
+// performOnTable carries out the effects that read or write the table.
+func (h *Host) performOnTable(ctx context.Context, effect any) {
+	switch e := effect.(type) {
 	case control.Beat:
 		go h.beat(ctx, e)
 	case control.Claim:
@@ -69,10 +83,6 @@
 		go h.writeAllotment(ctx, e)
 	case control.WriteZone:
 		go h.writeZone(ctx, e)
-	case control.Greet:
-		go h.greet(ctx, e)
-	case control.Cut:
-		go h.pool.Cut(e.Addr)
 	}
 }
 
@@ -284,7 +294,33 @@
 	} else {
 		h.Log.Info("journal: replayed", "session", e.Session, "jobs", len(states), "entries", len(entries))
 	}
-	h.post(control.Adopted{Session: e.Session, States: states, Entries: entries, Err: err})
+	done := control.Adopted{Session: e.Session, States: states, Entries: entries, Err: err}
+	if err == nil {
+		done.Ended = h.askEnded(ctx, e)
+	}
+	h.post(done)
+}
+
+// askEnded asks other hosts which tasks of a session have ended there. Those
+// that do not answer are passed over.
+func (h *Host) askEnded(ctx context.Context, e control.Adopt) []platform.Outcome {
+	answers := make(chan []platform.Outcome, len(e.Peers))
+	for _, addr := range e.Peers {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			var ended []platform.Outcome
+			if r := h.askPeer(ctx, addr, peer.Question{Verb: verbEnded, Job: e.Session}, &ended); r != nil {
+				h.Log.Warn("peer: ended tasks not known", "peer", addr, "err", r.Error())
+			}
+			answers <- ended
+		}()
+	}
+	var all []platform.Outcome
+	for range e.Peers {
+		all = append(all, <-answers...)
+	}
+	return all
 }
 
 func (h *Host) markAbsorbed(ctx context.Context, e control.MarkAbsorbed) {
--- a/host/service.go
+++ b/host/service.go
@@ -19,6 +19,7 @@
 	verbList   = "list"
 	verbCancel = "cancel"
 	verbSubmit = "submit"
+	verbEnded  = "ended"
 )
 
 // service is what this host does for other entry hosts.
@@ -119,6 +120,8 @@
 		value, r = h.cancelLocal(ctx, q.Team, q.Job)
 	case verbSubmit:
 		value, r = h.submitForPeer(ctx, q.Body)
+	case verbEnded:
+		value, r = h.endedLocal(ctx, q.Job)
 	default:
 		r = refusal.New(refusal.BadRequest, "verb %q does not exist", q.Verb)
 	}
--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipgap/cowslipgap/client"
+	"github.com/cowslipgap/cowslipgap/faultproxy"
 	"github.com/cowslipgap/cowslipgap/gateway"
 	"github.com/cowslipgap/cowslipgap/record"
 	"github.com/cowslipgap/cowslipgap/refusal"
@@ -103,6 +104,16 @@
 	*process
 	name, url string
 	config    string
+	table     *faultproxy.Proxy // between the host and the platform
+	peers     *faultproxy.Proxy // in front of its peer address
+}
+
+// cut black-holes the host towards the platform and, as far as others call it,
+// towards other hosts.
+func (h *entryHost) cut(on bool) {
+	f := faultproxy.Fault{DropRequests: on, DropReplies: on}
+	h.table.Set(f)
+	h.peers.Set(f)
 }
 
 func freeAddr(t *testing.T) string {
@@ -133,16 +144,27 @@
 
 func (f *fleet) addHost(name, zone string) *entryHost {
 	f.t.Helper()
-	httpAddr := freeAddr(f.t)
+	httpAddr, peerAddr := freeAddr(f.t), freeAddr(f.t)
+	table := f.proxy(strings.TrimPrefix(f.platform, "http://"))
+	peers := f.proxy(peerAddr)
 	config := filepath.Join(f.dir, name+".ini")
-	text := fmt.Sprintf("[host]\nname = %s\nzone = %s\nhttpAddr = %s\npeerAddr = %s\n[platform]\nurl = %s\n[keys]\noperatorKeyFile = %s\npeerKeyFile = %s\n",
-		name, zone, httpAddr, freeAddr(f.t), f.platform, filepath.Join(f.dir, "operator.key"), filepath.Join(f.dir, "peer.key"))
+	text := fmt.Sprintf("[host]\nname = %s\nzone = %s\nhttpAddr = %s\npeerAddr = %s\npeerAdvertise = %s\n[platform]\nurl = %s\n[keys]\noperatorKeyFile = %s\npeerKeyFile = %s\n",
+		name, zone, httpAddr, peerAddr, peers.Addr(), "http://"+table.Addr(), filepath.Join(f.dir, "operator.key"), filepath.Join(f.dir, "peer.key"))
 	require.NoError(f.t, os.WriteFile(config, []byte(text), 0o600))
-	h := &entryHost{process: start(f.t, "cowslipgap", "serve", "--config", config), name: name, url: "http://" + httpAddr, config: config}
+	h := &entryHost{name: name, url: "http://" + httpAddr, config: config, table: table, peers: peers}
+	h.process = start(f.t, "cowslipgap", "serve", "--config", config)
 	f.hosts = append(f.hosts, h)
 	return h
 }
 
+func (f *fleet) proxy(target string) *faultproxy.Proxy {
+	f.t.Helper()
+	p := &faultproxy.Proxy{Target: target}
+	require.NoError(f.t, p.Start())
+	f.t.Cleanup(p.Close)
+	return p
+}
+
 func (f *fleet) eventually(what string, check func() bool) {
 	f.t.Helper()
 	require.Eventually(f.t, check, patience, 50*time.Millisecond, what)
--- a/placement/effect.go
+++ b/placement/effect.go
@@ -53,6 +53,13 @@
 // whether it ran.
 const EndLost = "lost"
 
+// Stray is the end of a task that this Core did not start. A host that took
+// over a session's jobs learns from it what had ended already.
+type Stray struct {
+	Outcome platform.Outcome
+}
+
+func (Stray) effect()  {}
 func (Start) effect()  {}
 func (Stop) effect()   {}
 func (Renew) effect()  {}
--- a/placement/worker.go
+++ b/placement/worker.go
@@ -258,6 +258,8 @@
 	for _, o := range ev.Report.Ended {
 		if e := c.entries[o.Task]; e != nil && e.node == n {
 			c.end(o.Task, o)
+		} else if e == nil {
+			c.emit(Stray{Outcome: o})
 		}
 	}
 	c.compareRunning(n, ev)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,6 +35,9 @@
 
 	HTTPAddr string // for callers and operators
 	PeerAddr string // for other entry hosts
+	// PeerAdvertise is the address at which other entry hosts reach PeerAddr, if
+	// it is another one.
+	PeerAdvertise string
 
 	PlatformURL     string
 	PlatformTimeout time.Duration
@@ -61,7 +64,8 @@
 // field is one key of the file.
 type field struct {
 	section, key string
-	fallback     string // empty if the key is required
+	fallback     string // empty if the key is required or optional
+	optional     bool   // stays empty if it is left out
 	allowed      string // for messages
 	set          func(s *Settings, value string) bool
 	get          func(s *Settings) string
@@ -72,6 +76,7 @@
 	name("host", "zone", func(s *Settings) *string { return &s.Zone }),
 	addr("host", "httpAddr", func(s *Settings) *string { return &s.HTTPAddr }),
 	addr("host", "peerAddr", func(s *Settings) *string { return &s.PeerAddr }),
+	optional(addr("host", "peerAdvertise", func(s *Settings) *string { return &s.PeerAdvertise })),
 	{
 		section: "platform", key: "url", allowed: "an http or https URL",
 		set: func(s *Settings, v string) bool { s.PlatformURL = strings.TrimRight(v, "/"); return validURL(v) },
@@ -109,6 +114,11 @@
 	}
 }
 
+func optional(f field) field {
+	f.optional = true
+	return f
+}
+
 func addr(section, key string, at func(*Settings) *string) field {
 	return field{
 		section: section, key: key, allowed: "an IP number and a port, as in 127.0.0.1:8080",
@@ -197,6 +207,9 @@
 func (f field) read(s *Settings, path string, file *ini.File) string {
 	where := path + ": [" + f.section + "] " + f.key
 	if !file.HasSection(f.section) || !file.Section(f.section).HasKey(f.key) {
+		if f.optional {
+			return ""
+		}
 		if f.fallback == "" {
 			return where + " is missing; it must be " + f.allowed
 		}
