--- a/cmd/cowslipgap/demo.go
+++ b/cmd/cowslipgap/demo.go
@@ -30,6 +30,7 @@
 			&cli.StringFlag{Name: "deployment", Value: "giadan", Usage: "`NAME`: giadan or banksia"},
 			&cli.IntFlag{Name: "seconds", Value: defaultDemoSeconds, Usage: "length of the load"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load"},
+			&cli.BoolFlag{Name: "faults", Usage: "draw faults from the seed while the load runs"},
 			&cli.StringFlag{Name: "output", Value: "text", Usage: "text or json"},
 			&cli.StringFlag{Name: "log", Value: "error", Usage: "log level"},
 			&cli.StringFlag{Name: "cpu-profile", Usage: "write a processor profile to `FILE`"},
@@ -48,7 +49,8 @@
 		return errors.Mark(errors.New("--seconds must be 1 or more"), errUsage)
 	}
 	d := demo.Demo{
-		Deployment: dep, Length: time.Duration(seconds) * time.Second, Seed: cmd.Uint64("seed"), Log: newLogger(cmd.String("log")),
+		Deployment: dep, Length: time.Duration(seconds) * time.Second, Seed: cmd.Uint64("seed"),
+		Faults: cmd.Bool("faults"), Log: newLogger(cmd.String("log")),
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,11 +47,14 @@
 	Deployment deployment.Deployment
 	Length     time.Duration // of the load
 	Seed       uint64
+	Faults     bool         // draw faults from the seed
 	Log        *slog.Logger // slog.Default() if nil
 
 	standin *standin.Standin
-	hosts   []*host.Host
+	places  []*place
 	load    *load.Load
+	checks  checks
+	faults  []Fault
 }
 
 // Run carries out the demo and stops everything it started.
@@ -64,18 +68,19 @@
 	}
 	began := time.Now()
 	writes, _ := d.standin.TableCounts()
-	sampling, stopSampling := context.WithCancel(ctx)
-	sampled := make(chan struct{})
-	go func() {
-		defer close(sampled)
-		d.sample(sampling)
-	}()
+	watching, stopWatching := context.WithCancel(ctx)
+	var watchers sync.WaitGroup
+	watchers.Go(func() { d.sample(watching) })
+	watchers.Go(func() { d.watch(watching) })
+	if d.Faults {
+		watchers.Go(func() { d.drawFaults(watching, began) })
+	}
 	d.load.Run(ctx, d.Length)
 	ended := time.Now()
 	counters := d.counters()
 	writesAfter, _ := d.standin.TableCounts()
-	stopSampling()
-	<-sampled
+	stopWatching()
+	watchers.Wait()
 	settle, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
 	d.load.Settle(settle)
@@ -94,11 +99,11 @@
 	}
 	for _, zone := range dep.Zones {
 		for i := range dep.HostsPerZone {
-			h := &host.Host{Settings: d.settings(zone, i), Log: d.Log}
-			if err := h.Start(ctx); err != nil {
+			p := &place{settings: d.settings(zone, i), log: d.Log}
+			if err := p.open(ctx, d.standin.URL(), d.Faults); err != nil {
 				return err
 			}
-			d.hosts = append(d.hosts, h)
+			d.places = append(d.places, p)
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -113,8 +118,8 @@
 		return err
 	}
 	d.load = &load.Load{Deployment: dep, Entry: map[string][]string{}, Keys: map[string]string{}, Seed: d.Seed}
-	for _, h := range d.hosts {
-		d.load.Entry[h.Settings.Zone] = append(d.load.Entry[h.Settings.Zone], "http://"+h.HTTPAddr())
+	for _, p := range d.places {
+		d.load.Entry[p.settings.Zone] = append(d.load.Entry[p.settings.Zone], p.url())
 	}
 	for _, t := range dep.Teams {
 		d.load.Keys[t.Name] = t.Name + "." + secretPrefix + t.Name
@@ -126,7 +131,6 @@
 	s := settings.Default()
 	s.Name, s.Zone = fmt.Sprintf("%s-%d", zone, i+1), zone
 	s.HTTPAddr, s.PeerAddr = "127.0.0.1:0", "127.0.0.1:0"
-	s.PlatformURL = d.standin.URL()
 	s.OperatorKey, s.PeerKey = operatorKey, peerKey
 	return s
 }
@@ -136,7 +140,8 @@
 	want := len(d.Deployment.Zones) * d.Deployment.WorkersPerZone
 	return poll(ctx, "entry hosts are not ready", func() bool {
 		workers := 0
-		for _, h := range d.hosts {
+		for _, p := range d.places {
+			h := p.current()
 			if !h.Ready() {
 				return false
 			}
@@ -147,7 +152,7 @@
 }
 
 func (d *Demo) operator() client.Client {
-	return client.Client{Base: "http://" + d.hosts[0].HTTPAddr(), Key: operatorKey, Operator: "demo"}
+	return client.Client{Base: d.places[0].url(), Key: operatorKey, Operator: "demo"}
 }
 
 func (d *Demo) writeRecords(ctx context.Context) error {
@@ -213,8 +218,8 @@
 
 func (d *Demo) counters() host.Counters {
 	var sum host.Counters
-	for _, h := range d.hosts {
-		c := h.Counters()
+	for _, p := range d.places {
+		c := p.current().Counters()
 		sum.Events += c.Events
 		sum.ControlTime += c.ControlTime
 		sum.Starts += c.Starts
@@ -228,8 +233,8 @@
 }
 
 func (d *Demo) stop() {
-	for _, h := range d.hosts {
-		h.Kill()
+	for _, p := range d.places {
+		p.close()
 	}
 	if d.standin != nil {
 		d.standin.Close()
--- a/demo/report.go
+++ b/demo/report.go
@@ -29,6 +29,8 @@
 	Doubled     int            `json:"doubled"`
 	OverLimit   int            `json:"overLimit"`
 	FalseNotRun int            `json:"falseNotRun"` // refused as not run, and it ran
+	Properties  []Property     `json:"properties"`
+	Faults      []Fault        `json:"faults,omitempty"`
 }
 
 // WorkLine is the waiting time of one kind of work: from sending to the answer,
@@ -71,6 +73,11 @@
 
 // Clean reports whether nothing was lost, doubled or over its limit.
 func (r Report) Clean() bool {
+	for _, p := range r.Properties {
+		if p.Violations > 0 {
+			return false
+		}
+	}
 	return r.Lost == 0 && r.Doubled == 0 && r.OverLimit == 0 && r.FalseNotRun == 0 && r.Counts.OverRoom == 0
 }
 
@@ -80,9 +87,9 @@
 		Deployment: d.Deployment.Title, Seed: d.Seed, Length: length.Round(time.Millisecond),
 		Counts: d.standin.Ledger.Count(), Refusals: d.load.Result().Codes,
 	}
-	hosts := float64(len(d.hosts))
+	hosts := float64(len(d.places))
 	r.Control = ControlLine{
-		Hosts: len(d.hosts), Starts: c.Starts, Forwards: c.Forwards,
+		Hosts: len(d.places), Starts: c.Starts, Forwards: c.Forwards,
 		CorePercent:    100 * c.ControlTime.Seconds() / length.Seconds() / hosts,
 		MicrosPerStart: float64(c.ControlTime.Microseconds()) / float64(max(1, c.Starts)),
 		TableWrites:    float64(writes) / length.Seconds(),
@@ -93,6 +100,8 @@
 	d.reportWork(&r)
 	d.reportShares(&r, began.Add(length/2), ended)
 	d.reportFates(&r)
+	r.Properties = d.properties(r)
+	r.Faults = d.goodput()
 	return r
 }
 
@@ -197,7 +206,12 @@
 		fmt.Fprintf(&b, "refusals             %v\n", r.Refusals)
 	}
 	fmt.Fprintf(&b, "\ncounted at the workers: %d starts, %d done, %d tasks accepted or answered\n", r.Counts.Starts, r.Counts.Done, r.Accepted)
-	fmt.Fprintf(&b, "lost                 %d\ndoubled              %d\nover limit           %d\nover room            %d\nran though refused   %d\n",
+	r.writeFaults(&b)
+	fmt.Fprintf(&b, "\n%-46s %9s %10s\n", "property", "checks", "violations")
+	for _, p := range r.Properties {
+		fmt.Fprintf(&b, "%-46s %9d %10d\n", p.Name, p.Checks, p.Violations)
+	}
+	fmt.Fprintf(&b, "\nlost                 %d\ndoubled              %d\nover limit           %d\nover room            %d\nran though refused   %d\n",
 		r.Lost, r.Doubled, r.OverLimit, r.Counts.OverRoom, r.FalseNotRun)
 	return b.String()
 }
--- a/faultproxy/faultproxy.go
+++ b/faultproxy/faultproxy.go
@@ -64,6 +64,13 @@
 	p.Cut()
 }
 
+// Retarget sends new connections to another address.
+func (p *Proxy) Retarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Target = target
+}
+
 // Set puts a fault in force, for open connections too.
 func (p *Proxy) Set(f Fault) {
 	p.mu.Lock()
@@ -110,7 +117,10 @@
 }
 
 func (p *Proxy) serve(caller net.Conn) {
-	target, err := net.Dial("tcp", p.Target)
+	p.mu.Lock()
+	addr := p.Target
+	p.mu.Unlock()
+	target, err := net.Dial("tcp", addr)
 	if err != nil {
 		reset(caller)
 		return
--- a/host/host.go
+++ b/host/host.go
@@ -182,6 +182,10 @@
 	return h.peerLis.Addr().String()
 }
 
+// ListenPeerAddr returns the address that the host listens on for other entry
+// hosts.
+func (h *Host) ListenPeerAddr() string { return h.peerLis.Addr().String() }
+
 // Session returns the identity of this process.
 func (h *Host) Session() string { return h.session }
 
--- a/load/load.go
+++ b/load/load.go
@@ -11,12 +11,14 @@
 package load
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -30,6 +32,9 @@
 	"github.com/cowslipgap/cowslipgap/refusal"
 )
 
+// unreachable is the code that Result counts calls under that got no answer.
+const unreachable = "unreachable"
+
 const (
 	lowestWait  = int64(time.Microsecond)
 	highestWait = int64(10 * time.Minute)
@@ -37,6 +42,8 @@
 	// jobsAhead is how many unfinished batch jobs each team keeps in each zone.
 	jobsAhead = 2
 	jobPoll   = 250 * time.Millisecond
+	// onceEvery is of how many small requests one is marked as non-idempotent.
+	onceEvery = 5
 	maxJobs   = 100_000
 )
 
@@ -69,6 +76,12 @@
 	Code string
 	Zone string
 	Wait time.Duration
+
+	Entry         string
+	Ended         time.Time
+	NonIdempotent bool
+	Broken        bool // the connection failed after the request was sent
+	Mismatch      bool // the answer was to another request
 }
 
 // Job is an accepted job.
@@ -142,6 +155,7 @@
 	entry string
 	run   time.Duration
 	tag   string
+	once  bool // non-idempotent, with a request id
 }
 
 func (l *Load) draw(w deployment.Work, rng *rand.Rand) arrival {
@@ -156,16 +170,20 @@
 	return arrival{
 		work: w, team: d.Teams[rng.IntN(len(d.Teams))].Name, zone: zone, entry: entries[rng.IntN(len(entries))],
 		run: w.Low + time.Duration(rng.Int64N(int64(w.High-w.Low)+1)),
-		tag: fmt.Sprintf("%d-%d", l.Seed, serial),
+		tag: fmt.Sprintf("%d-%d", l.Seed, serial), once: w.Class == class.Small && rng.IntN(onceEvery) == 0,
 	}
 }
 
 func (a arrival) body() gateway.Body {
 	payload, _ := json.Marshal(map[string]any{"workMillis": a.run.Milliseconds(), "tag": a.tag}) // plain values always encode
-	return gateway.Body{
+	b := gateway.Body{
 		Class: string(a.work.Class), Need: a.work.Need, Tasks: a.work.Tasks,
 		DeadlineMillis: a.work.Deadline.Milliseconds(), Payload: payload,
 	}
+	if a.once {
+		b.NonIdempotent, b.RequestID = true, a.tag
+	}
+	return b
 }
 
 func (l *Load) client(a arrival) client.Client {
@@ -178,11 +196,14 @@
 		return
 	}
 	began := time.Now()
-	_, err := l.client(a).Submit(ctx, a.body())
+	answer, err := l.client(a).Submit(ctx, a.body())
 	wait := max(0, time.Since(began)-a.run)
-	r := Request{Tag: a.tag, At: began, Ran: "done", Zone: a.zone, Wait: wait}
+	r := Request{Tag: a.tag, At: began, Ran: "done", Zone: a.zone, Wait: wait, Entry: a.entry, Ended: time.Now(), NonIdempotent: a.once}
 	if err != nil {
 		r.Code, r.Ran = l.note(err)
+		r.Broken = r.Code == unreachable && !errors.Is(err, syscall.ECONNREFUSED)
+	} else {
+		r.Mismatch = !bytes.Contains(answer.Output, []byte(`"`+a.tag+`"`))
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -194,7 +215,7 @@
 
 // note counts a refusal and returns its code and what it says of the work.
 func (l *Load) note(err error) (code, ran string) {
-	code, ran = "unreachable", refusal.Unknown
+	code, ran = unreachable, refusal.Unknown
 	var r *refusal.Refusal
 	if errors.As(err, &r) {
 		code, ran = r.Code, r.Ran
--- a/standin/ledger.go
+++ b/standin/ledger.go
@@ -25,6 +25,8 @@
 	Doubled   int `json:"doubled"`   // tasks in two places at once, or non-idempotent ones started again
 	OverLimit int `json:"overLimit"` // starts that put a team over its upper limit
 	OverRoom  int `json:"overRoom"`  // starts that gave a worker more than it has room for
+	ToLeaving int `json:"toLeaving"` // starts sent to a leaving worker, all of them refused
+	TooLate   int `json:"tooLate"`   // of those, sent later than leavingGrace
 }
 
 // Sample is what each team used at a moment, for measuring nearness to share.
@@ -45,6 +47,20 @@
 	used    resource.Vector
 }
 
+// leavingGrace is how long a leaving worker may still be sent work.
+const leavingGrace = 5 * time.Second
+
+// offer counts a start that was sent to a worker some time after it began to
+// leave.
+func (l *Ledger) offer(after time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.ToLeaving++
+	if after > leavingGrace {
+		l.counts.TooLate++
+	}
+}
+
 // SetLimit tells the ledger a team's upper limit of running tasks.
 func (l *Ledger) SetLimit(team string, limit int) {
 	l.mu.Lock()
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -162,6 +162,7 @@
 		return nil, "expired"
 	}
 	if w.mode == "leaving" {
+		w.ledger.offer(now.Sub(w.modeAt))
 		return nil, "leaving"
 	}
 	if _, ok := w.running[start.Task]; ok {
@@ -225,7 +226,7 @@
 	outcome := platform.Outcome{Task: rn.start.Task, Attempt: rn.start.Attempt, End: end}
 	switch end {
 	case platform.EndDone:
-		outcome.Output, _ = json.Marshal(map[string]any{"worker": w.name, "task": rn.start.Task, "workMillis": rn.work.WorkMillis})
+		outcome.Output, _ = json.Marshal(map[string]any{"worker": w.name, "task": rn.start.Task, "workMillis": rn.work.WorkMillis, "tag": rn.work.Tag})
 	case platform.EndCheckpointed:
 		outcome.ResumeMillis = rn.start.ResumeMillis + time.Since(rn.begun).Milliseconds()
 	case platform.EndFailed:
