--- a/control/control.go
+++ b/control/control.go
@@ -229,23 +229,29 @@
 
 // Summary is the State's load, for metrics and operators.
 type Summary struct {
-	Session   string             `json:"session"`
-	Racks     int                `json:"racks"`
-	Load      placement.Load     `json:"load"`
-	Requests  int                `json:"requests"`
-	Jobs      int                `json:"jobs"`
-	Members   []string           `json:"members"`
-	Authority time.Time          `json:"authority"`
-	Revision  uint64             `json:"revision"`
-	Room      resource.Vector    `json:"room"`
-	Standings map[string]float64 `json:"standings"`
+	Session   string                        `json:"session"`
+	Racks     int                           `json:"racks"`
+	Load      placement.Load                `json:"load"`
+	Requests  int                           `json:"requests"`
+	Jobs      int                           `json:"jobs"`
+	Members   []string                      `json:"members"`
+	Authority time.Time                     `json:"authority"`
+	Revision  uint64                        `json:"revision"`
+	Room      resource.Vector               `json:"room"`
+	Teams     map[string]placement.TeamLoad `json:"teams"`
+	Sent      map[string]int                `json:"sent"` // tasks forwarded and not answered, by session
 }
 
 // Summary returns the present summary.
 func (s *State) Summary() Summary {
 	sum := Summary{
 		Session: s.Session, Load: s.core.Load(), Requests: len(s.requests), Jobs: s.book.Len(),
-		Authority: s.holder.Until(), Revision: s.cat.Revision, Room: s.core.Room(), Standings: s.core.Standings(),
+		Authority: s.holder.Until(), Revision: s.cat.Revision, Room: s.core.Room(), Teams: s.core.Teams(), Sent: map[string]int{},
+	}
+	for _, r := range s.requests {
+		if r.at != "" {
+			sum.Sent[r.at]++
+		}
 	}
 	for _, r := range s.racks {
 		if r.owner == s.Session {
--- a/control/request.go
+++ b/control/request.go
@@ -114,8 +114,8 @@
 	if r := s.requests[id]; r != nil {
 		return // the answer goes to whoever asked last
 	}
-	if ev.Resolve || s.draining {
-		a := Answer{ID: id, Refusal: refusal.New(refusal.NoOwner, "it never reached %s", s.Session).After(time.Millisecond)}
+	if ev.Resolve || s.draining || s.isOwnJob(ev.Task) {
+		a := Answer{ID: id, Refusal: refusal.New(refusal.NoOwner, "it was not taken on at %s", s.Session).After(time.Millisecond)}
 		s.recent[id] = result{a, ev.Task.Order, s.now}
 		s.emit(a)
 		return
@@ -274,7 +274,11 @@
 
 // resolve asks what became of a task, until its lease has lapsed wherever it is.
 func (s *State) resolve(id string, r *request) {
-	if s.now.Sub(r.lostAt) > s.lapseAfterSilence() {
+	since := r.lostAt
+	if n := s.peers[r.at]; n != nil && n.reached.After(since) {
+		since = n.reached // it still runs the task as long as it hears from here
+	}
+	if s.now.Sub(since) > s.lapseAfterSilence() {
 		r.lostAt, r.at = time.Time{}, ""
 		s.taskEnded(r.task, platform.Outcome{Task: id, End: placement.EndLost, Message: "the host that ran it is out of reach"}, "")
 		return
--- a/control/route.go
+++ b/control/route.go
@@ -27,6 +27,10 @@
 	// bytesPerTeam is about what a team's use takes in a greeting.
 	bytesPerTeam  = 24
 	greetingBytes = 96
+	// maxSent bounds the tasks forwarded to one host and not answered, and so the
+	// connections to it; tasks of jobs can wait and get fewer.
+	maxSent       = 256
+	maxSentOfJobs = 64
 	// remoteKept is for how long a report of use counts.
 	remoteKept = 30 * time.Second
 )
@@ -39,6 +43,7 @@
 	greeting peer.Greeting
 	heard    time.Time // its last greeting of either direction
 	greeted  time.Time // our last greeting to it
+	reached  time.Time // when it last answered a greeting of ours
 	full     time.Time // our last greeting with the use of teams
 	inFlight bool
 	sent     int // tasks forwarded to it and not answered
@@ -179,6 +184,9 @@
 	}
 	n = s.neighbor(g.Session)
 	n.zone = g.Zone
+	if !ev.Incoming {
+		n.reached = s.now
+	}
 	used := n.greeting.Used
 	n.greeting, n.heard, n.slack = g, s.now, g.FreeSlots
 	if g.Used == nil {
@@ -241,6 +249,9 @@
 
 // usable reports whether a neighbor may be sent a task.
 func (s *State) usable(n *neighbor, t task.Task) bool {
+	if t.Job != "" && n.sent >= maxSentOfJobs || n.sent >= maxSent {
+		return false
+	}
 	return n.addr != "" && s.now.Sub(n.heard) < s.freshness(n) && !n.greeting.Leaving && n.greeting.Slots > 0 &&
 		!slices.Contains(t.Path, n.session) && t.Need.Fits(n.greeting.Largest) && (t.Zone == "" || t.Zone == n.zone)
 }
--- a/demo/report.go
+++ b/demo/report.go
@@ -159,7 +159,7 @@
 		_, done := ledger.Tagged(j.Tag)
 		r.Lost += max(0, j.Tasks-done)
 		if done < j.Tasks {
-			d.Log.Warn("demo: job is not done", "job", j.ID, "team", j.Team, "tasks", j.Tasks, "done", done, "state", j.State)
+			d.Log.Warn("demo: job is not done", "job", j.ID, "team", j.Team, "tasks", j.Tasks, "done", done, "state", j.State, "err", j.Err)
 		}
 		if j.State != job.Done && done == j.Tasks {
 			r.Lost++ // it ran, and nobody was told
--- a/host/loop.go
+++ b/host/loop.go
@@ -15,7 +15,7 @@
 	id      string
 	reply   chan<- any // of a JobAnswer or a GreetReply
 	token   uint64
-	abandon bool // forget the waiter
+	abandon chan<- control.Answer // the event counts only if this still waits under the ID
 }
 
 // waiters is who waits for what. The control goroutine owns it.
@@ -64,6 +64,9 @@
 }
 
 func (h *Host) handle(ctx context.Context, state *control.State, w *waiters, e envelope) {
+	if e.abandon != nil && w.answers[e.id] != e.abandon {
+		return // somebody else has asked for the same task meanwhile
+	}
 	w.note(e)
 	now := time.Now()
 	for _, effect := range state.Update(now, e.event) {
@@ -84,7 +87,7 @@
 	if e.reply != nil {
 		w.replies[e.token] = e.reply
 	}
-	if e.abandon {
+	if e.abandon != nil {
 		delete(w.answers, e.id)
 	}
 }
--- a/host/service.go
+++ b/host/service.go
@@ -99,7 +99,7 @@
 	case a := <-answer:
 		return a, nil
 	case <-ctx.Done():
-		h.send(envelope{event: control.Withdraw{ID: id}, id: id, abandon: true})
+		h.send(envelope{event: control.Withdraw{ID: id}, id: id, abandon: answer})
 		return control.Answer{}, ctx.Err()
 	case <-h.done:
 		r := refusal.New(refusal.OutcomeLost, "this entry host has ended")
--- a/load/load.go
+++ b/load/load.go
@@ -90,6 +90,7 @@
 	Zone                 string
 	Tasks                int
 	State                string // when last read
+	Err                  string // of the last reading that failed
 }
 
 // Result is what a load has seen.
@@ -307,6 +308,8 @@
 			}
 			if st, err := l.read(ctx, *j); err == nil {
 				j.State = st.State
+			} else {
+				j.Err = err.Error()
 			}
 			if j.State == "" || j.State == job.Waiting {
 				open++
--- a/placement/load.go
+++ b/placement/load.go
@@ -99,11 +99,23 @@
 	return d
 }
 
-// Standings returns each team's use of its share, for operators.
-func (c *Core) Standings() map[string]float64 {
-	list := map[string]float64{}
-	for name := range c.teams {
-		list[name] = c.ledger.Standing(name)
+// TeamLoad is what operators see of a team at one entry host.
+type TeamLoad struct {
+	Running  int     `json:"running"`
+	Waiting  int     `json:"waiting"`
+	Limit    int     `json:"limit"` // part of the upper limit; -1 if there is none
+	Standing float64 `json:"standing"`
+}
+
+// Teams returns the load of every team.
+func (c *Core) Teams() map[string]TeamLoad {
+	list := map[string]TeamLoad{}
+	for name, t := range c.teams {
+		l := TeamLoad{Running: t.running, Waiting: t.waiting, Limit: -1, Standing: c.ledger.Standing(name)}
+		if t.capped {
+			l.Limit = t.limit
+		}
+		list[name] = l
 	}
 	return list
 }
