--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -68,25 +68,13 @@
 	return part * r.Limit / sum
 }
 
-// Keep returns how many tasks a session should hold on to. It is its part,
-// unless another session asks that has less than its due and nothing is left
-// for it to take.
-func (r Row) Keep(session string) int {
-	part := r.Parts[session]
-	if r.left(session) > 0 {
-		return part
-	}
-	for other := range r.Asks {
-		if other != session && r.Parts[other] < r.due(other) {
-			return min(part, r.due(session))
-		}
+// Fair returns how many tasks a session should hold on to while others ask: an
+// even division among those that hold or ask for something, where a block that
+// is being gathered comes first. Without asks it is the session's part.
+func (r Row) Fair(session string) int {
+	if !r.othersAsk(session) {
+		return r.Parts[session]
 	}
-	return part
-}
-
-// due is an even division among the sessions that hold or ask for something,
-// where a block that is being gathered comes first.
-func (r Row) due(session string) int {
 	claimants := len(r.claimants(session))
 	switch r.Block {
 	case "":
@@ -98,9 +86,6 @@
 	}
 }
 
-// left is what nobody holds and the session may take.
-func (r Row) left(session string) int { return r.Limit - r.Sum() - r.blockMissing(session) }
-
 // Settle returns the row as the host would have it, and whether it differs.
 func (r Row) Settle(n Need) (Row, bool) {
 	next := r.clone()
@@ -160,15 +145,15 @@
 }
 
 // giveBack lowers the host's part where the limit was lowered, and towards an
-// even division where others have less. It never falls below what runs.
+// even division where others ask. It never falls below what runs.
 func (r Row) giveBack(mine int, n Need) int {
 	if excess := r.Sum() - r.Limit; excess > 0 {
 		mine = max(min(mine, n.Running), mine-excess)
 	}
-	if r.othersAsk(n.Session) {
-		mine = min(mine, max(n.Running, n.Want))
+	if !r.othersAsk(n.Session) {
+		return mine
 	}
-	return min(mine, max(n.Running, r.Keep(n.Session)))
+	return min(mine, max(n.Running, min(n.Want, r.Fair(n.Session))))
 }
 
 func (r Row) othersAsk(self string) bool {
@@ -192,8 +177,8 @@
 	return all
 }
 
-// take raises the host's part from what nobody holds, leaving as much for each
-// other session that asks.
+// take raises the host's part from what nobody holds. When others ask as well
+// it takes no more than an even division, or one if that is less than one.
 func (r Row) take(mine int, n Need) int {
 	if n.Want <= mine && n.Block <= mine {
 		return mine
@@ -202,20 +187,15 @@
 	if n.BreakSum {
 		return min(n.Want, r.Limit)
 	}
-	left := r.left(n.Session) + r.Parts[n.Session] - mine
+	left := r.Limit - (r.Sum() - r.Parts[n.Session]) - mine - r.blockMissing(n.Session)
 	if left <= 0 {
 		return mine
 	}
-	if r.Block == n.Session {
-		return mine + min(n.Want-mine, left)
-	}
-	asking := 1
-	for session := range r.Asks {
-		if session != n.Session {
-			asking++
-		}
+	most := n.Want
+	if r.othersAsk(n.Session) {
+		most = max(mine, min(most, max(r.Fair(n.Session), 1)))
 	}
-	return mine + min(n.Want-mine, (left+asking-1)/asking)
+	return mine + min(most-mine, left)
 }
 
 // Drop returns the row without a session that is at its end and whose tasks
--- a/control/quota.go
+++ b/control/quota.go
@@ -45,7 +45,7 @@
 	if now.Sub(q.since) < softAfter {
 		return q.part
 	}
-	return q.row.Keep(session)
+	return q.row.Fair(session)
 }
 
 func (s *State) takeAllotments(ev AllotmentRows) {
--- a/control/route.go
+++ b/control/route.go
@@ -25,7 +25,7 @@
 	// become rarer.
 	greetBudget = 2048
 	// bytesPerTeam is about what a team's use takes in a greeting.
-	bytesPerTeam  = 24
+	bytesPerTeam  = 42
 	greetingBytes = 96
 	// maxSent bounds the tasks forwarded to one host and not answered, and so the
 	// connections to it; tasks of jobs can wait and get fewer.
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"sort"
 	"testing"
 	"time"
@@ -111,3 +112,24 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the heap that a Core keeps for each worker, and for
+// each task that runs or waits.
+func BenchmarkMemory(b *testing.B) {
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for _, c := range []struct{ workers, running, queued int }{{1000, 0, 0}, {10_000, 0, 0}, {1000, 7000, 0}, {1000, 7000, 100_000}} {
+		b.Run(fmt.Sprintf("workers=%d/running=%d/queued=%d", c.workers, c.running, c.queued), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				f := newBenchFleet(c.workers, c.running, c.queued)
+				b.ReportMetric(heap()-before, "heap-bytes")
+				runtime.KeepAlive(f)
+			}
+		})
+	}
+}
