--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -28,7 +28,10 @@
 			},
 		})
 	}()
-	t.Cleanup(func() { cancel(); <-done })
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
 	return listener.Addr().String()
 }
 
