--- a/standin/worker.go
+++ b/standin/worker.go
@@ -124,27 +124,27 @@
 }
 
 func (w *worker) serveEndpoint(rw http.ResponseWriter, r *http.Request) {
+	if rn := w.admit(rw, r); rn != nil {
+		reply(rw, w.carryOut(r.Context(), rn))
+	}
+}
+
+// admit reads a start and begins it, or answers why not and returns nil.
+func (w *worker) admit(rw http.ResponseWriter, r *http.Request) *run {
 	var start platform.Start
 	if w.down(rw) || !read(rw, r, &start) {
-		return
+		return nil
 	}
 	rn, refusal := w.begin(start)
 	if rn == nil {
 		http.Error(rw, refusal, http.StatusPreconditionFailed)
-		return
 	}
-	outcome := w.carryOut(r.Context(), rn)
-	reply(rw, outcome)
+	return rn
 }
 
 func (w *worker) serveStart(rw http.ResponseWriter, r *http.Request) {
-	var start platform.Start
-	if w.down(rw) || !read(rw, r, &start) {
-		return
-	}
-	rn, refusal := w.begin(start)
+	rn := w.admit(rw, r)
 	if rn == nil {
-		http.Error(rw, refusal, http.StatusPreconditionFailed)
 		return
 	}
 	rn.listed = true
