--- a/integration/fault_test.go
+++ b/integration/fault_test.go
@@ -180,7 +180,7 @@
 // TestOperatorsRace lets two operators change one record from the same revision.
 func TestOperatorsRace(t *testing.T) {
 	f := newFleet(t, "cam-pho", "minh-an")
-	f.put(record.KindShare, "school", 0, `{"weight":1}`)
+	f.put(record.KindShare, "school", `{"weight":1}`)
 	results := make(chan error, 2)
 	for _, h := range f.hosts {
 		go func() {
@@ -207,7 +207,7 @@
 func TestCutHostLeavesChangePending(t *testing.T) {
 	f := newFleet(t, "cam-pho", "minh-an")
 	f.hosts[1].table.Set(faultproxy.Fault{DropRequests: true, DropReplies: true})
-	f.put(record.KindShare, "school", 0, `{"weight":1}`)
+	f.put(record.KindShare, "school", `{"weight":1}`)
 	f.eventually("the connected host has taken it", func() bool {
 		s, err := f.operator(f.hosts[0]).GetRecord(t.Context(), record.KindShare, "school")
 		return err == nil && s.State == "pending" && len(s.WaitingFor) == 1 && s.WaitingFor[0] == f.hosts[1].name
--- a/integration/input_test.go
+++ b/integration/input_test.go
@@ -21,7 +21,7 @@
 	f := newFleet(t, "cam-pho")
 	f.addTeam("touring")
 	f.addTeam("school")
-	f.put(record.KindQueue, "tours", 0, `{"team":"touring"}`)
+	f.put(record.KindQueue, "tours", `{"team":"touring"}`)
 	f.waitAccepted(record.KindQueue, "tours")
 	touring, school := "touring."+callerSecret, "school."+callerSecret
 	for what, c := range map[string]struct{ path, key, body, code string }{
--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -190,16 +190,16 @@
 	return client.Client{Base: h.url, Key: team + "." + callerSecret}
 }
 
-func (f *fleet) put(kind, name string, revision uint64, data string) {
+func (f *fleet) put(kind, name, data string) {
 	f.t.Helper()
-	_, err := f.operator(f.hosts[0]).PutRecord(f.t.Context(), kind, name, gateway.RecordBody{Schema: 1, Revision: revision, Data: json.RawMessage(data)})
+	_, err := f.operator(f.hosts[0]).PutRecord(f.t.Context(), kind, name, gateway.RecordBody{Schema: 1, Data: json.RawMessage(data)})
 	require.NoError(f.t, err)
 }
 
 // addTeam writes a team's key and waits until it is accepted.
 func (f *fleet) addTeam(team string) {
 	f.t.Helper()
-	f.put(record.KindKey, team, 0, fmt.Sprintf(`{"team":%q,"secret":%q}`, team, callerSecret))
+	f.put(record.KindKey, team, fmt.Sprintf(`{"team":%q,"secret":%q}`, team, callerSecret))
 	f.waitAccepted(record.KindKey, team)
 }
 
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -53,6 +53,8 @@
 	work   Work
 	begun  time.Time
 	lapses time.Time
+	due    time.Time   // when it is done
+	timer  *time.Timer // that fires then
 	listed bool        // its outcome goes into reports, not into a reply
 	stop   chan string // how to end it early
 }
@@ -70,6 +72,7 @@
 	mux.HandleFunc("POST /start", w.serveStart)
 	mux.HandleFunc("POST /renew", w.serveRenew)
 	mux.HandleFunc("POST /stop", w.serveStop)
+	mux.HandleFunc("POST /throttle", w.serveThrottle)
 	w.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	go func() {
 		_ = w.server.Serve(&limitListener{Listener: listener, room: make(chan struct{}, w.connections)})
@@ -171,6 +174,8 @@
 	rn := &run{start: start, begun: now, stop: make(chan string, 1)}
 	_ = json.Unmarshal(start.Payload, &rn.work) // a payload of another form does no work
 	rn.lapses = now.Add(time.Duration(start.LeaseMillis) * time.Millisecond)
+	need := time.Duration(rn.work.WorkMillis-start.ResumeMillis) * time.Millisecond
+	rn.due, rn.timer = now.Add(need), time.NewTimer(need)
 	w.running[start.Task] = rn
 	w.used = w.used.Add(start.Need)
 	w.ledger.begin(start, rn.work.Tag, !w.used.Fits(w.room))
@@ -182,14 +187,12 @@
 	w.mu.Lock()
 	failAll := w.mode == "failAll"
 	w.mu.Unlock()
-	need := time.Duration(rn.work.WorkMillis-rn.start.ResumeMillis) * time.Millisecond
-	finish := time.NewTimer(need)
-	defer finish.Stop()
+	defer rn.timer.Stop()
 	how := platform.EndDone
 	if failAll || rn.work.Fail {
 		how = platform.EndFailed
 	}
-	end := w.wait(ctx, rn, finish.C, how)
+	end := w.wait(ctx, rn, rn.timer.C, how)
 	return w.finish(rn, end)
 }
 
@@ -317,6 +320,29 @@
 	reply(rw, struct{}{})
 }
 
+// serveThrottle slows tasks down to a part of their speed for what they have
+// left to do.
+func (w *worker) serveThrottle(rw http.ResponseWriter, r *http.Request) {
+	var order platform.ThrottleOrder
+	if w.down(rw) || !read(rw, r, &order) {
+		return
+	}
+	if order.Percent < 1 || order.Percent > 100 {
+		http.Error(rw, "percent is not 1 to 100", http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, task := range order.Tasks {
+		if rn := w.running[task]; rn != nil {
+			left := max(0, time.Until(rn.due)) * 100 / time.Duration(order.Percent)
+			rn.due = time.Now().Add(left)
+			rn.timer.Reset(left)
+		}
+	}
+	reply(rw, struct{}{})
+}
+
 func (r *run) end(how string) {
 	select {
 	case r.stop <- how:
