--- a/control/route.go
+++ b/control/route.go
@@ -114,11 +114,12 @@
 // is listed, and another for each host of this zone as far as there are.
 func (s *State) listFarPeers() {
 	chosen := map[string]bool{}
+	own := slices.Index(s.live(), s.Session)
 	for zone, z := range s.zones {
 		if zone == s.Zone || len(z.row.Entries) == 0 {
 			continue
 		}
-		e := z.row.Entries[slices.Index(s.live(), s.Session)%len(z.row.Entries)]
+		e := z.row.Entries[own%len(z.row.Entries)]
 		chosen[e.Session] = true
 		n := s.neighbor(e.Session)
 		n.addr, n.zone = e.PeerAddr, zone
--- a/demo/fault.go
+++ b/demo/fault.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/standin"
 )
 
@@ -51,14 +52,14 @@
 	{"host cut off", func(d *Demo, ctx context.Context, rng *rand.Rand, length time.Duration) string {
 		return d.onPlace(rng, func(p *place) {
 			p.cut(true)
-			wait(ctx, length)
+			pause.For(ctx, length)
 			p.cut(false)
 		})
 	}},
 	{"zone cut off", func(d *Demo, ctx context.Context, rng *rand.Rand, length time.Duration) string {
 		zone := d.Deployment.Zones[rng.IntN(len(d.Deployment.Zones))]
 		d.cutZone(zone, true)
-		wait(ctx, length)
+		pause.For(ctx, length)
 		d.cutZone(zone, false)
 		return zone
 	}},
@@ -73,7 +74,7 @@
 func tableFault(f standin.TableFault) func(*Demo, context.Context, *rand.Rand, time.Duration) string {
 	return func(d *Demo, ctx context.Context, _ *rand.Rand, length time.Duration) string {
 		d.standin.Break(f)
-		wait(ctx, length)
+		pause.For(ctx, length)
 		d.standin.Break(standin.TableFault{})
 		return "the platform's table"
 	}
@@ -84,7 +85,7 @@
 		names := d.standin.Workers()
 		name := names[rng.IntN(len(names))]
 		_ = d.standin.SetWorker(name, mode) // the name is one of its own
-		wait(ctx, length)
+		pause.For(ctx, length)
 		_ = d.standin.SetWorker(name, "")
 		return name
 	}
@@ -112,7 +113,7 @@
 // drawFaults breaks things, one or two at a time, until the load is near its end.
 func (d *Demo) drawFaults(ctx context.Context, began time.Time) {
 	rng := rand.New(rand.NewPCG(d.Seed, 77))
-	wait(ctx, firstFault)
+	pause.For(ctx, firstFault)
 	for {
 		count := 1
 		if rng.IntN(pairEvery) == 0 {
@@ -143,23 +144,12 @@
 			d.Log.Warn("demo: fault", "kind", f.Kind, "what", f.What, "begin", f.Begin, "end", f.End)
 			d.faults = append(d.faults, f)
 		}
-		if !wait(ctx, betweenFault) {
+		if !pause.For(ctx, betweenFault) {
 			return
 		}
 	}
 }
 
-func wait(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // goodput counts each zone's answers a second around every fault.
 func (d *Demo) goodput() []Fault {
 	requests := d.load.Result().Requests
--- a/demo/property.go
+++ b/demo/property.go
@@ -10,6 +10,7 @@
 
 	"github.com/cowslipgap/cowslipgap/client"
 	"github.com/cowslipgap/cowslipgap/gateway"
+	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/record"
 	"github.com/cowslipgap/cowslipgap/refusal"
 )
@@ -78,7 +79,7 @@
 // watch checks keys and records, and restarts hosts that were taken over, until
 // ctx is done.
 func (d *Demo) watch(ctx context.Context) {
-	for i := 0; wait(ctx, watchEvery); i++ {
+	for i := 0; pause.For(ctx, watchEvery); i++ {
 		for _, p := range d.places {
 			p.tend(ctx)
 			d.checkRevision(p)
@@ -151,7 +152,7 @@
 			d.checks.inForce.Violations++
 			return
 		}
-		wait(ctx, pollEvery)
+		pause.For(ctx, pollEvery)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,11 +19,8 @@
 	"log/slog"
 	"net/http"
 	"strings"
-	"sync"
 
 	"github.com/cockroachdb/errors"
-	"github.com/zeromicro/go-zero/core/logx"
-	"github.com/zeromicro/go-zero/core/stat"
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/cowslipgap/cowslipgap/audit"
@@ -31,6 +28,7 @@
 	"github.com/cowslipgap/cowslipgap/document"
 	"github.com/cowslipgap/cowslipgap/job"
 	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/quiet"
 	"github.com/cowslipgap/cowslipgap/record"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/settings"
@@ -75,12 +73,6 @@
 	repeats repeats
 }
 
-// quiet turns off what the HTTP library logs and reports by itself.
-var quiet = sync.OnceFunc(func() {
-	logx.Disable()
-	stat.DisableLog()
-})
-
 // Handler returns the routes.
 func (g *Gateway) Handler() (http.Handler, error) {
 	var conf rest.RestConf
@@ -91,7 +83,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway: build server")
 	}
-	quiet()
+	quiet.Library()
 	server.AddRoutes(g.routes())
 	serverless, err := rest.NewServerless(server)
 	if err != nil {
--- a/host/host.go
+++ b/host/host.go
@@ -32,6 +32,7 @@
 	"github.com/cowslipgap/cowslipgap/gateway"
 	"github.com/cowslipgap/cowslipgap/journal"
 	"github.com/cowslipgap/cowslipgap/lease"
+	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
 	"github.com/cowslipgap/cowslipgap/placement"
 	"github.com/cowslipgap/cowslipgap/platform"
@@ -245,16 +246,16 @@
 	h.leaving.Store(true)
 	h.Log.Info("host: leaving")
 	// The balancer still sends here until it has seen the readiness check fail.
-	sleep(ctx, drainNotice)
+	pause.For(ctx, drainNotice)
 	h.post(control.Drain{})
 	ctx, cancel := context.WithTimeout(ctx, h.Settings.DrainTimeout)
 	defer cancel()
 	for h.busy.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
+		pause.For(ctx, drainPoll)
 	}
 	_ = h.http.Shutdown(ctx)
 	h.post(control.Release{})
-	sleep(ctx, drainNotice)
+	pause.For(ctx, drainNotice)
 	h.Kill()
 	h.Log.Info("host: left")
 }
@@ -269,12 +270,3 @@
 	h.wg.Wait()
 	h.platform.Close()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/host/perform.go
+++ b/host/perform.go
@@ -11,6 +11,7 @@
 	"github.com/cowslipgap/cowslipgap/allotment"
 	"github.com/cowslipgap/cowslipgap/control"
 	"github.com/cowslipgap/cowslipgap/journal"
+	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
 	"github.com/cowslipgap/cowslipgap/placement"
 	"github.com/cowslipgap/cowslipgap/platform"
@@ -217,7 +218,7 @@
 		default:
 			uncertain = uncertain || errors.Is(err, platform.ErrUnknown)
 		}
-		sleep(ctx, writePause)
+		pause.For(ctx, writePause)
 		if ctx.Err() != nil {
 			return 0, errors.Mark(ctx.Err(), platform.ErrUnknown)
 		}
@@ -290,7 +291,7 @@
 	states, entries, err := journal.Replay(ctx, &h.platform, e.Session)
 	if err != nil {
 		h.Log.Warn("journal: replay failed", "session", e.Session, "err", err.Error())
-		sleep(ctx, writePause)
+		pause.For(ctx, writePause)
 	} else {
 		h.Log.Info("journal: replayed", "session", e.Session, "jobs", len(states), "entries", len(entries))
 	}
--- a/host/poll.go
+++ b/host/poll.go
@@ -7,6 +7,7 @@
 
 	"github.com/cowslipgap/cowslipgap/allotment"
 	"github.com/cowslipgap/cowslipgap/control"
+	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/platform"
 	"github.com/cowslipgap/cowslipgap/record"
 )
@@ -22,7 +23,7 @@
 func repeat(ctx context.Context, d time.Duration, f func()) {
 	for ctx.Err() == nil {
 		f()
-		sleep(ctx, d)
+		pause.For(ctx, d)
 	}
 }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -240,7 +240,6 @@
 		for range steps {
 			next := w.moves()
 			w = next[rng.IntN(len(next))]
-			w.beatRev = [hosts]int{min(w.beatRev[0], 1<<30), w.beatRev[1], w.beatRev[2]}
 			if w.twoOwners() {
 				return true, claims
 			}
--- a/load/load.go
+++ b/load/load.go
@@ -29,6 +29,7 @@
 	"github.com/cowslipgap/cowslipgap/deployment"
 	"github.com/cowslipgap/cowslipgap/gateway"
 	"github.com/cowslipgap/cowslipgap/job"
+	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/refusal"
 )
 
@@ -140,7 +141,7 @@
 	next := time.Now()
 	for {
 		next = next.Add(time.Duration(rng.ExpFloat64() / (w.Rate * l.Scale) * float64(time.Second)))
-		if !sleepUntil(ctx, next) {
+		if !pause.For(ctx, time.Until(next)) {
 			return
 		}
 		a := l.draw(w, rng)
@@ -271,7 +272,7 @@
 				continue
 			}
 		}
-		sleepUntil(ctx, time.Now().Add(jobPoll))
+		pause.For(ctx, jobPoll)
 		kept := ahead[:0]
 		for _, j := range ahead {
 			if st, err := l.read(ctx, j); err != nil || st.Counts[job.Waiting] > j.Tasks/2 {
@@ -318,7 +319,7 @@
 		if open == 0 {
 			return
 		}
-		sleepUntil(ctx, time.Now().Add(jobPoll))
+		pause.For(ctx, jobPoll)
 	}
 }
 
@@ -328,14 +329,3 @@
 	defer l.mu.Unlock()
 	return Result{Waits: l.waits, Sent: l.sent, Codes: l.codes, Jobs: l.jobs, Requests: l.answers}
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
