--- a/audit/audit.go
+++ b/audit/audit.go
@@ -14,7 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/record"
 )
 
@@ -41,17 +41,17 @@
 }
 
 // Put returns the write that adds the entry.
-func (e Entry) Put() (platform.Put, error) {
+func (e Entry) Put() (storage.Put, error) {
 	value, err := json.Marshal(e)
 	if err != nil {
-		return platform.Put{}, errors.Wrapf(err, "encode audit entry for %s", e.After.ID())
+		return storage.Put{}, errors.Wrapf(err, "encode audit entry for %s", e.After.ID())
 	}
 	name := fmt.Sprintf("%s%s/%d/%010d", prefix, e.After.ID(), e.After.Schema, e.After.Revision)
-	return platform.Put{Key: name, Value: value}, nil
+	return storage.Put{Key: name, Value: value}, nil
 }
 
 // Decode reads an entry from its row.
-func Decode(row platform.Row) (Entry, error) {
+func Decode(row storage.Row) (Entry, error) {
 	var e Entry
 	if err := json.Unmarshal(row.Value, &e); err != nil {
 		return Entry{}, errors.Mark(errors.Wrapf(err, "decode %s", row.Key), ErrMalformed)
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/key"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/record"
 	"github.com/cowslipgap/cowslipgap/refusal"
 )
@@ -56,7 +56,7 @@
 
 // Apply returns the catalog with the changed rows taken in. Rows older than
 // those already in are passed over, so that nothing goes back.
-func (c *Catalog) Apply(rows []platform.Row, revision uint64, now time.Time) *Catalog {
+func (c *Catalog) Apply(rows []storage.Row, revision uint64, now time.Time) *Catalog {
 	next := &Catalog{Revision: max(c.Revision, revision), Confirmed: now, records: c.records}
 	changed := false
 	for _, row := range rows {
--- a/control/batch.go
+++ b/control/batch.go
@@ -10,9 +10,9 @@
 
 	"github.com/cowslipgap/cowslipgap/class"
 	"github.com/cowslipgap/cowslipgap/job"
-	"github.com/cowslipgap/cowslipgap/journal"
+	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/task"
 )
@@ -91,7 +91,7 @@
 		j.ID = s.newJobID()
 	}
 	j.Accepted = s.now
-	b := journal.Batch{Entries: []job.Entry{{Accept: &j}}, MayDrop: true}
+	b := segment.Batch{Entries: []job.Entry{{Accept: &j}}, MayDrop: true}
 	if j.RequestID != "" {
 		b.Guard = newGuard(j.Team, j.RequestID, guardRow{Hash: ev.Hash, Job: j.ID})
 	}
@@ -150,7 +150,7 @@
 		return
 	}
 	delete(s.tokens, ev.Result.Token)
-	if errors.Is(ev.Result.Err, journal.ErrFenced) {
+	if errors.Is(ev.Result.Err, segment.ErrFenced) {
 		s.holder.Fence()
 	}
 	switch w := waits.(type) {
@@ -166,18 +166,18 @@
 }
 
 // journalRefusal turns a result of the journal into what the caller is told.
-func journalRefusal(r journal.Result) *refusal.Refusal {
+func journalRefusal(r segment.Result) *refusal.Refusal {
 	switch {
 	case r.Err == nil:
 		return nil
-	case errors.Is(r.Err, journal.ErrFenced):
+	case errors.Is(r.Err, segment.ErrFenced):
 		return refusal.New(refusal.Leaving, "this entry host has been replaced; send it to another").After(time.Millisecond)
 	default:
 		return refusal.New(refusal.TableUnavailable, "the table did not take it").After(time.Second)
 	}
 }
 
-func (s *State) jobJournaled(w jobToken, r journal.Result) {
+func (s *State) jobJournaled(w jobToken, r segment.Result) {
 	if existing, ok := decodeGuard(r); ok && existing.Hash == w.hash && existing.Job != "" {
 		s.emit(JobAnswer{Token: w.answer, ID: existing.Job})
 		return
@@ -277,10 +277,10 @@
 		return
 	}
 	b := job.Entry{Begin: &job.Begin{Job: st.Job.ID, Index: index}}
-	s.append(beginToken{t}, journal.Batch{Entries: []job.Entry{b}, MayDrop: true})
+	s.append(beginToken{t}, segment.Batch{Entries: []job.Entry{b}, MayDrop: true})
 }
 
-func (s *State) beginJournaled(b beginToken, r journal.Result) {
+func (s *State) beginJournaled(b beginToken, r segment.Result) {
 	id, index, _ := job.ParseTaskID(b.task.ID)
 	w, st := s.jobs[id], s.lookJob(id)
 	if w == nil || st == nil {
@@ -360,13 +360,13 @@
 }
 
 // jobTaskEnded handles the end of a job's task that ran or may have run.
-func (s *State) jobTaskEnded(t task.Task, o platform.Outcome) {
+func (s *State) jobTaskEnded(t task.Task, o storage.Outcome) {
 	delete(s.requests, t.ID)
 	st := s.lookJob(t.Job)
 	switch o.End {
-	case platform.EndDone:
+	case storage.EndDone:
 		s.endTask(t, job.Done, "", o.Output)
-	case platform.EndFailed:
+	case storage.EndFailed:
 		s.endTask(t, job.Failed, o.Message, o.Output)
 	default:
 		switch {
@@ -390,7 +390,7 @@
 	delete(s.requests, t.ID)
 	e := job.Entry{End: &job.TaskEnd{Job: id, Index: index, State: state, Message: message, Output: output, At: s.now}}
 	s.book.Apply(e)
-	s.append(nil, journal.Batch{Entries: []job.Entry{e}})
+	s.append(nil, segment.Batch{Entries: []job.Entry{e}})
 	s.feed(id, 1)
 }
 
@@ -401,10 +401,10 @@
 		s.emit(answer)
 		return
 	}
-	s.append(cancelToken{ev.Token, ev.ID}, journal.Batch{Entries: []job.Entry{{Cancel: ev.ID}}, MayDrop: true})
+	s.append(cancelToken{ev.Token, ev.ID}, segment.Batch{Entries: []job.Entry{{Cancel: ev.ID}}, MayDrop: true})
 }
 
-func (s *State) cancelJournaled(c cancelToken, r journal.Result) {
+func (s *State) cancelJournaled(c cancelToken, r segment.Result) {
 	if refused := journalRefusal(r); refused != nil {
 		s.emit(JobAnswer{Token: c.answer, Refusal: refused})
 		return
--- a/control/control.go
+++ b/control/control.go
@@ -25,7 +25,7 @@
 	"github.com/cowslipgap/cowslipgap/job"
 	"github.com/cowslipgap/cowslipgap/lease"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
 )
 
@@ -57,7 +57,7 @@
 
 	members  map[string]*member // hosts of this availability zone, by session
 	racks    map[string]rackState
-	listed   []platform.Host // the platform's list
+	listed   []storage.Host // the platform's list
 	peers    map[string]*neighbor
 	beat     beatState
 	claims   map[string]bool // claims in flight, by session or rack
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -10,11 +10,11 @@
 	"github.com/cowslipgap/cowslipgap/class"
 	"github.com/cowslipgap/cowslipgap/control"
 	"github.com/cowslipgap/cowslipgap/job"
-	"github.com/cowslipgap/cowslipgap/journal"
+	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/lease"
 	"github.com/cowslipgap/cowslipgap/peer"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/task"
@@ -42,7 +42,7 @@
 	beat := take[control.Beat](r.update(control.Tick{}))
 	require.Len(t, beat, 1)
 	r.update(control.BeatDone{Sent: r.now, Revision: 1, Fence: 1})
-	r.update(control.ZoneRows{Rows: []platform.Row{
+	r.update(control.ZoneRows{Rows: []storage.Row{
 		r.row(control.SessionKey("a", sibling), control.SessionRow{Name: "a2", PeerAddr: "127.0.0.1:2", State: "live"}),
 		r.row(control.BeatKey("a", sibling), control.BeatRow{Name: "a2", PeerAddr: "127.0.0.1:2", Successor: self, LeaseMillis: 5000}),
 	}})
@@ -50,11 +50,11 @@
 	return r
 }
 
-func (r *rig) row(key string, value any) platform.Row {
+func (r *rig) row(key string, value any) storage.Row {
 	data, err := json.Marshal(value)
 	require.NoError(r.t, err)
 	r.revision++
-	return platform.Row{Key: key, Value: data, Revision: r.revision + 10}
+	return storage.Row{Key: key, Value: data, Revision: r.revision + 10}
 }
 
 func (r *rig) update(ev any) []any { return append([]any(nil), r.s.Update(r.now, ev)...) }
@@ -149,8 +149,8 @@
 
 // ownWorker gives the State a rack with one worker.
 func (r *rig) ownWorker() {
-	r.update(control.Hosts{List: []platform.Host{{Name: "w1", Zone: "a", Rack: "r0", State: "live", Room: resource.Vector{Slots: 8}}}})
-	r.update(control.ZoneRows{Rows: []platform.Row{r.row(control.RackKey("a", "r0"), control.RackRow{Owner: self})}})
+	r.update(control.Hosts{List: []storage.Host{{Name: "w1", Zone: "a", Rack: "r0", State: "live", Room: resource.Vector{Slots: 8}}}})
+	r.update(control.ZoneRows{Rows: []storage.Row{r.row(control.RackKey("a", "r0"), control.RackRow{Owner: self})}})
 	r.update(placement.Reported{Worker: "w1", Sent: r.now})
 }
 
@@ -165,12 +165,12 @@
 	require.Empty(t, take[placement.Start](effects))
 	appends := take[control.Append](effects)
 	require.Len(t, appends, 1)
-	effects = r.update(control.Journaled{Result: journal.Result{Token: appends[0].Batch.Token}})
+	effects = r.update(control.Journaled{Result: segment.Result{Token: appends[0].Batch.Token}})
 	require.NotEmpty(t, take[control.JobAnswer](effects)[0].ID)
 	require.Len(t, take[placement.Start](effects), 2)
 
 	appends = take[control.Append](r.update(submit))
-	effects = r.update(control.Journaled{Result: journal.Result{Token: appends[0].Batch.Token, Err: journal.ErrDropped}})
+	effects = r.update(control.Journaled{Result: segment.Result{Token: appends[0].Batch.Token, Err: segment.ErrDropped}})
 	answer := take[control.JobAnswer](effects)[0]
 	require.Equal(t, refusal.TableUnavailable, answer.Refusal.Code)
 	require.Equal(t, refusal.NotRun, answer.Refusal.Ran)
@@ -184,15 +184,15 @@
 	r.ownWorker()
 	j := job.Job{ID: "a." + sibling + ".1", Team: "t", Class: class.Batch, Need: resource.Vector{Slots: 1}, Tasks: 2, Accepted: r.now}
 	claimed := control.SessionRow{Name: "a2", State: "claimed", Holder: self}
-	require.Len(t, take[control.Adopt](r.update(control.ZoneRows{Rows: []platform.Row{r.row(control.SessionKey("a", sibling), claimed)}})), 1)
-	done := platform.Outcome{Task: job.TaskID(j.ID, 0), Attempt: 1, End: platform.EndDone}
-	r.update(placement.Reported{Worker: "w1", Sent: r.now, Report: platform.Report{Ended: []platform.Outcome{done}, Next: 1}})
+	require.Len(t, take[control.Adopt](r.update(control.ZoneRows{Rows: []storage.Row{r.row(control.SessionKey("a", sibling), claimed)}})), 1)
+	done := storage.Outcome{Task: job.TaskID(j.ID, 0), Attempt: 1, End: storage.EndDone}
+	r.update(placement.Reported{Worker: "w1", Sent: r.now, Report: storage.Report{Ended: []storage.Outcome{done}, Next: 1}})
 	r.update(control.Adopted{Session: sibling, Entries: []job.Entry{{Accept: &j}}})
 	began := r.now
 	var starts []placement.Start
 	for range 200 {
 		r.now = r.now.Add(100 * time.Millisecond)
-		r.update(placement.Reported{Worker: "w1", Sent: r.now, Report: platform.Report{Next: 1}})
+		r.update(placement.Reported{Worker: "w1", Sent: r.now, Report: storage.Report{Next: 1}})
 		effects := r.update(control.Tick{})
 		for _, b := range take[control.Beat](effects) {
 			r.update(control.BeatDone{Sent: r.now, Revision: 2, Successor: b.Row.Successor})
--- a/control/effect.go
+++ b/control/effect.go
@@ -3,9 +3,9 @@
 import (
 	"github.com/cowslipgap/cowslipgap/allotment"
 	"github.com/cowslipgap/cowslipgap/job"
-	"github.com/cowslipgap/cowslipgap/journal"
+	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/peer"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/task"
 )
@@ -15,7 +15,7 @@
 	// Answer tells whoever waits for a task what became of it.
 	Answer struct {
 		ID      string
-		Outcome *platform.Outcome
+		Outcome *storage.Outcome
 		Refusal *refusal.Refusal
 		Worker  string
 		// Unguard is the key of a guard to delete first, because the work did
@@ -32,7 +32,7 @@
 	}
 
 	// Append writes to the journal.
-	Append struct{ Batch journal.Batch }
+	Append struct{ Batch segment.Batch }
 
 	// Snapshot writes the book to the object store.
 	Snapshot struct{ States []job.State }
@@ -50,7 +50,7 @@
 	Claim struct {
 		Session string // empty for a rack alone
 		Row     SessionRow
-		Checks  []platform.Check
+		Checks  []storage.Check
 		Racks   []string
 	}
 
@@ -64,7 +64,7 @@
 	// EndedAnswer answers a QueryEnded.
 	EndedAnswer struct {
 		Token uint64
-		Ended []platform.Outcome
+		Ended []storage.Outcome
 	}
 
 	// MarkAbsorbed notes in the table that a session's jobs are in this host's
--- a/control/event.go
+++ b/control/event.go
@@ -6,9 +6,9 @@
 	"github.com/cowslipgap/cowslipgap/allotment"
 	"github.com/cowslipgap/cowslipgap/catalog"
 	"github.com/cowslipgap/cowslipgap/job"
-	"github.com/cowslipgap/cowslipgap/journal"
+	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/peer"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/task"
 )
@@ -41,7 +41,7 @@
 	ForwardDone struct {
 		ID       string
 		Session  string
-		Outcome  *platform.Outcome
+		Outcome  *storage.Outcome
 		Refusal  *refusal.Refusal
 		Unsent   bool // certainly never reached the other host
 		Resolved bool // the answer to an order with Resolve
@@ -70,14 +70,14 @@
 	}
 
 	// Journaled brings a result of the journal.
-	Journaled struct{ Result journal.Result }
+	Journaled struct{ Result segment.Result }
 
 	// Adopted brings the journal of a session that this host took over.
 	Adopted struct {
 		Session string
 		States  []job.State
 		Entries []job.Entry
-		Ended   []platform.Outcome // of tasks that the session had forwarded
+		Ended   []storage.Outcome // of tasks that the session had forwarded
 		Err     error
 	}
 
@@ -85,10 +85,10 @@
 	Catalog struct{ Catalog *catalog.Catalog }
 
 	// ZoneRows brings changed rows of this availability zone.
-	ZoneRows struct{ Rows []platform.Row }
+	ZoneRows struct{ Rows []storage.Row }
 
 	// AllotmentRows brings changed rows of teams' allotments.
-	AllotmentRows struct{ Rows []platform.Row }
+	AllotmentRows struct{ Rows []storage.Row }
 
 	// AllotmentDone says what became of a WriteAllotment. Row and Revision are
 	// what the table has now; after a conflict, as far as it could be read.
@@ -100,7 +100,7 @@
 	}
 
 	// ZoneList brings changed rows that describe all zones.
-	ZoneList struct{ Rows []platform.Row }
+	ZoneList struct{ Rows []storage.Row }
 
 	// ZoneDone says what became of a WriteZone.
 	ZoneDone struct {
@@ -110,7 +110,7 @@
 	}
 
 	// Hosts brings the platform's list of this zone's workers.
-	Hosts struct{ List []platform.Host }
+	Hosts struct{ List []storage.Host }
 
 	// BeatDone says what became of a Beat that was sent at Sent.
 	BeatDone struct {
--- a/control/guard.go
+++ b/control/guard.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cowslipgap/cowslipgap/journal"
+	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/refusal"
 )
 
@@ -15,22 +15,22 @@
 	Job  string `json:"job,omitempty"` // the job that was accepted under the id
 }
 
-func newGuard(team, requestID string, row guardRow) *journal.Guard {
+func newGuard(team, requestID string, row guardRow) *segment.Guard {
 	value, _ := json.Marshal(row) // two strings always encode
-	return &journal.Guard{Key: "request/" + team + "/" + requestID, Value: value}
+	return &segment.Guard{Key: "request/" + team + "/" + requestID, Value: value}
 }
 
 // decodeGuard returns the row that was in the way of a guard.
-func decodeGuard(r journal.Result) (guardRow, bool) {
+func decodeGuard(r segment.Result) (guardRow, bool) {
 	var row guardRow
-	if !errors.Is(r.Err, journal.ErrGuarded) || json.Unmarshal(r.Existing, &row) != nil {
+	if !errors.Is(r.Err, segment.ErrGuarded) || json.Unmarshal(r.Existing, &row) != nil {
 		return guardRow{}, false
 	}
 	return row, true
 }
 
 // guardRefusal turns the result of a guarded write into what the caller is told.
-func guardRefusal(r journal.Result, hash string) *refusal.Refusal {
+func guardRefusal(r segment.Result, hash string) *refusal.Refusal {
 	existing, ok := decodeGuard(r)
 	switch {
 	case !ok:
--- a/control/member.go
+++ b/control/member.go
@@ -10,7 +10,7 @@
 
 	"github.com/cowslipgap/cowslipgap/lease"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 // States of a session.
@@ -151,7 +151,7 @@
 	return m
 }
 
-func (s *State) takeSession(session string, row platform.Row) {
+func (s *State) takeSession(session string, row storage.Row) {
 	if row.Deleted {
 		delete(s.members, session)
 		s.holder.Forget(session)
@@ -177,7 +177,7 @@
 	}
 }
 
-func (s *State) takeBeat(session string, row platform.Row) {
+func (s *State) takeBeat(session string, row storage.Row) {
 	if row.Deleted {
 		if m := s.members[session]; m != nil {
 			m.beatRev = 0
@@ -363,7 +363,7 @@
 func (s *State) claimSession(session string, m *member) {
 	s.claims[session] = true
 	s.holder.Claim(session)
-	c := Claim{Session: session, Row: m.session, Checks: []platform.Check{
+	c := Claim{Session: session, Row: m.session, Checks: []storage.Check{
 		{Key: SessionKey(s.Zone, s.Session), Revision: s.beat.fence},
 		{Key: SessionKey(s.Zone, session), Revision: m.fence},
 		{Key: BeatKey(s.Zone, session), Revision: m.beatRev},
@@ -372,7 +372,7 @@
 	for rack, r := range s.racks {
 		if r.owner == session {
 			c.Racks = append(c.Racks, rack)
-			c.Checks = append(c.Checks, platform.Check{Key: RackKey(s.Zone, rack), Revision: r.revision})
+			c.Checks = append(c.Checks, storage.Check{Key: RackKey(s.Zone, rack), Revision: r.revision})
 		}
 	}
 	slices.Sort(c.Racks)
@@ -405,7 +405,7 @@
 		}
 		s.claims["rack/"+rack] = true
 		owned++
-		s.emit(Claim{Racks: []string{rack}, Checks: []platform.Check{
+		s.emit(Claim{Racks: []string{rack}, Checks: []storage.Check{
 			{Key: SessionKey(s.Zone, s.Session), Revision: s.beat.fence},
 			{Key: RackKey(s.Zone, rack), Revision: s.racks[rack].revision},
 		}})
@@ -445,7 +445,7 @@
 	if c.Session == "" {
 		return
 	}
-	if errors.Is(ev.Err, platform.ErrConflict) || errors.Is(ev.Err, platform.ErrUnavailable) {
+	if errors.Is(ev.Err, storage.ErrConflict) || errors.Is(ev.Err, storage.ErrUnavailable) {
 		s.holder.Unclaim(c.Session)
 	}
 	// With the outcome unknown, the claim stands until the row tells.
@@ -459,13 +459,13 @@
 
 // pushWorkers tells the placement core which workers this host owns.
 func (s *State) pushWorkers() {
-	var owned []platform.Host
+	var owned []storage.Host
 	for _, h := range s.listed {
 		if s.racks[h.Rack].owner != s.Session {
 			continue
 		}
 		if s.cat.Drained(h.Name) {
-			h.State = platform.StateLeaving
+			h.State = storage.StateLeaving
 		}
 		owned = append(owned, h)
 	}
--- a/control/quota.go
+++ b/control/quota.go
@@ -9,7 +9,7 @@
 
 	"github.com/cowslipgap/cowslipgap/allotment"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 const (
@@ -145,9 +145,9 @@
 		} else {
 			q.part = q.row.Parts[s.Session]
 		}
-	case errors.Is(ev.Err, platform.ErrConflict) && ev.Revision > q.revision:
+	case errors.Is(ev.Err, storage.ErrConflict) && ev.Revision > q.revision:
 		s.setAllotment(q, ev.Row, ev.Revision)
-	case errors.Is(ev.Err, platform.ErrUnavailable), errors.Is(ev.Err, platform.ErrConflict):
+	case errors.Is(ev.Err, storage.ErrUnavailable), errors.Is(ev.Err, storage.ErrConflict):
 		q.part = q.row.Parts[s.Session]
 	default:
 		q.unsure = true // part stays the lesser of old and new
--- a/control/request.go
+++ b/control/request.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/cowslipgap/cowslipgap/journal"
+	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/task"
 )
@@ -68,14 +68,14 @@
 	if ev.Task.NonIdempotent && ev.RequestID != "" {
 		g := newGuard(ev.Task.Team, ev.RequestID, guardRow{Hash: ev.Hash})
 		req.guard = g.Key
-		s.append(guardToken{ev.Task, ev.Hash}, journal.Batch{Guard: g, MayDrop: true})
+		s.append(guardToken{ev.Task, ev.Hash}, segment.Batch{Guard: g, MayDrop: true})
 		return
 	}
 	s.route(ev.Task)
 }
 
 // append writes a batch to the journal and remembers what waits for it.
-func (s *State) append(waits any, b journal.Batch) {
+func (s *State) append(waits any, b segment.Batch) {
 	s.nextID++
 	b.Token = s.nextID
 	s.tokens[b.Token] = waits
@@ -83,7 +83,7 @@
 }
 
 // guardWritten goes on with a request whose guard is in the table, or refuses it.
-func (s *State) guardWritten(g guardToken, r journal.Result) {
+func (s *State) guardWritten(g guardToken, r segment.Result) {
 	t := g.task
 	req := s.requests[t.ID]
 	if req == nil {
@@ -174,7 +174,7 @@
 }
 
 // taskEnded handles the end of a task that ran, or may have run.
-func (s *State) taskEnded(t task.Task, o platform.Outcome, worker string) {
+func (s *State) taskEnded(t task.Task, o storage.Outcome, worker string) {
 	if s.isOwnJob(t) {
 		s.jobTaskEnded(t, o)
 		return
@@ -183,7 +183,7 @@
 	if r == nil {
 		return
 	}
-	if o.End == platform.EndDone || o.End == platform.EndFailed || r.from != "" || r.gone {
+	if o.End == storage.EndDone || o.End == storage.EndFailed || r.from != "" || r.gone {
 		s.finish(t.ID, Answer{ID: t.ID, Outcome: &o, Worker: worker})
 		return
 	}
@@ -196,7 +196,7 @@
 	s.finish(t.ID, Answer{ID: t.ID, Refusal: lostRefusal(t, o)})
 }
 
-func lostRefusal(t task.Task, o platform.Outcome) *refusal.Refusal {
+func lostRefusal(t task.Task, o storage.Outcome) *refusal.Refusal {
 	r := refusal.New(refusal.OutcomeLost, "it started and its outcome is unknown: %s %s", o.End, o.Message)
 	if !t.NonIdempotent {
 		r = r.After(time.Second)
@@ -280,12 +280,12 @@
 	}
 	if s.now.Sub(since) > s.lapseAfterSilence() {
 		r.lostAt, r.at = time.Time{}, ""
-		s.taskEnded(r.task, platform.Outcome{Task: id, End: placement.EndLost, Message: "the host that ran it is out of reach"}, "")
+		s.taskEnded(r.task, storage.Outcome{Task: id, End: placement.EndLost, Message: "the host that ran it is out of reach"}, "")
 		return
 	}
 	past := !r.task.Deadline.IsZero() && s.now.After(r.task.Deadline)
 	if past && r.from == "" && !s.isOwnJob(r.task) {
-		s.finish(id, Answer{ID: id, Refusal: lostRefusal(r.task, platform.Outcome{End: placement.EndLost})})
+		s.finish(id, Answer{ID: id, Refusal: lostRefusal(r.task, storage.Outcome{End: placement.EndLost})})
 		return
 	}
 	n := s.peers[r.at]
--- a/control/stray.go
+++ b/control/stray.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/job"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 const (
@@ -16,13 +16,13 @@
 
 // stray is the end of a task that this host did not start.
 type stray struct {
-	outcome platform.Outcome
+	outcome storage.Outcome
 	at      time.Time
 }
 
 // takeStray uses the end of a task that an earlier owner of the worker started:
 // a job that was taken over need not run it again.
-func (s *State) takeStray(o platform.Outcome) {
+func (s *State) takeStray(o storage.Outcome) {
 	id, _, ok := job.ParseTaskID(o.Task)
 	if !ok || s.requests[o.Task] != nil {
 		return
@@ -48,9 +48,9 @@
 	}
 }
 
-func (s *State) applyStray(st *job.State, o platform.Outcome) {
+func (s *State) applyStray(st *job.State, o storage.Outcome) {
 	_, index, _ := job.ParseTaskID(o.Task)
-	done, failed := o.End == platform.EndDone, o.End == platform.EndFailed
+	done, failed := o.End == storage.EndDone, o.End == storage.EndFailed
 	if index < 0 || index >= len(st.Ends) || st.Ends[index].State != "" || !done && !failed {
 		return
 	}
@@ -79,8 +79,8 @@
 
 // endedFor returns the outcomes of the tasks of jobs that a session forwarded
 // here, as far as they are kept.
-func (s *State) endedFor(session string) []platform.Outcome {
-	var list []platform.Outcome
+func (s *State) endedFor(session string) []storage.Outcome {
+	var list []storage.Outcome
 	for id, old := range s.recent {
 		if _, accepted, ok := SplitJobID(jobOf(id)); ok && accepted == session && old.answer.Outcome != nil {
 			list = append(list, *old.answer.Outcome)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,7 +27,7 @@
 	"github.com/cowslipgap/cowslipgap/catalog"
 	"github.com/cowslipgap/cowslipgap/document"
 	"github.com/cowslipgap/cowslipgap/job"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/quiet"
 	"github.com/cowslipgap/cowslipgap/record"
 	"github.com/cowslipgap/cowslipgap/refusal"
@@ -62,12 +62,12 @@
 	Catalog  func() *catalog.Catalog
 	Ready    func() bool
 	Leaving  func() bool
-	Submit   func(ctx context.Context, t task.Task, requestID, hash string) (platform.Outcome, string, *refusal.Refusal)
+	Submit   func(ctx context.Context, t task.Task, requestID, hash string) (storage.Outcome, string, *refusal.Refusal)
 	Job      func(ctx context.Context, j job.Job, hash string) (string, *refusal.Refusal)
 	Jobs     func(ctx context.Context, team, id string) ([]job.Status, *refusal.Refusal)
 	Cancel   func(ctx context.Context, team, id string) (*job.Status, *refusal.Refusal)
 	Records  Records
-	Hosts    func(ctx context.Context) ([]EntryHost, []platform.Host, *refusal.Refusal)
+	Hosts    func(ctx context.Context) ([]EntryHost, []storage.Host, *refusal.Refusal)
 	Vars     *expvar.Map
 
 	repeats repeats
--- a/gateway/operator.go
+++ b/gateway/operator.go
@@ -8,7 +8,7 @@
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"github.com/cowslipgap/cowslipgap/audit"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/record"
 	"github.com/cowslipgap/cowslipgap/refusal"
 )
@@ -35,7 +35,7 @@
 // HostLists is what operators read of hosts.
 type HostLists struct {
 	EntryHosts []EntryHost     `json:"entryHosts"`
-	Workers    []platform.Host `json:"workers"`
+	Workers    []storage.Host `json:"workers"`
 }
 
 func by(r *http.Request) string {
--- a/host/calls.go
+++ b/host/calls.go
@@ -11,7 +11,7 @@
 	"github.com/cowslipgap/cowslipgap/control"
 	"github.com/cowslipgap/cowslipgap/job"
 	"github.com/cowslipgap/cowslipgap/peer"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/task"
 )
@@ -21,17 +21,17 @@
 const acceptTimeout = 10 * time.Second
 
 // submit runs a caller's request and waits for its answer.
-func (h *Host) submit(ctx context.Context, t task.Task, requestID, hash string) (platform.Outcome, string, *refusal.Refusal) {
+func (h *Host) submit(ctx context.Context, t task.Task, requestID, hash string) (storage.Outcome, string, *refusal.Refusal) {
 	a, err := h.runTask(ctx, t.ID, control.Request{Task: t, RequestID: requestID, Hash: hash})
 	switch {
 	case err != nil:
-		return platform.Outcome{}, "", asRefusal(err)
+		return storage.Outcome{}, "", asRefusal(err)
 	case a.Refusal != nil:
-		return platform.Outcome{}, "", a.Refusal
-	case a.Outcome.End == platform.EndFailed:
-		return platform.Outcome{}, "", refusal.New(refusal.TaskFailed, "%s", a.Outcome.Message)
-	case a.Outcome.End != platform.EndDone:
-		return platform.Outcome{}, "", refusal.New(refusal.OutcomeLost, "it started and ended as %s", a.Outcome.End)
+		return storage.Outcome{}, "", a.Refusal
+	case a.Outcome.End == storage.EndFailed:
+		return storage.Outcome{}, "", refusal.New(refusal.TaskFailed, "%s", a.Outcome.Message)
+	case a.Outcome.End != storage.EndDone:
+		return storage.Outcome{}, "", refusal.New(refusal.OutcomeLost, "it started and ended as %s", a.Outcome.End)
 	}
 	return *a.Outcome, a.Worker, nil
 }
@@ -116,7 +116,7 @@
 }
 
 // endedLocal returns the outcomes of tasks that a session forwarded here.
-func (h *Host) endedLocal(ctx context.Context, session string) ([]platform.Outcome, *refusal.Refusal) {
+func (h *Host) endedLocal(ctx context.Context, session string) ([]storage.Outcome, *refusal.Refusal) {
 	token := h.tokens.Add(1)
 	value, err := h.await(ctx, token, control.QueryEnded{Token: token, Session: session})
 	if err != nil {
@@ -198,7 +198,7 @@
 	}
 	for range 64 {
 		row, err := h.platform.Get(ctx, control.SessionKey(zone, session))
-		if errors.Is(err, platform.ErrMissing) {
+		if errors.Is(err, storage.ErrMissing) {
 			return "", refusal.New(refusal.NotFound, "there is no job %q", id)
 		}
 		var s control.SessionRow
--- a/host/host.go
+++ b/host/host.go
@@ -30,12 +30,12 @@
 	"github.com/cowslipgap/cowslipgap/catalog"
 	"github.com/cowslipgap/cowslipgap/control"
 	"github.com/cowslipgap/cowslipgap/gateway"
-	"github.com/cowslipgap/cowslipgap/journal"
+	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/lease"
 	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/settings"
 )
 
@@ -58,9 +58,9 @@
 	Log      *slog.Logger // slog.Default() if nil
 	Policy   placement.Policy
 
-	platform platform.Client
+	platform storage.Client
 	pool     peer.Pool
-	journal  *journal.Journal
+	journal  *segment.Journal
 	session  string
 	fence    atomic.Uint64 // revision of the session's row
 	catalog  atomic.Pointer[catalog.Catalog]
@@ -142,14 +142,14 @@
 }
 
 func (h *Host) startJournal(ctx context.Context) {
-	h.journal = &journal.Journal{
+	h.journal = &segment.Journal{
 		Platform: &h.platform,
 		Session:  h.session,
-		Fence: func() platform.Check {
-			return platform.Check{Key: control.SessionKey(h.Settings.Zone, h.session), Revision: h.fence.Load()}
+		Fence: func() storage.Check {
+			return storage.Check{Key: control.SessionKey(h.Settings.Zone, h.session), Revision: h.fence.Load()}
 		},
 		Interval: h.journalInterval,
-		Report: func(r journal.Result) {
+		Report: func(r segment.Result) {
 			// The journal must not wait for the control goroutine, which may be
 			// waiting to append.
 			go h.post(control.Journaled{Result: r})
--- a/host/perform.go
+++ b/host/perform.go
@@ -10,11 +10,11 @@
 
 	"github.com/cowslipgap/cowslipgap/allotment"
 	"github.com/cowslipgap/cowslipgap/control"
-	"github.com/cowslipgap/cowslipgap/journal"
+	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
 )
 
@@ -95,7 +95,7 @@
 		h.post(placement.Refused{ID: t.ID, Attempt: t.Attempt})
 		return
 	}
-	order := platform.Start{
+	order := storage.Start{
 		Task: t.ID, Attempt: t.Attempt, Team: t.Team, Class: string(t.Class), Owner: h.session, Need: t.Need,
 		LeaseMillis: h.Settings.TaskLease.Milliseconds(), NotAfter: e.NotAfter.UnixMilli(),
 		NonIdempotent: t.NonIdempotent, Payload: t.Payload, ResumeMillis: t.ResumeMillis,
@@ -121,10 +121,10 @@
 
 func (h *Host) startFailed(id string, attempt int, err error) {
 	switch {
-	case errors.Is(err, platform.ErrRefused):
+	case errors.Is(err, storage.ErrRefused):
 		leaving := bytes.Contains([]byte(err.Error()), []byte("leaving"))
 		h.post(placement.Refused{ID: id, Attempt: attempt, Leaving: leaving})
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		h.post(placement.Refused{ID: id, Attempt: attempt, Fault: true})
 	default:
 		h.post(placement.Unanswered{ID: id, Attempt: attempt})
@@ -134,7 +134,7 @@
 func (h *Host) stop(ctx context.Context, e placement.Stop) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	order := platform.StopOrder{Tasks: e.Tasks, Checkpoint: e.Checkpoint}
+	order := storage.StopOrder{Tasks: e.Tasks, Checkpoint: e.Checkpoint}
 	if err := h.platform.StopTasks(ctx, e.Worker.Addr, order); err != nil {
 		h.Log.Warn("worker: stop failed", "worker", e.Worker.Name, "err", err.Error())
 	}
@@ -144,7 +144,7 @@
 	ctx, cancel := context.WithTimeout(ctx, renewWait+callTimeout)
 	defer cancel()
 	sent := time.Now()
-	report, err := h.platform.Renew(ctx, e.Worker.Addr, platform.Renewal{
+	report, err := h.platform.Renew(ctx, e.Worker.Addr, storage.Renewal{
 		Owner: h.session, LeaseMillis: h.Settings.TaskLease.Milliseconds(), NotAfter: e.NotAfter.UnixMilli(),
 		Tasks: e.Tasks, After: e.After, WaitMillis: renewWait.Milliseconds(),
 	})
@@ -160,7 +160,7 @@
 func (h *Host) unguard(ctx context.Context, a control.Answer) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err := h.platform.Transact(callCtx, platform.Tx{Deletes: []string{a.Unguard}}); err != nil {
+	if _, err := h.platform.Transact(callCtx, storage.Tx{Deletes: []string{a.Unguard}}); err != nil {
 		h.Log.Warn("table: a request id stays used", "key", a.Unguard, "err", err.Error())
 	}
 	a.Unguard = ""
@@ -185,7 +185,7 @@
 // decodeAnswer fills in what another host answered.
 func decodeAnswer(a peer.Answer, done *control.ForwardDone) error {
 	if len(a.Outcome) > 0 {
-		done.Outcome = &platform.Outcome{}
+		done.Outcome = &storage.Outcome{}
 		return json.Unmarshal(a.Outcome, done.Outcome)
 	}
 	done.Refusal = &refusal.Refusal{}
@@ -195,14 +195,14 @@
 // commit makes a conditional write and does not return before its outcome is
 // certain: nil, or an error that matches ErrConflict or ErrUnavailable. It
 // tells its own write from another's by the value of the row at key.
-func (h *Host) commit(ctx context.Context, tx platform.Tx, key string, value []byte) (uint64, error) {
+func (h *Host) commit(ctx context.Context, tx storage.Tx, key string, value []byte) (uint64, error) {
 	uncertain := false
 	for {
 		revision, err := h.platform.Transact(ctx, tx)
 		switch {
 		case err == nil:
 			return revision, nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, storage.ErrConflict):
 			if !uncertain {
 				return 0, err
 			}
@@ -210,17 +210,17 @@
 			if getErr == nil && bytes.Equal(row.Value, value) {
 				return row.Revision, nil
 			}
-			if getErr == nil || errors.Is(getErr, platform.ErrMissing) {
+			if getErr == nil || errors.Is(getErr, storage.ErrMissing) {
 				return 0, err
 			}
-		case errors.Is(err, platform.ErrUnavailable) && !uncertain:
+		case errors.Is(err, storage.ErrUnavailable) && !uncertain:
 			return 0, err
 		default:
-			uncertain = uncertain || errors.Is(err, platform.ErrUnknown)
+			uncertain = uncertain || errors.Is(err, storage.ErrUnknown)
 		}
 		pause.For(ctx, writePause)
 		if ctx.Err() != nil {
-			return 0, errors.Mark(ctx.Err(), platform.ErrUnknown)
+			return 0, errors.Mark(ctx.Err(), storage.ErrUnknown)
 		}
 	}
 }
@@ -234,9 +234,9 @@
 		h.Log.Error("host: heartbeat cannot be encoded", "err", err.Error())
 		return
 	}
-	tx := platform.Tx{
-		Checks: []platform.Check{{Key: key, Revision: e.Revision}, {Key: sessionKey, Revision: e.Fence}},
-		Puts:   []platform.Put{{Key: key, Value: value}},
+	tx := storage.Tx{
+		Checks: []storage.Check{{Key: key, Revision: e.Revision}, {Key: sessionKey, Revision: e.Fence}},
+		Puts:   []storage.Put{{Key: key, Value: value}},
 	}
 	if e.Fence == 0 {
 		session, err := json.Marshal(e.Session)
@@ -244,14 +244,14 @@
 			h.Log.Error("host: session cannot be encoded", "err", err.Error())
 			return
 		}
-		tx.Puts = append(tx.Puts, platform.Put{Key: sessionKey, Value: session})
+		tx.Puts = append(tx.Puts, storage.Put{Key: sessionKey, Value: session})
 	}
 	done.Revision, done.Err = h.commit(ctx, tx, key, value)
 	if done.Err == nil && e.Fence == 0 {
 		done.Fence = done.Revision
 		h.fence.Store(done.Revision)
 	}
-	done.Fenced = errors.Is(done.Err, platform.ErrConflict)
+	done.Fenced = errors.Is(done.Err, storage.ErrConflict)
 	if done.Err != nil {
 		h.Log.Warn("table: heartbeat failed", "err", done.Err.Error())
 	}
@@ -264,18 +264,18 @@
 	if err != nil {
 		return
 	}
-	tx := platform.Tx{Checks: e.Checks}
+	tx := storage.Tx{Checks: e.Checks}
 	key, value := "", rack
 	for _, r := range e.Racks {
 		key = control.RackKey(zone, r)
-		tx.Puts = append(tx.Puts, platform.Put{Key: key, Value: rack})
+		tx.Puts = append(tx.Puts, storage.Put{Key: key, Value: rack})
 	}
 	if e.Session != "" {
 		key = control.SessionKey(zone, e.Session)
 		if value, err = json.Marshal(e.Row); err != nil {
 			return
 		}
-		tx.Puts = append(tx.Puts, platform.Put{Key: key, Value: value})
+		tx.Puts = append(tx.Puts, storage.Put{Key: key, Value: value})
 		tx.Deletes = append(tx.Deletes, control.BeatKey(zone, e.Session))
 	}
 	revision, err := h.commit(ctx, tx, key, value)
@@ -288,7 +288,7 @@
 }
 
 func (h *Host) adopt(ctx context.Context, e control.Adopt) {
-	states, entries, err := journal.Replay(ctx, &h.platform, e.Session)
+	states, entries, err := segment.Replay(ctx, &h.platform, e.Session)
 	if err != nil {
 		h.Log.Warn("journal: replay failed", "session", e.Session, "err", err.Error())
 		pause.For(ctx, writePause)
@@ -304,20 +304,20 @@
 
 // askEnded asks other hosts which tasks of a session have ended there. Those
 // that do not answer are passed over.
-func (h *Host) askEnded(ctx context.Context, e control.Adopt) []platform.Outcome {
-	answers := make(chan []platform.Outcome, len(e.Peers))
+func (h *Host) askEnded(ctx context.Context, e control.Adopt) []storage.Outcome {
+	answers := make(chan []storage.Outcome, len(e.Peers))
 	for _, addr := range e.Peers {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			var ended []platform.Outcome
+			var ended []storage.Outcome
 			if r := h.askPeer(ctx, addr, peer.Question{Verb: verbEnded, Job: e.Session}, &ended); r != nil {
 				h.Log.Warn("peer: ended tasks not known", "peer", addr, "err", r.Error())
 			}
 			answers <- ended
 		}()
 	}
-	var all []platform.Outcome
+	var all []storage.Outcome
 	for range e.Peers {
 		all = append(all, <-answers...)
 	}
@@ -330,7 +330,7 @@
 		return
 	}
 	key := control.SessionKey(h.Settings.Zone, e.Session)
-	tx := platform.Tx{Checks: []platform.Check{{Key: key, Revision: e.Revision}}, Puts: []platform.Put{{Key: key, Value: value}}}
+	tx := storage.Tx{Checks: []storage.Check{{Key: key, Revision: e.Revision}}, Puts: []storage.Put{{Key: key, Value: value}}}
 	if _, err := h.commit(ctx, tx, key, value); err != nil {
 		h.Log.Warn("table: session row not written", "session", e.Session, "err", err.Error())
 	}
@@ -343,9 +343,9 @@
 		return
 	}
 	key := allotment.Key(e.Team)
-	tx := platform.Tx{Checks: []platform.Check{{Key: key, Revision: e.Revision}}, Puts: []platform.Put{{Key: key, Value: value}}}
+	tx := storage.Tx{Checks: []storage.Check{{Key: key, Revision: e.Revision}}, Puts: []storage.Put{{Key: key, Value: value}}}
 	done.Revision, done.Err = h.commit(ctx, tx, key, value)
-	if errors.Is(done.Err, platform.ErrConflict) {
+	if errors.Is(done.Err, storage.ErrConflict) {
 		// Another host was first: go on from its row at once.
 		if row, err := h.platform.Get(ctx, key); err == nil {
 			var r allotment.Row
@@ -364,7 +364,7 @@
 		return
 	}
 	key := control.ZoneRowPrefix + h.Settings.Zone
-	tx := platform.Tx{Checks: []platform.Check{{Key: key, Revision: e.Revision}}, Puts: []platform.Put{{Key: key, Value: value}}}
+	tx := storage.Tx{Checks: []storage.Check{{Key: key, Revision: e.Revision}}, Puts: []storage.Put{{Key: key, Value: value}}}
 	done.Revision, done.Err = h.commit(ctx, tx, key, value)
 	h.post(done)
 }
--- a/host/poll.go
+++ b/host/poll.go
@@ -8,7 +8,7 @@
 	"github.com/cowslipgap/cowslipgap/allotment"
 	"github.com/cowslipgap/cowslipgap/control"
 	"github.com/cowslipgap/cowslipgap/pause"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/record"
 )
 
@@ -38,7 +38,7 @@
 			h.Log.Debug("table: reading records failed", "err", err.Error())
 			return
 		}
-		var records, allotments, zones []platform.Row
+		var records, allotments, zones []storage.Row
 		for _, row := range rows {
 			switch {
 			case strings.HasPrefix(row.Key, record.Prefix("")):
--- a/host/records.go
+++ b/host/records.go
@@ -13,7 +13,7 @@
 	"github.com/cowslipgap/cowslipgap/audit"
 	"github.com/cowslipgap/cowslipgap/control"
 	"github.com/cowslipgap/cowslipgap/gateway"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/record"
 	"github.com/cowslipgap/cowslipgap/refusal"
 )
@@ -130,22 +130,22 @@
 
 // change is one record to write, with the row that it replaces.
 type change struct {
-	row    platform.Row
+	row    storage.Row
 	before *record.Record
 	after  record.Record
 }
 
-func (c *records) read(ctx context.Context, r record.Record) (platform.Row, *record.Record, *refusal.Refusal) {
+func (c *records) read(ctx context.Context, r record.Record) (storage.Row, *record.Record, *refusal.Refusal) {
 	row, err := c.host.platform.Get(ctx, r.RowKey())
-	if errors.Is(err, platform.ErrMissing) {
-		return platform.Row{Key: r.RowKey()}, nil, nil
+	if errors.Is(err, storage.ErrMissing) {
+		return storage.Row{Key: r.RowKey()}, nil, nil
 	}
 	if err != nil {
-		return platform.Row{}, nil, tableRefusal(err)
+		return storage.Row{}, nil, tableRefusal(err)
 	}
 	var before record.Record
 	if err := json.Unmarshal(row.Value, &before); err != nil {
-		return platform.Row{}, nil, refusal.New(refusal.BadRequest, "%s cannot be read: %v", r.RowKey(), err)
+		return storage.Row{}, nil, refusal.New(refusal.BadRequest, "%s cannot be read: %v", r.RowKey(), err)
 	}
 	return row, &before, nil
 }
@@ -166,7 +166,7 @@
 
 // write commits changes together with their audit entries.
 func (c *records) write(ctx context.Context, changes []change) *refusal.Refusal {
-	var tx platform.Tx
+	var tx storage.Tx
 	for _, ch := range changes {
 		value, err := json.Marshal(ch.after)
 		if err != nil {
@@ -176,8 +176,8 @@
 		if err != nil {
 			return recordRefusal(err)
 		}
-		tx.Checks = append(tx.Checks, platform.Check{Key: ch.after.RowKey(), Revision: ch.row.Revision})
-		tx.Puts = append(tx.Puts, platform.Put{Key: ch.after.RowKey(), Value: value}, entry)
+		tx.Checks = append(tx.Checks, storage.Check{Key: ch.after.RowKey(), Revision: ch.row.Revision})
+		tx.Puts = append(tx.Puts, storage.Put{Key: ch.after.RowKey(), Value: value}, entry)
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
@@ -208,9 +208,9 @@
 
 func tableRefusal(err error) *refusal.Refusal {
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return refusal.New(refusal.RevisionConflict, "another operator changed the record meanwhile; read it again")
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		return refusal.New(refusal.TableUnavailable, "the table is out of reach; nothing was changed").After(time.Second)
 	default:
 		return refusal.New(refusal.OutcomeLost, "the table did not answer; read the record to see whether the change was made").After(time.Second)
@@ -247,7 +247,7 @@
 }
 
 // listHosts returns the entry hosts, and the workers that the platform lists.
-func (h *Host) listHosts(ctx context.Context) ([]gateway.EntryHost, []platform.Host, *refusal.Refusal) {
+func (h *Host) listHosts(ctx context.Context) ([]gateway.EntryHost, []storage.Host, *refusal.Refusal) {
 	hosts, r := h.readHosts(ctx)
 	if r != nil {
 		return nil, nil, r
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/cowslipgap/cowslipgap/class"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/task"
 )
@@ -26,10 +26,10 @@
 func newBenchFleet(workers, running, queued int) *benchFleet {
 	f := &benchFleet{now: time.Unix(1000, 0)}
 	f.core.Policy.MaxQueued = 10 * queued
-	var list []platform.Host
+	var list []storage.Host
 	for i := range workers {
-		list = append(list, platform.Host{
-			Name: fmt.Sprintf("w%05d", i), Rack: fmt.Sprintf("r%04d", i/20), State: platform.StateLive,
+		list = append(list, storage.Host{
+			Name: fmt.Sprintf("w%05d", i), Rack: fmt.Sprintf("r%04d", i/20), State: storage.StateLive,
 			Room: resource.Vector{Slots: int64(max(1, running/workers)), MilliCPU: 64_000, MemoryMB: 131_072, Accelerators: 2},
 		})
 	}
@@ -74,7 +74,7 @@
 func (f *benchFleet) turn() {
 	s := f.running[0]
 	f.running = f.running[1:]
-	f.update(placement.Ended{ID: s.Task.ID, Outcome: platform.Outcome{Task: s.Task.ID, Attempt: s.Task.Attempt, End: platform.EndDone}})
+	f.update(placement.Ended{ID: s.Task.ID, Outcome: storage.Outcome{Task: s.Task.ID, Attempt: s.Task.Attempt, End: storage.EndDone}})
 	f.submit()
 }
 
--- a/placement/effect.go
+++ b/placement/effect.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/task"
 )
@@ -15,13 +15,13 @@
 // Start sends a task to a worker, unless NotAfter has passed by then.
 type Start struct {
 	Task     task.Task
-	Worker   platform.Host
+	Worker   storage.Host
 	NotAfter time.Time
 }
 
 // Stop ends tasks on a worker.
 type Stop struct {
-	Worker     platform.Host
+	Worker     storage.Host
 	Tasks      []string
 	Checkpoint bool
 }
@@ -29,7 +29,7 @@
 // Renew renews the leases of tasks on a worker and reads its report. The worker
 // must ignore a renewal that reaches it after NotAfter.
 type Renew struct {
-	Worker   platform.Host
+	Worker   storage.Host
 	Tasks    []string
 	After    uint64
 	NotAfter time.Time
@@ -45,7 +45,7 @@
 // [EndLost].
 type Finish struct {
 	Task    task.Task
-	Outcome platform.Outcome
+	Outcome storage.Outcome
 	Worker  string
 }
 
@@ -56,7 +56,7 @@
 // Stray is the end of a task that this Core did not start. A host that took
 // over a session's jobs learns from it what had ended already.
 type Stray struct {
-	Outcome platform.Outcome
+	Outcome storage.Outcome
 }
 
 func (Stray) effect()  {}
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/class"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/task"
 )
 
@@ -28,8 +28,8 @@
 type average struct{ mean float64 }
 
 // learn takes the run time of a task that ended well.
-func (c *Core) learn(e *entry, outcome platform.Outcome) {
-	if outcome.End != platform.EndDone {
+func (c *Core) learn(e *entry, outcome storage.Outcome) {
+	if outcome.End != storage.EndDone {
 		return
 	}
 	key := learnedKey{e.task.Team, e.task.Class}
--- a/placement/event.go
+++ b/placement/event.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/task"
 )
@@ -40,17 +40,17 @@
 // Ended says how a running task ended.
 type Ended struct {
 	ID      string
-	Outcome platform.Outcome
+	Outcome storage.Outcome
 }
 
 // Workers replaces the list of workers that this entry host owns.
-type Workers struct{ List []platform.Host }
+type Workers struct{ List []storage.Host }
 
 // Reported brings a worker's answer to a Renew effect that was sent at Sent.
 type Reported struct {
 	Worker string
 	Sent   time.Time
-	Report platform.Report
+	Report storage.Report
 }
 
 // RenewFailed says that a Renew effect got no answer.
--- a/placement/health.go
+++ b/placement/health.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 const (
@@ -45,9 +45,9 @@
 
 // judge updates a worker's record with an outcome and quarantines it where it
 // fails what other workers do not.
-func (c *Core) judge(n *node, e *entry, outcome platform.Outcome) {
-	failed := outcome.End == platform.EndFailed
-	if outcome.End != platform.EndDone && !failed {
+func (c *Core) judge(n *node, e *entry, outcome storage.Outcome) {
+	failed := outcome.End == storage.EndFailed
+	if outcome.End != storage.EndDone && !failed {
 		return
 	}
 	r := &n.record
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,7 +29,7 @@
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/class"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/room"
@@ -287,7 +287,7 @@
 }
 
 // end releases what a task used and reports its outcome.
-func (c *Core) end(id string, outcome platform.Outcome) {
+func (c *Core) end(id string, outcome storage.Outcome) {
 	e := c.entries[id]
 	if e == nil || e.state == stateQueued || outcome.Attempt != e.task.Attempt {
 		return
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/cowslipgap/cowslipgap/class"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/task"
@@ -40,10 +40,10 @@
 }
 
 type modelWorker struct {
-	host platform.Host
+	host storage.Host
 	used resource.Vector
 	runs map[string]placement.Start
-	done []platform.Outcome
+	done []storage.Outcome
 	seq  uint64
 }
 
@@ -52,11 +52,11 @@
 		t: t, now: time.Unix(1000, 0), workers: map[string]*modelWorker{}, limits: map[string]int{}, running: map[string]int{},
 		place: map[string]string{}, waiting: map[string]time.Time{}, gangs: map[string]int{}, sizes: map[string]int{}, finished: map[string]string{},
 	}
-	var list []platform.Host
+	var list []storage.Host
 	for r := range racks {
 		for i := range perRack {
-			h := platform.Host{
-				Name: fmt.Sprintf("w%d-%02d", r, i), Rack: fmt.Sprintf("r%d", r), State: platform.StateLive,
+			h := storage.Host{
+				Name: fmt.Sprintf("w%d-%02d", r, i), Rack: fmt.Sprintf("r%d", r), State: storage.StateLive,
 				Room: resource.Vector{Slots: 8, MilliCPU: 8000, MemoryMB: 8000, Accelerators: int64(i % 2)},
 			}
 			list = append(list, h)
@@ -103,7 +103,7 @@
 	case placement.Stop:
 		for _, id := range e.Tasks {
 			if _, ok := m.workers[e.Worker.Name].runs[id]; ok {
-				m.endLater(e.Worker.Name, id, platform.EndStopped)
+				m.endLater(e.Worker.Name, id, storage.EndStopped)
 			}
 		}
 	case placement.Refuse:
@@ -122,7 +122,7 @@
 	delete(m.place, id)
 	w.used = w.used.Sub(s.Task.Need)
 	m.running[s.Task.Team]--
-	w.done = append(w.done, platform.Outcome{Task: id, Attempt: s.Task.Attempt, End: end})
+	w.done = append(w.done, storage.Outcome{Task: id, Attempt: s.Task.Attempt, End: end})
 	w.seq++
 }
 
@@ -132,10 +132,10 @@
 	m.step(placement.Tick{})
 	for _, name := range m.names {
 		w := m.workers[name]
-		report := platform.Report{Ended: w.done, Next: w.seq}
+		report := storage.Report{Ended: w.done, Next: w.seq}
 		w.done = nil
 		for _, s := range w.runs {
-			report.Running = append(report.Running, platform.Start{Task: s.Task.ID, Attempt: s.Task.Attempt, Need: s.Task.Need})
+			report.Running = append(report.Running, storage.Start{Task: s.Task.ID, Attempt: s.Task.Attempt, Need: s.Task.Need})
 		}
 		m.step(placement.Reported{Worker: name, Sent: m.now, Report: report})
 	}
@@ -185,9 +185,9 @@
 		case 4:
 			m.submit(task.Task{Team: team, Class: class.Large, Need: need, Deadline: m.now.Add(time.Duration(y) * 10 * time.Millisecond)}, 1)
 		case 5, 6:
-			m.endNth(x, platform.EndDone)
+			m.endNth(x, storage.EndDone)
 		case 7:
-			m.endNth(x, platform.EndFailed)
+			m.endNth(x, storage.EndFailed)
 		case 8:
 			m.step(placement.Cancel{ID: fmt.Sprintf("t%d/0", x%(m.serial+1))})
 		case 9:
@@ -249,7 +249,7 @@
 		for m.waiting[id] != (time.Time{}) {
 			require.Less(t, m.now.Sub(since), bound)
 			for range rapid.IntRange(4, 12).Draw(t, "ends") {
-				m.endNth(rapid.IntRange(0, 1000).Draw(t, "which"), platform.EndDone)
+				m.endNth(rapid.IntRange(0, 1000).Draw(t, "which"), storage.EndDone)
 			}
 			m.submit(task.Task{Team: "a", Class: class.Small, Need: need}, 1)
 			m.tick()
@@ -277,7 +277,7 @@
 			}
 		}
 		for k := range endsPerTick {
-			m.endNth(i*31+k*7, platform.EndDone)
+			m.endNth(i*31+k*7, storage.EndDone)
 		}
 		m.tick()
 		if i < warmUp {
@@ -335,9 +335,9 @@
 		id := fmt.Sprintf("t%d/0", m.serial)
 		where := m.place[id]
 		require.NotEmpty(t, where)
-		end := platform.EndDone
+		end := storage.EndDone
 		if fail(where) {
-			end = platform.EndFailed
+			end = storage.EndFailed
 		}
 		m.endLater(where, id, end)
 		m.tick()
--- a/placement/worker.go
+++ b/placement/worker.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
 )
 
@@ -18,7 +18,7 @@
 
 // node is a worker that this entry host owns.
 type node struct {
-	host    platform.Host
+	host    storage.Host
 	index   int
 	used    resource.Vector // booked for tasks of this entry host
 	foreign resource.Vector // taken by tasks of earlier owners
@@ -102,7 +102,7 @@
 		}
 		changed = changed || !n.owned || n.host.Rack != h.Rack || n.host.Room != h.Room
 		n.host, n.owned = h, true
-		n.leaving = h.State == platform.StateLeaving
+		n.leaving = h.State == storage.StateLeaving
 	}
 	for name, n := range c.nodes {
 		if listed[name] {
@@ -220,7 +220,7 @@
 func (c *Core) loseTasks(n *node) {
 	n.lapse = time.Time{}
 	for id, e := range n.entries {
-		c.end(id, platform.Outcome{Task: id, Attempt: e.task.Attempt, End: EndLost, Message: "worker " + n.host.Name + " is silent"})
+		c.end(id, storage.Outcome{Task: id, Attempt: e.task.Attempt, End: EndLost, Message: "worker " + n.host.Name + " is silent"})
 	}
 }
 
@@ -280,14 +280,14 @@
 		}
 		settled := ev.Sent.After(e.notAfter.Add(c.Policy.ClockMargin))
 		if settled && (e.state == stateRunning || e.state == stateUnknown) {
-			c.end(id, platform.Outcome{Task: id, Attempt: e.task.Attempt, End: EndLost, Message: "worker " + n.host.Name + " does not run it"})
+			c.end(id, storage.Outcome{Task: id, Attempt: e.task.Attempt, End: EndLost, Message: "worker " + n.host.Name + " does not run it"})
 		}
 	}
 }
 
 // compareUsage counts memory and processors that tasks use beyond their
 // declared need as taken.
-func (c *Core) compareUsage(n *node, usage []platform.Usage) {
+func (c *Core) compareUsage(n *node, usage []storage.Usage) {
 	n.excess = resource.Vector{}
 	for _, u := range usage {
 		e := n.entries[u.Task]
--- a/journal/journal.go
+++ b/segment/segment.go
@@ -1,4 +1,4 @@
-// Package journal makes an entry host's accepted work last. Entries of many
+// Package segment makes an entry host's accepted work last. Entries of many
 // callers are grouped into segments; a segment is one row of the table, written
 // on condition that nobody has taken the session over. The rows of a session
 // form a ring, so that nothing has to be deleted: a snapshot in the object store
@@ -9,13 +9,13 @@
 //
 // # Usage
 //
-//	j := journal.Journal{Platform: client, Session: "a1-x7", Fence: check, Report: report}
+//	j := segment.Journal{Platform: client, Session: "a1-x7", Fence: check, Report: report}
 //	go j.Run(ctx)
-//	j.Append(journal.Batch{Token: 1, Entries: entries, MayDrop: true})
+//	j.Append(segment.Batch{Token: 1, Entries: entries, MayDrop: true})
 //	j.Snapshot(book.Snapshot())
 //
-//	states, entries, err := journal.Replay(ctx, client, "a1-x7")
-package journal
+//	states, entries, err := segment.Replay(ctx, client, "a1-x7")
+package segment
 
 import (
 	"context"
@@ -31,7 +31,7 @@
 
 	"github.com/cowslipgap/cowslipgap/job"
 	"github.com/cowslipgap/cowslipgap/pause"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 const (
@@ -82,10 +82,10 @@
 
 // Journal writes the entries of one session.
 type Journal struct {
-	Platform *platform.Client
+	Platform *storage.Client
 	Session  string
 	// Fence returns the condition under which the session is still this host's.
-	Fence func() platform.Check
+	Fence func() storage.Check
 	// Interval returns the least time between two segments; none if nil.
 	Interval func() time.Duration
 	// Report takes results; it must not block.
@@ -246,7 +246,7 @@
 			return
 		case errors.Is(err, ErrGuarded):
 			batches = j.splitGuarded(ctx, batches)
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, storage.ErrUnavailable):
 			j.requeue(j.drop(batches, err))
 			j.shed(err)
 			pause.For(ctx, retryPause)
@@ -322,7 +322,7 @@
 		switch {
 		case err == nil:
 			j.Report(Result{Token: b.Token, Err: ErrGuarded, Existing: row.Value})
-		case errors.Is(err, platform.ErrMissing):
+		case errors.Is(err, storage.ErrMissing):
 			kept = append(kept, b)
 		default:
 			j.Report(Result{Token: b.Token, Err: errors.Mark(err, ErrDropped)})
@@ -332,14 +332,14 @@
 }
 
 // commit writes one segment. It returns nil, or an error that matches
-// ErrFenced, ErrGuarded or platform.ErrUnavailable; it goes on trying while the
+// ErrFenced, ErrGuarded or storage.ErrUnavailable; it goes on trying while the
 // outcome is unknown.
 func (j *Journal) commit(ctx context.Context, batches []Batch) error {
 	slot := (j.seq + 1) % ringSize
 	key := slotKey(j.Session, slot)
 	tx, writeID, err := j.build(batches, key, slot)
 	if err != nil {
-		return errors.Mark(err, platform.ErrUnavailable)
+		return errors.Mark(err, storage.ErrUnavailable)
 	}
 	uncertain := false
 	for {
@@ -348,37 +348,37 @@
 		case err == nil:
 			j.advance(slot, revision, len(tx.Puts))
 			return nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, storage.ErrConflict):
 			return j.resolve(ctx, slot, key, writeID, len(tx.Puts))
-		case errors.Is(err, platform.ErrUnavailable) && !uncertain:
+		case errors.Is(err, storage.ErrUnavailable) && !uncertain:
 			return err
 		}
 		// The write may have taken effect, now or later: send it again until
 		// the table says yes, or no because it has it.
-		uncertain = uncertain || errors.Is(err, platform.ErrUnknown)
+		uncertain = uncertain || errors.Is(err, storage.ErrUnknown)
 		j.shed(err)
 		if !pause.For(ctx, retryPause) {
-			return errors.Mark(ctx.Err(), platform.ErrUnknown)
+			return errors.Mark(ctx.Err(), storage.ErrUnknown)
 		}
 	}
 }
 
-func (j *Journal) build(batches []Batch, key string, slot uint64) (tx platform.Tx, writeID string, err error) {
+func (j *Journal) build(batches []Batch, key string, slot uint64) (tx storage.Tx, writeID string, err error) {
 	writeID = fmt.Sprintf("%s-%d-%08x", j.Session, j.seq+1, rand.Uint32())
 	s := segment{Seq: j.seq + 1, WriteID: writeID, Entries: []json.RawMessage{}}
-	tx.Checks = []platform.Check{j.Fence(), {Key: key, Revision: j.revisions[slot]}}
+	tx.Checks = []storage.Check{j.Fence(), {Key: key, Revision: j.revisions[slot]}}
 	for _, b := range batches {
 		s.Entries = append(s.Entries, b.encoded...)
 		if b.Guard != nil {
-			tx.Checks = append(tx.Checks, platform.Check{Key: b.Guard.Key})
-			tx.Puts = append(tx.Puts, platform.Put{Key: b.Guard.Key, Value: b.Guard.Value})
+			tx.Checks = append(tx.Checks, storage.Check{Key: b.Guard.Key})
+			tx.Puts = append(tx.Puts, storage.Put{Key: b.Guard.Key, Value: b.Guard.Value})
 		}
 	}
 	value, err := json.Marshal(s)
 	if err != nil {
-		return platform.Tx{}, "", errors.Wrap(err, "encode segment")
+		return storage.Tx{}, "", errors.Wrap(err, "encode segment")
 	}
-	tx.Puts = append(tx.Puts, platform.Put{Key: key, Value: value})
+	tx.Puts = append(tx.Puts, storage.Put{Key: key, Value: value})
 	return tx, writeID, nil
 }
 
@@ -388,7 +388,7 @@
 func (j *Journal) resolve(ctx context.Context, slot uint64, key, writeID string, rows int) error {
 	for {
 		row, err := j.Platform.Get(ctx, key)
-		if err == nil || errors.Is(err, platform.ErrMissing) {
+		if err == nil || errors.Is(err, storage.ErrMissing) {
 			var s segment
 			if err == nil && json.Unmarshal(row.Value, &s) == nil && (s.WriteID == writeID || j.BreakWriteID) {
 				j.advance(slot, row.Revision, rows)
@@ -397,7 +397,7 @@
 			break
 		}
 		if !pause.For(ctx, retryPause) {
-			return errors.Mark(ctx.Err(), platform.ErrUnknown)
+			return errors.Mark(ctx.Err(), storage.ErrUnknown)
 		}
 	}
 	fence := j.Fence()
@@ -406,11 +406,11 @@
 		if err == nil && row.Revision == fence.Revision {
 			return ErrGuarded
 		}
-		if err == nil || errors.Is(err, platform.ErrMissing) {
+		if err == nil || errors.Is(err, storage.ErrMissing) {
 			return ErrFenced
 		}
 		if !pause.For(ctx, retryPause) {
-			return errors.Mark(ctx.Err(), platform.ErrUnknown)
+			return errors.Mark(ctx.Err(), storage.ErrUnknown)
 		}
 	}
 }
@@ -440,13 +440,13 @@
 		return
 	}
 	key := headKey(j.Session)
-	tx := platform.Tx{
-		Checks: []platform.Check{j.Fence(), {Key: key, Revision: j.headRev}},
-		Puts:   []platform.Put{{Key: key, Value: value}},
+	tx := storage.Tx{
+		Checks: []storage.Check{j.Fence(), {Key: key, Revision: j.headRev}},
+		Puts:   []storage.Put{{Key: key, Value: value}},
 	}
 	revision, err := j.Platform.Transact(ctx, tx)
 	if err != nil {
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, storage.ErrUnavailable) {
 			return
 		}
 		row, getErr := j.Platform.Get(ctx, key)
@@ -467,7 +467,7 @@
 }
 
 // Replay reads a session's snapshot and the entries after it, in order.
-func Replay(ctx context.Context, c *platform.Client, session string) ([]job.State, []job.Entry, error) {
+func Replay(ctx context.Context, c *storage.Client, session string) ([]job.State, []job.Entry, error) {
 	rows, err := c.Scan(ctx, prefix+session+"/")
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "read journal of %s", session)
--- a/journal/journal_test.go
+++ b/segment/segment_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package segment_test
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipgap/cowslipgap/job"
-	"github.com/cowslipgap/cowslipgap/journal"
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/segment"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/standin"
 )
 
@@ -23,30 +23,30 @@
 // rig is a journal on a stand-in's table.
 type rig struct {
 	standin *standin.Standin
-	client  *platform.Client
-	fence   platform.Check
+	client  *storage.Client
+	fence   storage.Check
 	writing atomic.Int32 // segments that were begun
 	mu      sync.Mutex
-	results map[uint64]journal.Result
-	journal *journal.Journal
+	results map[uint64]segment.Result
+	journal *segment.Journal
 }
 
 func newRig(t *testing.T) *rig {
 	const session = "s"
 	t.Helper()
-	r := &rig{standin: &standin.Standin{WritesPerSecond: 5000}, results: map[uint64]journal.Result{}}
+	r := &rig{standin: &standin.Standin{WritesPerSecond: 5000}, results: map[uint64]segment.Result{}}
 	require.NoError(t, r.standin.Start("127.0.0.1:0"))
 	t.Cleanup(r.standin.Close)
-	r.client = &platform.Client{Base: r.standin.URL(), Timeout: 300 * time.Millisecond}
-	revision, err := r.client.Transact(t.Context(), platform.Tx{Puts: []platform.Put{{Key: "session/" + session, Value: json.RawMessage(`1`)}}})
+	r.client = &storage.Client{Base: r.standin.URL(), Timeout: 300 * time.Millisecond}
+	revision, err := r.client.Transact(t.Context(), storage.Tx{Puts: []storage.Put{{Key: "session/" + session, Value: json.RawMessage(`1`)}}})
 	require.NoError(t, err)
-	r.fence = platform.Check{Key: "session/" + session, Revision: revision}
-	r.journal = &journal.Journal{
-		Platform: r.client, Session: session, Fence: func() platform.Check {
+	r.fence = storage.Check{Key: "session/" + session, Revision: revision}
+	r.journal = &segment.Journal{
+		Platform: r.client, Session: session, Fence: func() storage.Check {
 			r.writing.Add(1)
 			return r.fence
 		},
-		Report: func(res journal.Result) {
+		Report: func(res segment.Result) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.results[res.Token] = res
@@ -62,9 +62,9 @@
 	return r
 }
 
-func (r *rig) wait(t *testing.T, token uint64) journal.Result {
+func (r *rig) wait(t *testing.T, token uint64) segment.Result {
 	t.Helper()
-	var res journal.Result
+	var res segment.Result
 	require.Eventually(t, func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -75,14 +75,14 @@
 	return res
 }
 
-func accept(n uint64) journal.Batch {
-	return journal.Batch{Token: n, MayDrop: true, Entries: []job.Entry{{Accept: &job.Job{ID: fmt.Sprint("j", n), Team: "a", Tasks: 1}}}}
+func accept(n uint64) segment.Batch {
+	return segment.Batch{Token: n, MayDrop: true, Entries: []job.Entry{{Accept: &job.Job{ID: fmt.Sprint("j", n), Team: "a", Tasks: 1}}}}
 }
 
 // replayed returns the IDs of the jobs that a replay brings back.
 func (r *rig) replayed(t *testing.T) map[string]bool {
 	t.Helper()
-	states, entries, err := journal.Replay(t.Context(), r.client, "s")
+	states, entries, err := segment.Replay(t.Context(), r.client, "s")
 	require.NoError(t, err)
 	var book job.Book
 	book.Restore(states)
@@ -120,7 +120,7 @@
 			r.journal.Append(accept(1))
 			require.NoError(t, r.wait(t, 1).Err)
 			// A ring of rows that an earlier owner left makes the slot exist.
-			_, err := r.client.Transact(t.Context(), platform.Tx{Puts: []platform.Put{
+			_, err := r.client.Transact(t.Context(), storage.Tx{Puts: []storage.Put{
 				{Key: r.fence.Key, Value: json.RawMessage(`2`)}, {Key: "journal/s/2", Value: json.RawMessage(`{"seq":2,"writeId":"other","entries":[]}`)},
 			}})
 			require.NoError(t, err)
@@ -138,13 +138,13 @@
 	r := newRig(t)
 	r.standin.Break(standin.TableFault{Outage: "refuse"})
 	r.journal.Append(accept(1))
-	require.True(t, errors.Is(r.wait(t, 1).Err, journal.ErrDropped))
+	require.True(t, errors.Is(r.wait(t, 1).Err, segment.ErrDropped))
 	kept := accept(2)
 	kept.MayDrop = false
 	r.journal.Append(kept)
 	// What must be kept does not hold up the refusal of what comes after it.
 	r.journal.Append(accept(3))
-	require.True(t, errors.Is(r.wait(t, 3).Err, journal.ErrDropped))
+	require.True(t, errors.Is(r.wait(t, 3).Err, segment.ErrDropped))
 	r.standin.Break(standin.TableFault{})
 	require.NoError(t, r.wait(t, 2).Err)
 	require.Equal(t, map[string]bool{"j2": true}, r.replayed(t))
@@ -157,7 +157,7 @@
 	r.journal.Append(accept(1))
 	require.Eventually(t, func() bool { return r.writing.Load() > 0 }, patience, time.Millisecond)
 	r.journal.Append(accept(3)) // after the write of the first has begun
-	require.True(t, errors.Is(r.wait(t, 3).Err, journal.ErrDropped))
+	require.True(t, errors.Is(r.wait(t, 3).Err, segment.ErrDropped))
 	r.standin.Break(standin.TableFault{})
 	require.NoError(t, r.wait(t, 1).Err)
 	require.True(t, r.replayed(t)["j1"])
@@ -170,19 +170,19 @@
 	r := newRig(t)
 	for n := uint64(1); n <= 2; n++ {
 		b := accept(n)
-		b.Guard = &journal.Guard{Key: "request/a/x", Value: json.RawMessage(fmt.Sprintf(`{"n":%d}`, n))}
+		b.Guard = &segment.Guard{Key: "request/a/x", Value: json.RawMessage(fmt.Sprintf(`{"n":%d}`, n))}
 		r.journal.Append(b)
 	}
 	r.journal.Append(accept(3))
 	first, second := r.wait(t, 1), r.wait(t, 2)
 	require.NoError(t, first.Err)
-	require.True(t, errors.Is(second.Err, journal.ErrGuarded))
+	require.True(t, errors.Is(second.Err, segment.ErrGuarded))
 	require.JSONEq(t, `{"n":1}`, string(second.Existing))
 	require.NoError(t, r.wait(t, 3).Err)
-	_, err := r.client.Transact(t.Context(), platform.Tx{Puts: []platform.Put{{Key: r.fence.Key, Value: json.RawMessage(`2`)}}})
+	_, err := r.client.Transact(t.Context(), storage.Tx{Puts: []storage.Put{{Key: r.fence.Key, Value: json.RawMessage(`2`)}}})
 	require.NoError(t, err)
 	r.journal.Append(accept(4))
-	require.True(t, errors.Is(r.wait(t, 4).Err, journal.ErrFenced))
+	require.True(t, errors.Is(r.wait(t, 4).Err, segment.ErrFenced))
 }
 
 // TestRingAndSnapshot writes more segments than the ring holds; snapshots free
@@ -210,8 +210,8 @@
 		r.journal.Append(accept(n))
 		require.NoError(t, r.wait(t, n).Err)
 	}
-	_, err := r.client.Transact(t.Context(), platform.Tx{Deletes: []string{"journal/s/2"}})
+	_, err := r.client.Transact(t.Context(), storage.Tx{Deletes: []string{"journal/s/2"}})
 	require.NoError(t, err)
-	_, _, err = journal.Replay(t.Context(), r.client, "s")
-	require.True(t, errors.Is(err, journal.ErrMalformed))
+	_, _, err = segment.Replay(t.Context(), r.client, "s")
+	require.True(t, errors.Is(err, segment.ErrMalformed))
 }
--- a/standin/ledger.go
+++ b/standin/ledger.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
 )
 
@@ -116,7 +116,7 @@
 	return t
 }
 
-func (l *Ledger) begin(start platform.Start, tag string, overRoom bool) {
+func (l *Ledger) begin(start storage.Start, tag string, overRoom bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.tasks == nil {
@@ -153,7 +153,7 @@
 	return h
 }
 
-func (l *Ledger) end(start platform.Start, tag string, done bool) {
+func (l *Ledger) end(start storage.Start, tag string, done bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.tasks[start.Task]
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -13,7 +13,7 @@
 //		return err
 //	}
 //	defer s.Close()
-//	client := platform.Client{Base: s.URL()}
+//	client := storage.Client{Base: s.URL()}
 package standin
 
 import (
@@ -29,7 +29,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
 )
 
@@ -217,7 +217,7 @@
 func (discard) WriteHeader(int)                {}
 
 func (s *Standin) transact(w http.ResponseWriter, r *http.Request) {
-	var tx platform.Tx
+	var tx storage.Tx
 	if !read(w, r, &tx) {
 		return
 	}
@@ -263,7 +263,7 @@
 		http.Error(w, "read budget", http.StatusTooManyRequests)
 		return
 	}
-	reply(w, platform.Rows{Rows: rows, Next: next})
+	reply(w, storage.Rows{Rows: rows, Next: next})
 }
 
 func (s *Standin) putObject(w http.ResponseWriter, r *http.Request) {
@@ -290,7 +290,7 @@
 
 func (s *Standin) listHosts(w http.ResponseWriter, r *http.Request) {
 	zone := r.URL.Query().Get("zone")
-	hosts := []platform.Host{}
+	hosts := []storage.Host{}
 	for _, wk := range s.workers {
 		if zone == "" || wk.zone == zone {
 			hosts = append(hosts, wk.listed(s.HostListLag))
@@ -299,7 +299,7 @@
 	data, _ := json.Marshal(hosts)
 	sum := fnv.New64a()
 	_, _ = sum.Write(data)
-	list := platform.HostList{Version: sum.Sum64()}
+	list := storage.HostList{Version: sum.Sum64()}
 	if strconv.FormatUint(list.Version, 10) != r.URL.Query().Get("version") {
 		list.Hosts = hosts
 	}
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/standin"
 )
@@ -17,31 +17,31 @@
 	s := standin.Standin{Zones: []string{"a"}, WorkersPerZone: 1}
 	require.NoError(t, s.Start("127.0.0.1:0"))
 	defer s.Close()
-	c := platform.Client{Base: s.URL()}
+	c := storage.Client{Base: s.URL()}
 	defer c.Close()
 	list, err := c.Hosts(t.Context(), "a", 0)
 	require.NoError(t, err)
 	addr := list.Hosts[0].Addr
-	start := platform.Start{
+	start := storage.Start{
 		Task: "x", Attempt: 1, Team: "t", Owner: "o", Need: resource.Vector{Slots: 1}, LeaseMillis: 60_000,
 		Payload: json.RawMessage(`{"workMillis":300}`),
 	}
 	require.NoError(t, c.StartTask(t.Context(), addr, start))
-	require.NoError(t, c.ThrottleTasks(t.Context(), addr, platform.ThrottleOrder{Tasks: []string{"x"}, Percent: 1}))
+	require.NoError(t, c.ThrottleTasks(t.Context(), addr, storage.ThrottleOrder{Tasks: []string{"x"}, Percent: 1}))
 	time.Sleep(400 * time.Millisecond)
-	report, err := c.Renew(t.Context(), addr, platform.Renewal{Owner: "o", LeaseMillis: 60_000, Tasks: []string{"x"}})
+	report, err := c.Renew(t.Context(), addr, storage.Renewal{Owner: "o", LeaseMillis: 60_000, Tasks: []string{"x"}})
 	require.NoError(t, err)
 	require.Len(t, report.Running, 1, "at a hundredth of its speed it still runs")
-	require.NoError(t, c.StopTasks(t.Context(), addr, platform.StopOrder{Tasks: []string{"x"}, Checkpoint: true}))
-	report, err = c.Renew(t.Context(), addr, platform.Renewal{Owner: "o", WaitMillis: 10_000})
+	require.NoError(t, c.StopTasks(t.Context(), addr, storage.StopOrder{Tasks: []string{"x"}, Checkpoint: true}))
+	report, err = c.Renew(t.Context(), addr, storage.Renewal{Owner: "o", WaitMillis: 10_000})
 	require.NoError(t, err)
 	require.Len(t, report.Ended, 1)
-	require.Equal(t, platform.EndCheckpointed, report.Ended[0].End)
+	require.Equal(t, storage.EndCheckpointed, report.Ended[0].End)
 	start.Attempt, start.ResumeMillis = 2, report.Ended[0].ResumeMillis
 	require.NoError(t, c.StartTask(t.Context(), addr, start))
-	report, err = c.Renew(t.Context(), addr, platform.Renewal{Owner: "o", After: 1, WaitMillis: 10_000})
+	report, err = c.Renew(t.Context(), addr, storage.Renewal{Owner: "o", After: 1, WaitMillis: 10_000})
 	require.NoError(t, err)
-	require.Equal(t, platform.EndDone, report.Ended[0].End)
+	require.Equal(t, storage.EndDone, report.Ended[0].End)
 	_, done := s.Ledger.Tagged("")
 	require.Zero(t, done, "the work has no tag")
 	require.Equal(t, 1, s.Ledger.Count().Done)
--- a/standin/table.go
+++ b/standin/table.go
@@ -7,14 +7,14 @@
 	"sync"
 	"time"
 
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 // table is the platform's transactional table. Rows keep the revision of the
 // transaction that wrote them; a deleted row stays as a tombstone.
 type table struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]storage.Row
 	log      []string // the key written by each revision, oldest first
 	logStart []uint64
 	revision uint64
@@ -56,7 +56,7 @@
 	return probability > 0 && rand.Float64() < probability
 }
 
-func (t *table) transact(tx platform.Tx) (revision uint64, conflict string, ok bool) {
+func (t *table) transact(tx storage.Tx) (revision uint64, conflict string, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.writes.take(float64(len(tx.Puts) + len(tx.Deletes))) {
@@ -73,36 +73,36 @@
 		}
 	}
 	if t.rows == nil {
-		t.rows = map[string]platform.Row{}
+		t.rows = map[string]storage.Row{}
 	}
 	t.revision++
 	for _, put := range tx.Puts {
-		t.write(platform.Row{Key: put.Key, Value: put.Value, Revision: t.revision})
+		t.write(storage.Row{Key: put.Key, Value: put.Value, Revision: t.revision})
 	}
 	for _, key := range tx.Deletes {
-		t.write(platform.Row{Key: key, Revision: t.revision, Deleted: true})
+		t.write(storage.Row{Key: key, Revision: t.revision, Deleted: true})
 	}
 	return t.revision, "", true
 }
 
-func (t *table) write(row platform.Row) {
+func (t *table) write(row storage.Row) {
 	t.rows[row.Key] = row
 	t.log = append(t.log, row.Key)
 	t.logStart = append(t.logStart, row.Revision)
 }
 
-func (t *table) get(key string) (row platform.Row, exists, ok bool) {
+func (t *table) get(key string) (row storage.Row, exists, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.reads.take(1) {
-		return platform.Row{}, false, false
+		return storage.Row{}, false, false
 	}
 	row, exists = t.rows[key]
 	return row, exists && !row.Deleted, true
 }
 
 // since returns the rows under prefix written after the revision, in key order.
-func (t *table) since(prefix string, after uint64, deleted bool) (rows []platform.Row, next uint64, ok bool) {
+func (t *table) since(prefix string, after uint64, deleted bool) (rows []storage.Row, next uint64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.reads.take(1) {
@@ -119,6 +119,6 @@
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b storage.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows, t.revision, true
 }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cowslipgap/cowslipgap/platform"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
 )
 
@@ -39,7 +39,7 @@
 	prevMode string
 	running  map[string]*run
 	used     resource.Vector
-	ended    []platform.Outcome
+	ended    []storage.Outcome
 	endedSeq uint64        // sequence number of the last outcome
 	wake     chan struct{} // closed when an outcome arrives
 
@@ -49,7 +49,7 @@
 
 // run is one attempt of a task in progress.
 type run struct {
-	start  platform.Start
+	start  storage.Start
 	work   Work
 	begun  time.Time
 	lapses time.Time
@@ -94,22 +94,22 @@
 		return
 	}
 	for _, r := range w.running {
-		r.end(platform.EndLapsed)
+		r.end(storage.EndLapsed)
 	}
 }
 
-func (w *worker) listed(lag time.Duration) platform.Host {
+func (w *worker) listed(lag time.Duration) storage.Host {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	mode := w.mode
 	if time.Since(w.modeAt) < lag {
 		mode = w.prevMode
 	}
-	state := platform.StateLive
+	state := storage.StateLive
 	if mode == "leaving" {
-		state = platform.StateLeaving
+		state = storage.StateLeaving
 	}
-	return platform.Host{
+	return storage.Host{
 		Name: w.name, Zone: w.zone, Rack: w.rack, Addr: "http://" + w.listener.Addr().String(),
 		State: state, Room: w.room, Connections: w.connections,
 	}
@@ -134,7 +134,7 @@
 
 // admit reads a start and begins it, or answers why not and returns nil.
 func (w *worker) admit(rw http.ResponseWriter, r *http.Request) *run {
-	var start platform.Start
+	var start storage.Start
 	if w.down(rw) || !read(rw, r, &start) {
 		return nil
 	}
@@ -157,7 +157,7 @@
 
 // begin admits a start, or says why not. It admits a start that it has no room
 // for and counts it, because the product must never send one.
-func (w *worker) begin(start platform.Start) (*run, string) {
+func (w *worker) begin(start storage.Start) (*run, string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
@@ -183,14 +183,14 @@
 }
 
 // carryOut runs the task until it is done, stopped, abandoned or its lease lapses.
-func (w *worker) carryOut(ctx context.Context, rn *run) platform.Outcome {
+func (w *worker) carryOut(ctx context.Context, rn *run) storage.Outcome {
 	w.mu.Lock()
 	failAll := w.mode == "failAll"
 	w.mu.Unlock()
 	defer rn.timer.Stop()
-	how := platform.EndDone
+	how := storage.EndDone
 	if failAll || rn.work.Fail {
-		how = platform.EndFailed
+		how = storage.EndFailed
 	}
 	end := w.wait(ctx, rn, rn.timer.C, how)
 	return w.finish(rn, end)
@@ -202,7 +202,7 @@
 		left := time.Until(rn.lapses)
 		w.mu.Unlock()
 		if left <= 0 {
-			return platform.EndLapsed
+			return storage.EndLapsed
 		}
 		lapse := time.NewTimer(left)
 		select {
@@ -214,25 +214,25 @@
 			return end
 		case <-ctx.Done():
 			lapse.Stop()
-			return platform.EndStopped
+			return storage.EndStopped
 		case <-lapse.C:
 		}
 	}
 }
 
-func (w *worker) finish(rn *run, end string) platform.Outcome {
+func (w *worker) finish(rn *run, end string) storage.Outcome {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.running, rn.start.Task)
 	w.used = w.used.Sub(rn.start.Need)
-	w.ledger.end(rn.start, rn.work.Tag, end == platform.EndDone)
-	outcome := platform.Outcome{Task: rn.start.Task, Attempt: rn.start.Attempt, End: end}
+	w.ledger.end(rn.start, rn.work.Tag, end == storage.EndDone)
+	outcome := storage.Outcome{Task: rn.start.Task, Attempt: rn.start.Attempt, End: end}
 	switch end {
-	case platform.EndDone:
+	case storage.EndDone:
 		outcome.Output, _ = json.Marshal(map[string]any{"worker": w.name, "task": rn.start.Task, "workMillis": rn.work.WorkMillis, "tag": rn.work.Tag})
-	case platform.EndCheckpointed:
+	case storage.EndCheckpointed:
 		outcome.ResumeMillis = rn.start.ResumeMillis + time.Since(rn.begun).Milliseconds()
-	case platform.EndFailed:
+	case storage.EndFailed:
 		outcome.Message = "the task failed"
 	}
 	if rn.listed {
@@ -243,7 +243,7 @@
 
 // publish adds an outcome to the reports. The caller holds w.mu, so that no
 // report leaves a task out that has ended.
-func (w *worker) publish(outcome platform.Outcome) {
+func (w *worker) publish(outcome storage.Outcome) {
 	w.ended = append(w.ended, outcome)
 	w.endedSeq++
 	if len(w.ended) > maxEndedKept {
@@ -254,7 +254,7 @@
 }
 
 func (w *worker) serveRenew(rw http.ResponseWriter, r *http.Request) {
-	var renewal platform.Renewal
+	var renewal storage.Renewal
 	if w.down(rw) || !read(rw, r, &renewal) {
 		return
 	}
@@ -281,10 +281,10 @@
 	reply(rw, w.report(renewal.After))
 }
 
-func (w *worker) report(after uint64) platform.Report {
+func (w *worker) report(after uint64) storage.Report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	report := platform.Report{Next: w.endedSeq}
+	report := storage.Report{Next: w.endedSeq}
 	if behind := w.endedSeq - min(after, w.endedSeq); behind > 0 {
 		kept := uint64(len(w.ended))
 		report.Ended = append(report.Ended, w.ended[kept-min(behind, kept):]...)
@@ -296,19 +296,19 @@
 		if time.Since(rn.begun) < w.usageLag {
 			continue
 		}
-		report.Usage = append(report.Usage, platform.Usage{Task: start.Task, Used: rn.work.Uses})
+		report.Usage = append(report.Usage, storage.Usage{Task: start.Task, Used: rn.work.Uses})
 	}
 	return report
 }
 
 func (w *worker) serveStop(rw http.ResponseWriter, r *http.Request) {
-	var order platform.StopOrder
+	var order storage.StopOrder
 	if w.down(rw) || !read(rw, r, &order) {
 		return
 	}
-	how := platform.EndStopped
+	how := storage.EndStopped
 	if order.Checkpoint {
-		how = platform.EndCheckpointed
+		how = storage.EndCheckpointed
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -323,7 +323,7 @@
 // serveThrottle slows tasks down to a part of their speed for what they have
 // left to do.
 func (w *worker) serveThrottle(rw http.ResponseWriter, r *http.Request) {
-	var order platform.ThrottleOrder
+	var order storage.ThrottleOrder
 	if w.down(rw) || !read(rw, r, &order) {
 		return
 	}
--- a/platform/object.go
+++ b/storage/object.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/storage/storage.go
@@ -1,4 +1,4 @@
-// Package platform is the only way in which cowslipgap meets what the platform
+// Package storage is the only way in which cowslipgap meets what the platform
 // provides: the transactional table, the object store, the list of hosts, and
 // the workers with their endpoints. The wire protocol is HTTP with JSON bodies
 // and is written down in docs/PLATFORM.md.
@@ -10,14 +10,14 @@
 //
 // # Usage
 //
-//	c := platform.Client{Base: "http://127.0.0.1:7000"}
+//	c := storage.Client{Base: "http://127.0.0.1:7000"}
 //	rows, next, err := c.Changes(ctx, "record/", 0)
-//	if errors.Is(err, platform.ErrUnavailable) {
+//	if errors.Is(err, storage.ErrUnavailable) {
 //		// The table is down. Try again later.
 //	}
 //
 // The zero Client works once Base is set. A Client is safe for concurrent use.
-package platform
+package storage
 
 import (
 	"bytes"
