--- a/audit/audit.go
+++ b/audit/audit.go
@@ -14,8 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/record"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 const prefix = "audit/"
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/key"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/record"
 	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 // Catalog is every record as of a revision of the table. The zero Catalog is
--- a/control/control.go
+++ b/control/control.go
@@ -25,8 +25,8 @@
 	"github.com/cowslipgap/cowslipgap/job"
 	"github.com/cowslipgap/cowslipgap/lease"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 // Config is what a State is told at its start.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -10,13 +10,13 @@
 	"github.com/cowslipgap/cowslipgap/class"
 	"github.com/cowslipgap/cowslipgap/control"
 	"github.com/cowslipgap/cowslipgap/job"
-	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/lease"
 	"github.com/cowslipgap/cowslipgap/peer"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/segment"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/task"
 )
 
--- a/control/effect.go
+++ b/control/effect.go
@@ -3,10 +3,10 @@
 import (
 	"github.com/cowslipgap/cowslipgap/allotment"
 	"github.com/cowslipgap/cowslipgap/job"
-	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/peer"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/segment"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/task"
 )
 
--- a/control/guard.go
+++ b/control/guard.go
@@ -5,8 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/segment"
 )
 
 // guardRow is the row that stands for a caller's request id.
--- a/control/request.go
+++ b/control/request.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/segment"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/task"
 )
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,11 +27,11 @@
 	"github.com/cowslipgap/cowslipgap/catalog"
 	"github.com/cowslipgap/cowslipgap/document"
 	"github.com/cowslipgap/cowslipgap/job"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/quiet"
 	"github.com/cowslipgap/cowslipgap/record"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/settings"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/task"
 )
 
--- a/gateway/operator.go
+++ b/gateway/operator.go
@@ -8,9 +8,9 @@
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"github.com/cowslipgap/cowslipgap/audit"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/record"
 	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 // operatorHeader names the operator for the audit trail.
@@ -34,7 +34,7 @@
 
 // HostLists is what operators read of hosts.
 type HostLists struct {
-	EntryHosts []EntryHost     `json:"entryHosts"`
+	EntryHosts []EntryHost    `json:"entryHosts"`
 	Workers    []storage.Host `json:"workers"`
 }
 
--- a/host/calls.go
+++ b/host/calls.go
@@ -11,8 +11,8 @@
 	"github.com/cowslipgap/cowslipgap/control"
 	"github.com/cowslipgap/cowslipgap/job"
 	"github.com/cowslipgap/cowslipgap/peer"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/task"
 )
 
--- a/host/host.go
+++ b/host/host.go
@@ -30,13 +30,13 @@
 	"github.com/cowslipgap/cowslipgap/catalog"
 	"github.com/cowslipgap/cowslipgap/control"
 	"github.com/cowslipgap/cowslipgap/gateway"
-	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/lease"
 	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/storage"
+	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/settings"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 const (
--- a/host/perform.go
+++ b/host/perform.go
@@ -10,12 +10,12 @@
 
 	"github.com/cowslipgap/cowslipgap/allotment"
 	"github.com/cowslipgap/cowslipgap/control"
-	"github.com/cowslipgap/cowslipgap/segment"
 	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/segment"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 const (
--- a/host/poll.go
+++ b/host/poll.go
@@ -8,8 +8,8 @@
 	"github.com/cowslipgap/cowslipgap/allotment"
 	"github.com/cowslipgap/cowslipgap/control"
 	"github.com/cowslipgap/cowslipgap/pause"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/record"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 const (
--- a/host/records.go
+++ b/host/records.go
@@ -13,9 +13,9 @@
 	"github.com/cowslipgap/cowslipgap/audit"
 	"github.com/cowslipgap/cowslipgap/control"
 	"github.com/cowslipgap/cowslipgap/gateway"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/record"
 	"github.com/cowslipgap/cowslipgap/refusal"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 // records reads and writes the operators' records in the table.
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/cowslipgap/cowslipgap/class"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/task"
 )
 
--- a/placement/event.go
+++ b/placement/event.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/task"
 )
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,11 +29,11 @@
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/class"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/room"
 	"github.com/cowslipgap/cowslipgap/share"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/task"
 )
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/cowslipgap/cowslipgap/class"
 	"github.com/cowslipgap/cowslipgap/placement"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/task"
 )
 
--- a/placement/worker.go
+++ b/placement/worker.go
@@ -4,8 +4,8 @@
 	"sort"
 	"time"
 
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 const (
--- a/segment/segment_test.go
+++ b/segment/segment_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/cowslipgap/cowslipgap/job"
 	"github.com/cowslipgap/cowslipgap/segment"
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/standin"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 const patience = 30 * time.Second
--- a/standin/ledger.go
+++ b/standin/ledger.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 // Ledger records what truly ran at the workers. The zero Ledger is ready.
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -29,8 +29,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 const (
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/standin"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 // TestWorker starts a task, throttles it, checkpoints it, and resumes it.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -10,8 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cowslipgap/cowslipgap/storage"
 	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/storage"
 )
 
 // maxEndedKept bounds how many outcomes a worker keeps for its owners to read.
