--- /dev/null
+++ b/cell/admission.go
@@ -0,0 +1,188 @@
+package cell
+
+import (
+	"hash/fnv"
+	"log/slog"
+	"time"
+
+	"github.com/cowslipgap/cowslipgap/docket"
+)
+
+const (
+	// packing is the share of all processors that placement keeps at work when
+	// much waits; the rest is lost to the shapes of tasks.
+	packing = 0.85
+	// rateWindow is the burst, in time at its rate, that a team may send at once.
+	rateWindow = 2 * time.Second
+	// minRetry and maxRetry bound what callers are told to wait.
+	minRetry = time.Second
+	maxRetry = 15 * time.Second
+	// adviceAllowance is the part of the objective kept for calls for advice, in
+	// times of a call that names tens of workers.
+	adviceWorkers = 48
+	// maxTasks bounds the tasks of a job, and with it the memory it takes.
+	maxTasks = 20_000
+)
+
+// loadEstimate is how much accepted work is left, in core-seconds.
+type loadEstimate struct {
+	byRank   map[int]float64
+	byTeam   map[string]float64
+	capacity map[string]float64 // cores, by service
+}
+
+// submit accepts a job or refuses it. It answers a fleet that is offered more
+// than it can do: what would come too late is refused at once, with the time at
+// which there will be room, rather than accepted and done late.
+func (c *Cell) submit(e Submit) {
+	if !c.owner {
+		c.emit(Answer{Reply: e.Reply, Verdict: NotOwner})
+		return
+	}
+	if j := c.jobs[e.Job.ID]; j != nil {
+		if j.stored {
+			c.emit(Answer{Reply: e.Reply, Verdict: Accepted, State: j.shown})
+			return
+		}
+		j.acceptWaits = append(j.acceptWaits, e.Reply)
+		c.touch(j)
+		return
+	}
+	if reason, wait := c.refuse(e.Job); reason != "" {
+		c.note("job refused", slog.String("id", e.Job.ID), slog.String("queue", e.Job.Queue.Name), slog.String("team", e.Job.Team), slog.String("reason", reason), slog.Duration("retryAfter", wait))
+		c.emit(Answer{Reply: e.Reply, Verdict: Refused, RetryAfter: wait, Reason: reason})
+		return
+	}
+	j := newJob(e.Job, docket.Progress{ReceivedAt: c.now.Wall, Queue: e.Job.Queue.Name, Team: e.Job.Team}, 0)
+	j.received = c.now.Steady
+	j.beyondRate = !c.withinRate(e.Job.Team)
+	j.acceptWaits = append(j.acceptWaits, e.Reply)
+	c.adopt(j)
+	c.addLoad(j)
+	c.touch(j)
+}
+
+// refuse returns why a job cannot be accepted now, and when to come back.
+func (c *Cell) refuse(spec *docket.Job) (string, time.Duration) {
+	if silent := c.now.Steady - c.book.confirmed; silent > storeSilence {
+		return "the store does not answer", spread(spec.ID, minRetry)
+	}
+	tasks := 0
+	for i := range spec.Steps {
+		tasks += spec.Steps[i].Count
+	}
+	if tasks > maxTasks {
+		return "too many tasks", maxRetry
+	}
+	capacity := c.load.capacity[spec.Queue.Service]
+	if capacity == 0 {
+		return "the service has no workers", spread(spec.ID, minRetry)
+	}
+	chain := longestChain(spec)
+	slack := time.Duration((spec.Queue.Slack-1)*float64(chain)) + spec.Queue.Target
+	if spec.Queue.Advice != nil {
+		slack -= spec.Queue.Advice.Decision + adviceWorkers*spec.Queue.Advice.PerWorker
+	}
+	wait := c.expectedWait(spec, capacity)
+	if wait > slack {
+		return "it would be late", spread(spec.ID, wait-slack)
+	}
+	return "", 0
+}
+
+// expectedWait estimates for how long a job would wait behind what was accepted.
+func (c *Cell) expectedWait(spec *docket.Job, capacity float64) time.Duration {
+	ahead := 0.0
+	for rank, work := range c.load.byRank {
+		if rank <= spec.Queue.Priority {
+			ahead += work
+		}
+	}
+	wait := ahead / (capacity * packing)
+	if ceiling := c.policy[spec.Team].Ceiling.MilliCPU; ceiling > 0 {
+		wait = max(wait, c.load.byTeam[spec.Team]/(float64(ceiling)/1000))
+	}
+	return time.Duration(wait * float64(time.Second))
+}
+
+// spread returns a time to come back, different for each job so that callers who
+// were refused together do not return together.
+func spread(id string, wait time.Duration) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // never fails
+	jitter := time.Duration(h.Sum32()%1000) * time.Millisecond
+	return min(max(wait, minRetry)+jitter, maxRetry)
+}
+
+// withinRate spends a job of the team's allowance, and reports whether there
+// was one.
+func (c *Cell) withinRate(name string) bool {
+	rate := c.policy[name].Rate
+	if rate <= 0 {
+		return true
+	}
+	use := c.team(name)
+	use.spent = min(use.spent+rate*(c.now.Steady-use.at).Seconds(), rate*rateWindow.Seconds())
+	use.at = c.now.Steady
+	if use.spent < 1 {
+		return false
+	}
+	use.spent--
+	return true
+}
+
+// cancel cancels a job; it is told once the store holds it.
+func (c *Cell) cancel(e Cancel) {
+	if !c.owner {
+		c.emit(Answer{Reply: e.Reply, Verdict: NotOwner})
+		return
+	}
+	j := c.jobs[e.ID]
+	if j == nil {
+		c.emit(Answer{Reply: e.Reply, Verdict: Unknown})
+		return
+	}
+	if j.shown.Final() {
+		c.emit(Answer{Reply: e.Reply, Verdict: Accepted, State: j.shown})
+		return
+	}
+	c.conclude(j, docket.Cancelled)
+	j.cancelWaits = append(j.cancelWaits, e.Reply)
+	c.touch(j)
+}
+
+// estimateLoad sums what is left of the accepted jobs.
+func (c *Cell) estimateLoad() {
+	c.load = loadEstimate{byRank: map[int]float64{}, byTeam: map[string]float64{}, capacity: map[string]float64{}}
+	for _, w := range c.workers {
+		if w.listed && !w.Draining && !w.silent(c.now.Steady) {
+			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000
+		}
+	}
+	for _, j := range c.jobs {
+		if j.Job != nil && !j.progress.State.Final() {
+			c.addLoad(j)
+		}
+	}
+}
+
+// addLoad adds what is left of a job to the estimate.
+func (c *Cell) addLoad(j *job) {
+	if c.load.byRank == nil {
+		return // the next estimate counts it
+	}
+	work := 0.0
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if !s.spec.Fills && !s.spec.LongRunning {
+				work += float64(s.left) * s.spec.Estimate.Seconds() * float64(s.spec.Need.MilliCPU) / 1000
+			}
+		}
+	}
+	rank := j.Queue.Priority
+	if j.beyondRate {
+		rank += 100
+	}
+	c.load.byRank[rank] += work
+	c.load.byTeam[j.Team] += work
+}
--- /dev/null
+++ b/cell/advice.go
@@ -0,0 +1,244 @@
+package cell
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/cowslipgap/cowslipgap/docket"
+)
+
+const (
+	// heavyCall is the expected time of a call for advice from which on it has
+	// lanes of its own, so that short calls do not wait behind it.
+	heavyCall = 100 * time.Millisecond
+	// laneDepth is how many calls may be on their way from one host: the service
+	// takes one at a time, a second hides the way there and back.
+	laneDepth = 2
+	// ticketMargin is the time before the end of a ticket's validity at which it
+	// is no longer used.
+	ticketMargin = 150 * time.Millisecond
+	// adviceSurplus is how many times the room that is needed is asked about,
+	// since answers cover only what was free when they were asked for.
+	adviceSurplus = 2.0
+	// firstEligible is the share of workers taken to be eligible before anything
+	// is learned.
+	firstEligible = 0.4
+	// adviceRetry is the pause after a call for advice without an answer.
+	adviceRetry = 100 * time.Millisecond
+)
+
+// ticket lets tasks of a step start on a worker.
+type ticket struct {
+	text  string
+	until Instant
+	born  int64 // the life of the worker that it was made for
+}
+
+// adviceState is what the advice service said of a step.
+type adviceState struct {
+	needed   bool
+	asking   bool
+	eligible map[string]bool // of the workers asked about; it never changes
+	tickets  map[string]ticket
+}
+
+// knows reports whether w is known to be allowed to run the step.
+func (a *adviceState) knows(w *worker) bool { return !a.needed || a.eligible[w.ID] }
+
+// knowsAny reports whether the service has answered for this step.
+func (a *adviceState) knowsAny() bool { return !a.needed || len(a.eligible) > 0 }
+
+// valid reports whether a start on w may carry a ticket, or needs none.
+func (a *adviceState) valid(w *worker, now Instant) bool {
+	if !a.needed {
+		return true
+	}
+	t, ok := a.tickets[w.ID]
+	return ok && now < t.until && t.born == w.Born
+}
+
+// allows reports whether the step may be started on w now.
+func (a *adviceState) allows(w *worker, now Instant) bool {
+	return a.knows(w) && a.valid(w, now)
+}
+
+func (a *adviceState) ticket(worker string) string { return a.tickets[worker].text }
+
+// ask asks about workers that have room for tasks of the step now.
+func (c *Cell) ask(p *round, s *step, tasks int) {
+	if s.advice.asking {
+		return
+	}
+	type option struct {
+		w      *worker
+		n      int
+		chance float64
+	}
+	advice := s.job.Queue.Advice
+	chance := c.lesson(s.job.Queue.Name).eligible
+	everyone := s.spec.Gang && advice.Decision >= heavyCall
+	var options []option
+	for _, w := range c.workers {
+		if !c.suits(s, w) || s.advice.valid(w, c.now.Steady) && !s.spec.Gang {
+			continue
+		}
+		good, known := s.advice.eligible[w.ID]
+		if known && !good {
+			continue
+		}
+		n := room(s, w, p.free(w))
+		if n == 0 && everyone {
+			n = min(1, room(s, w, w.Capacity))
+		}
+		if n == 0 {
+			continue
+		}
+		o := option{w, n, chance}
+		if known {
+			o.chance = 1
+		}
+		options = append(options, o)
+	}
+	slices.SortFunc(options, func(a, b option) int {
+		if d := cmp.Compare(float64(b.n)*b.chance, float64(a.n)*a.chance); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.w.ID, b.w.ID)
+	})
+	var names []string
+	expected := 0.0
+	for _, o := range options {
+		enough := expected >= adviceSurplus*float64(tasks)
+		cheap := advice.PerWorker*time.Duration(len(names)) < advice.Decision/2
+		if enough && !cheap && !everyone {
+			break
+		}
+		names = append(names, o.w.ID)
+		expected += float64(o.n) * o.chance
+	}
+	if len(names) == 0 {
+		return
+	}
+	c.call(s, names)
+}
+
+// askMore asks about workers that a gang's earlier calls did not name.
+func (c *Cell) askMore(s *step) {
+	if s.advice.asking {
+		return
+	}
+	var names []string
+	for _, w := range c.workers {
+		if _, known := s.advice.eligible[w.ID]; !known && c.suits(s, w) && room(s, w, w.Capacity) > 0 {
+			names = append(names, w.ID)
+		}
+	}
+	if len(names) > 0 {
+		c.call(s, names)
+	}
+}
+
+// renew asks again for tickets on the workers that a gang is to run on.
+func (c *Cell) renew(s *step, seats []seat) {
+	if s.advice.asking {
+		return
+	}
+	var names []string
+	for _, seat := range seats {
+		names = append(names, seat.w.ID)
+	}
+	c.call(s, names)
+}
+
+// call sends a call for advice from the host with the shortest lane.
+func (c *Cell) call(s *step, names []string) {
+	host := c.lane(s.job.Queue.Advice, len(names))
+	if host == "" {
+		return
+	}
+	c.lanes[host]++
+	s.advice.asking = true
+	c.emit(Ask{Host: host, Step: s.name, Workers: names})
+}
+
+// lane returns the host from which to call, or "" if all are taken. Long calls
+// have a third of the hosts to themselves.
+func (c *Cell) lane(advice *docket.Advice, workers int) string {
+	heavy := advice.Decision+time.Duration(workers)*advice.PerWorker >= heavyCall
+	hosts := c.hosts
+	if n := len(hosts); n > 1 {
+		split := max(1, n/3)
+		if heavy {
+			hosts = hosts[:split]
+		} else {
+			hosts = hosts[split:]
+		}
+	}
+	depth := laneDepth
+	if heavy {
+		depth = 1
+	}
+	best := ""
+	for _, host := range hosts {
+		if c.lanes[host] < depth && (best == "" || c.lanes[host] < c.lanes[best]) {
+			best = host
+		}
+	}
+	return best
+}
+
+// advised takes the service's answer.
+func (c *Cell) advised(e Advised) {
+	c.lanes[e.Host] = max(0, c.lanes[e.Host]-1)
+	t := c.task(e.Step + ".0")
+	if t == nil {
+		return
+	}
+	s := t.step
+	s.advice.asking = false
+	if e.Failure != None {
+		s.notBefore = c.now.Steady + adviceRetry
+		c.note("no advice", slog.String("step", e.Step), slog.String("host", e.Host), slog.Int("failure", int(e.Failure)))
+		return
+	}
+	if s.advice.eligible == nil {
+		s.advice.eligible = map[string]bool{}
+		s.advice.tickets = map[string]ticket{}
+	}
+	good := 0
+	for id, text := range e.Tickets {
+		s.advice.eligible[id] = text != ""
+		if text == "" {
+			continue
+		}
+		good++
+		if w := c.workers[id]; w != nil {
+			s.advice.tickets[id] = ticket{text: text, until: c.now.Steady + e.Validity - ticketMargin, born: w.Born}
+		}
+	}
+	c.learnEligible(s.job.Queue.Name, good, len(e.Tickets))
+}
+
+// lesson returns what is learned of a queue.
+func (c *Cell) lesson(queue string) *lesson {
+	l := c.learned[queue]
+	if l == nil {
+		l = &lesson{eligible: firstEligible}
+		c.learned[queue] = l
+	}
+	return l
+}
+
+// learnEligible averages the share of eligible workers over some tens of calls.
+func (c *Cell) learnEligible(queue string, good, asked int) {
+	if asked == 0 {
+		return
+	}
+	const memory = 32 // calls
+	l := c.lesson(queue)
+	l.samples = min(l.samples+1, memory)
+	l.eligible += (float64(good)/float64(asked) - l.eligible) / float64(l.samples)
+	l.eligible = max(l.eligible, 0.05)
+}
--- /dev/null
+++ b/cell/cell.go
@@ -0,0 +1,247 @@
+// Package cell decides for a group of workers: which jobs are accepted, which
+// task starts where and when, and what the store has to hold before anything is
+// said or forgotten. One host owns a cell at a time.
+//
+// A [Cell] is a reducer. [Cell.Update] takes an event and returns effects as
+// plain values; it reads no clock and does no I/O. One goroutine owns it.
+//
+// Ownership is fenced twice: the store takes a [Commit] only from the owner, and
+// every order carries the claim's token, which workers compare with the highest
+// they have seen. So a claim is safe at any moment. What a deposed owner may
+// still do is renew leases at a worker that its successor cannot reach;
+// therefore leases never outlive the last confirmed commit by more than
+// [Authority], and a successor waits that long for workers that stay silent.
+//
+// # Usage
+//
+//	c := cell.New(cell.Config{HoldMax: 6 * time.Second})
+//	for _, effect := range c.Update(cell.Clock{Steady: now}, cell.Pump{}) {
+//		switch e := effect.(type) {
+//		case cell.Start:
+//			// Send the order.
+//		}
+//	}
+package cell
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/cowslipgap/cowslipgap/docket"
+	"github.com/cowslipgap/cowslipgap/resource"
+)
+
+const (
+	// Authority is for how long after the sending of its last confirmed commit
+	// an owner may let leases run. It bridges store outages of a few seconds.
+	Authority = 9 * time.Second
+	// leaseMargin covers the reading of clocks and the delivery of orders.
+	leaseMargin = 300 * time.Millisecond
+	// tickGap is the least time between two rounds of housekeeping.
+	tickGap = 50 * time.Millisecond
+	// storeSilence is the age of the last confirmed commit beyond which nothing
+	// new is accepted.
+	storeSilence = 1500 * time.Millisecond
+)
+
+// Config is what a Cell is told at its start.
+type Config struct {
+	HoldMax     time.Duration // longest lease that a worker grants
+	StopTimeout time.Duration // longest time that a stop takes
+	GangTimeout time.Duration // for how long a member of a gang waits for the others
+	StatusFor   time.Duration // for how long an ended job's state is kept
+}
+
+// Cell is the state of one cell at one host. Without a claim it only tells
+// callers to ask the owner.
+type Cell struct {
+	Config
+
+	now     Clock
+	effects []any
+	owner   bool
+	token   uint64
+
+	jobs      map[string]*job
+	workers   map[string]*worker
+	teams     map[string]*teamUse
+	services  map[string]Service
+	policy    map[string]Team
+	hosts     []string
+	lanes     map[string]int // calls for advice in flight, by host
+	waiting   []*step        // ready steps with tasks that have no run
+	unopened  []*job         // jobs with steps that are not ready yet
+	learned   map[string]*lesson
+	recovered bool
+	recoverBy Instant
+
+	book      ledger
+	lastTick  Instant
+	resigning bool
+	load      loadEstimate
+}
+
+// teamUse is what a team has running, with what may begin or is being stopped.
+type teamUse struct {
+	used  resource.Vector
+	spent float64 // jobs of its allowance in hand
+	at    Instant
+}
+
+// lesson is what is learned of a queue's jobs.
+type lesson struct {
+	eligible float64 // share of workers that may run a step
+	samples  int
+}
+
+// New returns a Cell that owns nothing.
+func New(cfg Config) *Cell {
+	c := &Cell{Config: cfg}
+	c.reset()
+	c.services = map[string]Service{}
+	c.policy = map[string]Team{}
+	return c
+}
+
+// reset forgets everything that belongs to a claim.
+func (c *Cell) reset() {
+	c.owner, c.token, c.resigning = false, 0, false
+	c.jobs = map[string]*job{}
+	c.workers = map[string]*worker{}
+	c.teams = map[string]*teamUse{}
+	c.lanes = map[string]int{}
+	c.waiting, c.unopened = nil, nil
+	if c.learned == nil {
+		c.learned = map[string]*lesson{}
+	}
+	c.book = ledger{}
+	c.load = loadEstimate{}
+	c.recovered = false
+}
+
+// Owner reports whether this host owns the cell.
+func (c *Cell) Owner() bool { return c.owner }
+
+// Update applies one event and returns the effects in order. The slice is valid
+// until the next call.
+func (c *Cell) Update(now Clock, event any) []any {
+	c.now = now
+	clear(c.effects)
+	c.effects = c.effects[:0]
+	switch e := event.(type) {
+	case Policy:
+		c.policy, c.services = e.Teams, e.Services
+	case Members:
+		c.hosts = e.Hosts
+	case Claimed:
+		c.restore(e)
+	case Deposed:
+		c.depose(e.Reason)
+	case Submit:
+		c.submit(e)
+	case Cancel:
+		c.cancel(e)
+	case Query:
+		c.query(e)
+	case CountQueued:
+		c.countQueued(e)
+	default:
+		if c.owner {
+			c.updateOwned(event)
+		}
+	}
+	return c.effects
+}
+
+// updateOwned applies an event that matters to the owner alone.
+func (c *Cell) updateOwned(event any) {
+	switch e := event.(type) {
+	case Committed:
+		c.committed(e)
+	case Listed:
+		c.listed(e)
+	case Looked:
+		c.looked(e)
+	case Started:
+		c.started(e)
+	case StopDone:
+		c.stopDone(e)
+	case Advised:
+		c.advised(e)
+	case Pump:
+		c.pump()
+	}
+}
+
+// pump does what depends on time, places what waits and writes what is due.
+func (c *Cell) pump() {
+	if c.now.Steady-c.lastTick >= tickGap {
+		c.lastTick = c.now.Steady
+		c.tick()
+	}
+	c.openSteps()
+	c.place()
+	c.lookAround()
+	c.flush()
+}
+
+// tick is the housekeeping that need not run on every pump.
+func (c *Cell) tick() {
+	c.tendWorkers()
+	c.tendRuns()
+	c.tendRecovery()
+	c.estimateLoad()
+	c.forgetEnded()
+}
+
+func (c *Cell) emit(effect any) { c.effects = append(c.effects, effect) }
+
+func (c *Cell) note(text string, attrs ...slog.Attr) {
+	c.emit(Note{Level: slog.LevelInfo, Text: text, Attrs: attrs})
+}
+
+// authority returns until when leases may run.
+func (c *Cell) authority() Instant { return c.book.confirmed + Authority }
+
+// leaseLength returns how long a lease granted now may run.
+func (c *Cell) leaseLength() time.Duration {
+	return min(c.HoldMax, c.authority()-c.now.Steady)
+}
+
+// query answers with the state that the store holds.
+func (c *Cell) query(e Query) {
+	if !c.owner {
+		c.emit(Answer{Reply: e.Reply, Verdict: NotOwner})
+		return
+	}
+	j := c.jobs[e.ID]
+	if j == nil || !j.stored {
+		c.emit(Answer{Reply: e.Reply, Verdict: Unknown})
+		return
+	}
+	c.emit(Answer{Reply: e.Reply, Verdict: Accepted, State: j.shown})
+}
+
+func (c *Cell) countQueued(e CountQueued) {
+	if !c.owner {
+		c.emit(Answer{Reply: e.Reply, Verdict: NotOwner})
+		return
+	}
+	count := 0
+	for _, j := range c.jobs {
+		if j.Job != nil && j.stored && j.progress.State == docket.Queued && j.Queue.Name == e.Queue {
+			count++
+		}
+	}
+	c.emit(Answer{Reply: e.Reply, Verdict: Accepted, Count: count})
+}
+
+// forgetEnded drops jobs whose state need not be told any more.
+func (c *Cell) forgetEnded() {
+	for id, j := range c.jobs {
+		if j.Job == nil && j.stored && !j.dirty && c.now.Steady-j.endedAt > c.StatusFor {
+			c.book.drops = append(c.book.drops, Row{Table: Progress, Key: id})
+			delete(c.jobs, id)
+		}
+	}
+}
--- /dev/null
+++ b/cell/recovery.go
@@ -0,0 +1,101 @@
+package cell
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/cowslipgap/cowslipgap/docket"
+)
+
+// runsPerClaim is the room for run numbers between two claims: run numbers rise
+// over owners, and a successor does not know how far its predecessor got.
+const runsPerClaim = 1 << 12
+
+// restore begins a claim with what the store holds. Tasks accepted earlier may
+// be at work on any worker of the roster, so none of them starts before all of
+// these have answered or their leases have run out.
+func (c *Cell) restore(e Claimed) {
+	c.reset()
+	c.owner, c.token = true, e.Token
+	c.book.confirmed = c.now.Steady
+	c.book.lastSent = c.now.Steady
+	c.recoverBy = c.now.Steady
+	if e.Previous {
+		c.recoverBy += slowest(Authority)
+	}
+	firstRun := e.Token * runsPerClaim
+	live := 0
+	for _, stored := range e.Jobs {
+		if stored.Job == nil || stored.Progress.State.Final() {
+			c.jobs[stored.ID] = &job{id: stored.ID, progress: *stored.Progress, shown: stored.Progress.State, stored: true, deleted: true, endedAt: c.now.Steady}
+			continue
+		}
+		live++
+		j := newJob(stored.Job, *stored.Progress, firstRun)
+		j.stored, j.restored = true, true
+		age := c.now.Wall.Sub(stored.Progress.ReceivedAt)
+		j.received = c.now.Steady - min(max(0, age), time.Minute)
+		c.adopt(j)
+	}
+	for _, ref := range e.Workers {
+		w := &worker{runs: map[string]*run{}, strays: map[string]uint64{}, onRoster: true}
+		w.ID, w.Addr, w.Service = ref.ID, ref.Addr, ref.Service
+		w.answered = c.now.Steady
+		c.workers[ref.ID] = w
+	}
+	c.note("cell claimed", slog.Uint64("token", e.Token), slog.Int("jobs", live), slog.Int("ended", len(e.Jobs)-live), slog.Int("workers", len(e.Workers)))
+}
+
+// adopt takes a job into the working state.
+func (c *Cell) adopt(j *job) {
+	c.jobs[j.id] = j
+	c.unopened = append(c.unopened, j)
+	c.setObjective(j)
+	for _, o := range j.occurrences {
+		if o.left == 0 && j.progress.State < docket.Completed {
+			c.checkComplete(j)
+			return
+		}
+	}
+}
+
+// tendRecovery ends the wait for workers that a predecessor may have used.
+func (c *Cell) tendRecovery() {
+	if c.recovered {
+		return
+	}
+	if c.now.Steady < c.recoverBy {
+		for _, w := range c.workers {
+			if w.onRoster && !w.synced {
+				return
+			}
+		}
+	}
+	c.recovered = true
+	c.note("recovery complete", slog.Uint64("token", c.token), slog.Int("workers", len(c.workers)))
+}
+
+// depose ends the claim. Callers are sent to the next owner, who knows from the
+// store what was accepted.
+func (c *Cell) depose(reason string) {
+	if !c.owner {
+		return
+	}
+	c.note("cell lost", slog.Uint64("token", c.token), slog.String("reason", reason))
+	answer := func(replies []uint64) {
+		for _, reply := range replies {
+			c.emit(Answer{Reply: reply, Verdict: Lost})
+		}
+	}
+	for _, j := range c.jobs {
+		answer(j.acceptWaits)
+		answer(j.cancelWaits)
+	}
+	if p := c.book.inFlight; p != nil {
+		for _, write := range p.jobs {
+			answer(write.accepts)
+			answer(write.cancels)
+		}
+	}
+	c.reset()
+}
--- /dev/null
+++ b/cell/roster.go
@@ -0,0 +1,64 @@
+package cell
+
+import (
+	"log/slog"
+)
+
+// listed takes the store's list of workers. A worker gets no work before a
+// successor would find it on the roster.
+func (c *Cell) listed(e Listed) {
+	present := make(map[string]bool, len(e.Workers))
+	for _, info := range e.Workers {
+		present[info.ID] = true
+		w := c.workers[info.ID]
+		if w == nil {
+			w = &worker{runs: map[string]*run{}, strays: map[string]uint64{}, WorkerInfo: info, answered: c.now.Steady}
+			w.clockAt = c.now.Steady
+			c.workers[info.ID] = w
+			c.book.rosterOpen = true
+		}
+		c.updateWorker(w, info)
+	}
+	for id, w := range c.workers {
+		if !present[id] && w.listed {
+			w.listed = false
+			w.goneAt = c.now.Steady
+			c.note("worker left the list", slog.String("worker", id), slog.Int("runs", len(w.runs)))
+		}
+	}
+}
+
+// updateWorker takes what the store says of a known worker.
+func (c *Cell) updateWorker(w *worker, info WorkerInfo) {
+	if info.Draining && !w.Draining {
+		c.note("worker drains", slog.String("worker", w.ID), slog.Int("runs", len(w.runs)))
+	}
+	if info.Born > w.Born && w.Born > 0 {
+		c.reborn(w)
+		w.synced = false
+	}
+	clock, born := w.Clock, max(w.Born, info.Born)
+	w.WorkerInfo = info
+	w.Clock, w.Born = clock, born
+	w.listed = true
+}
+
+// tendWorkers gives up workers whose leases have run out, and forgets those
+// that have left.
+func (c *Cell) tendWorkers() {
+	now := c.now.Steady
+	for id, w := range c.workers {
+		expired := now > w.leaseEnd && now > c.recoverBy
+		if w.failing && expired && len(w.runs) > 0 && now-w.answered > silentAfter*2 {
+			c.note("leases ran out", slog.String("worker", id), slog.Int("runs", len(w.runs)), slog.Duration("silent", now-w.answered))
+			for _, r := range w.runs {
+				c.drop(r)
+				c.abortGang(r.task.step, r.n)
+			}
+		}
+		if !w.listed && len(w.runs) == 0 && expired && (w.failing || w.synced) {
+			delete(c.workers, id)
+			c.book.rosterOpen = true
+		}
+	}
+}
--- /dev/null
+++ b/cmd/cowslipgapd/main.go
@@ -0,0 +1,81 @@
+// Command cowslipgapd is an entry host on the users' platform.
+//
+// # Usage
+//
+//	COWSLIPGAP_BOOT=boot.conf cowslipgapd serve
+//	COWSLIPGAP_BOOT=boot.conf cowslipgapd check
+//
+// Exit status: 0 done, 1 it failed, 2 the command line or the settings are
+// wrong.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cowslipgap/cowslipgap/logbook"
+	"github.com/cowslipgap/cowslipgap/platform"
+)
+
+// Exit statuses.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// logLines is how many log lines may wait to be written.
+const logLines = 8192
+
+// errUsage says that the command line is wrong.
+var errUsage = errors.New("usage")
+
+func main() {
+	err := command().Run(context.Background(), os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "cowslipgapd:", err)
+	if errors.Is(err, errUsage) || errors.Is(err, platform.ErrSettings) {
+		os.Exit(exitUsage)
+	}
+	os.Exit(exitFailed)
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "cowslipgapd",
+		Usage: "entry host of the cluster scheduler on the users' platform",
+		Commands: []*cli.Command{
+			{Name: "serve", Usage: "run the entry host", Action: serve},
+			{Name: "check", Usage: "check the settings file", Action: check},
+		},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return errors.Mark(err, errUsage)
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+}
+
+func serve(ctx context.Context, _ *cli.Command) error {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	book := logbook.New(os.Stdout, logLines)
+	defer book.Close()
+	return platform.Run(ctx, settings, slog.New(slog.NewJSONHandler(book, nil)))
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.Writer, "%s in %s: settings are usable\n", settings.Name, settings.Zone)
+	return err
+}
--- /dev/null
+++ b/docket/progress.go
@@ -0,0 +1,66 @@
+package docket
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Progress is what has become of a job so far, as far as it must survive.
+type Progress struct {
+	State State        `cbor:"1,keyasint"`
+	Steps []StepRecord `cbor:"2,keyasint,omitempty"`
+	// EndedAt is the time of day at which the state became final.
+	EndedAt time.Time `cbor:"3,keyasint,omitempty"`
+	// ReceivedAt is the time of day at which the job was accepted.
+	ReceivedAt time.Time `cbor:"4,keyasint,omitempty"`
+	Queue      string    `cbor:"5,keyasint,omitempty"`
+	Team       string    `cbor:"6,keyasint,omitempty"`
+}
+
+// StepRecord is the progress of one step of one occurrence.
+type StepRecord struct {
+	Occurrence  int            `cbor:"1,keyasint,omitempty"`
+	Step        int            `cbor:"2,keyasint,omitempty"`
+	AllDone     bool           `cbor:"3,keyasint,omitempty"`
+	Done        []int          `cbor:"4,keyasint,omitempty"` // indexes, unless AllDone
+	Faults      map[int]Faults `cbor:"5,keyasint,omitempty"` // failed runs by index
+	Checkpoints map[int]string `cbor:"6,keyasint,omitempty"` // by index
+}
+
+// Encode returns the stored form.
+func (p *Progress) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(p)
+	return data, errors.Wrap(err, "encode progress")
+}
+
+// DecodeProgress reads the stored form.
+func DecodeProgress(data []byte) (*Progress, error) {
+	p := &Progress{}
+	if err := cbor.Unmarshal(data, p); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "decode progress"), ErrMalformed)
+	}
+	if p.State < Queued || p.State > Cancelled {
+		return nil, errors.Mark(errors.Newf("job state %d", p.State), ErrMalformed)
+	}
+	return p, nil
+}
+
+// Faults counts the failed runs of a task or, under index 0, of a gang. A run
+// number that is not higher than LastRun has been counted: workers repeat what
+// they list until it is acknowledged.
+type Faults struct {
+	Count   int    `cbor:"1,keyasint"`
+	LastRun uint64 `cbor:"2,keyasint"`
+}
+
+// Add counts a failed run and reports whether it is new.
+func (f *Faults) Add(run uint64) bool {
+	if run <= f.LastRun {
+		return false
+	}
+	f.Count++
+	f.LastRun = run
+	return true
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -34,6 +34,7 @@
 	rpcExchange = "/cowslipgap.Peer/Exchange"
 	rpcRun      = "/cowslipgap.Peer/Run"
 	rpcAsk      = "/cowslipgap.Peer/Ask"
+	rpcCall     = "/cowslipgap.Peer/Call"
 
 	dialTimeout   = 2 * time.Second
 	maxIdlePerKey = 32
@@ -95,8 +96,16 @@
 	Refusal []byte `cbor:"2,keyasint,omitempty"`
 }
 
-// Service is what a host does for its peers.
+// Message carries a request or a reply of hosts that share cells; its form is
+// theirs.
+type Message struct {
+	Secret string `cbor:"1,keyasint,omitempty"`
+	Body   []byte `cbor:"2,keyasint"`
+}
+
+// Service is what a host does for its peers. A call that it leaves nil fails.
 type Service struct {
+	Call     func(ctx context.Context, m *Message) (*Message, error)
 	Exchange func(ctx context.Context, g *Greeting) (*Greeting, error)
 	Run      func(ctx context.Context, o *Order) (*Answer, error)
 	Ask      func(ctx context.Context, q *Question) (*Reply, error)
@@ -140,11 +149,21 @@
 	return e.service.Ask(ctx, q)
 }
 
+func (e *endpoint) call(ctx context.Context, m *Message) (*Message, error) {
+	if !e.allows(m.Secret) {
+		return nil, ErrSecret
+	}
+	if e.service.Call == nil {
+		return nil, errors.Newf("peer: %s is not served", rpcCall)
+	}
+	return e.service.Call(ctx, m)
+}
+
 // description tells drpc the methods of an endpoint.
 type description struct{}
 
 // NumMethods implements drpc.Description.
-func (description) NumMethods() int { return 3 }
+func (description) NumMethods() int { return 4 }
 
 // Method implements drpc.Description.
 func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -155,6 +174,8 @@
 		return rpcRun, codec{}, receiver((*endpoint).run), (*endpoint).run, true
 	case 2:
 		return rpcAsk, codec{}, receiver((*endpoint).ask), (*endpoint).ask, true
+	case 3:
+		return rpcCall, codec{}, receiver((*endpoint).call), (*endpoint).call, true
 	default:
 		return "", nil, nil, nil, false
 	}
@@ -214,6 +235,13 @@
 	return out, err
 }
 
+// Call sends a message to the host at addr and returns its reply.
+func (p *Pool) Call(ctx context.Context, addr string, body []byte) ([]byte, error) {
+	var out Message
+	err := p.invoke(ctx, addr, rpcCall, &Message{Secret: p.Secret, Body: body}, &out)
+	return out.Body, err
+}
+
 // invoke makes one call on a connection of its own.
 func (p *Pool) invoke(ctx context.Context, addr, rpc string, in, out drpc.Message) error {
 	conn, err := p.take(ctx, addr)
--- /dev/null
+++ b/station/call.go
@@ -0,0 +1,169 @@
+package station
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cowslipgap/cowslipgap/cell"
+	"github.com/cowslipgap/cowslipgap/docket"
+	"github.com/cowslipgap/cowslipgap/peer"
+)
+
+// kind says what a host asks of another.
+type kind int
+
+const (
+	kindGreet  kind = iota + 1 // I am here; do you own the cell?
+	kindProbe                  // are you there?
+	kindTake                   // the cell is vacant, take it
+	kindAdvise                 // call for advice from your address
+	kindSubmit
+	kindCancel
+	kindQuery
+	kindCount
+)
+
+// request is a call from one entry host to another.
+type request struct {
+	Kind    kind          `cbor:"1,keyasint"`
+	Name    string        `cbor:"2,keyasint,omitempty"`
+	Addr    string        `cbor:"3,keyasint,omitempty"`
+	Job     *docket.Job   `cbor:"4,keyasint,omitempty"`
+	ID      string        `cbor:"5,keyasint,omitempty"` // of a job; the queue for a count; the step for advice
+	Workers []string      `cbor:"6,keyasint,omitempty"`
+	Relayed bool          `cbor:"7,keyasint,omitempty"` // do not pass it on
+	Left    time.Duration `cbor:"8,keyasint,omitempty"` // time until the caller stops waiting
+}
+
+// reply answers a request.
+type reply struct {
+	Owner   bool          `cbor:"1,keyasint,omitempty"` // the host owns the cell
+	Age     time.Duration `cbor:"2,keyasint,omitempty"` // of the owner's last confirmed commit
+	Head    HeadRow       `cbor:"3,keyasint,omitempty"` // the owner that the host knows
+	Outcome Outcome       `cbor:"4,keyasint,omitempty"`
+	Advice  cell.Advised  `cbor:"5,keyasint,omitempty"`
+	Known   map[string]string
+}
+
+// Serve answers another entry host's message.
+func (s *Station) Serve(ctx context.Context, m *peer.Message) (*peer.Message, error) {
+	s.init()
+	var r request
+	if err := cbor.Unmarshal(m.Body, &r); err != nil {
+		return nil, errors.Wrap(err, "decode peer request")
+	}
+	body, err := cbor.Marshal(s.serve(ctx, r))
+	return &peer.Message{Body: body}, errors.Wrap(err, "encode peer reply")
+}
+
+func (s *Station) serve(ctx context.Context, r request) reply {
+	switch r.Kind {
+	case kindGreet:
+		return s.greeted(r)
+	case kindProbe:
+		return reply{}
+	case kindTake:
+		return s.asked(ctx)
+	case kindAdvise:
+		return reply{Advice: s.Advise(ctx, r.ID, r.Workers)}
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Left)
+	defer cancel()
+	return reply{Outcome: s.resolve(ctx, r)}
+}
+
+// greeted answers a greeting.
+func (s *Station) greeted(r request) reply {
+	now := s.Now()
+	s.lead.meet(r.Name, r.Addr, now)
+	s.lead.mu.Lock()
+	defer s.lead.mu.Unlock()
+	out := reply{Owner: s.lead.own, Head: s.lead.owner, Known: map[string]string{}}
+	if s.lead.own {
+		out.Age = now - s.lead.confirmedAt
+	}
+	for name, addr := range s.lead.known {
+		out.Known[name] = addr
+	}
+	return out
+}
+
+// asked takes a vacant cell for a host that gives it up.
+func (s *Station) asked(ctx context.Context) reply {
+	if s.leaving.Load() || s.Rules() == nil {
+		return reply{}
+	}
+	head, err := s.ReadHead(ctx)
+	if err == nil && head.Vacant && !s.lead.owns() {
+		s.claim(context.WithoutCancel(ctx), head)
+	}
+	return reply{Owner: s.lead.owns()}
+}
+
+// greet tells the owner that this host is present, and reports whether it is
+// the owner and its commits are fresh.
+func (s *Station) greet(ctx context.Context, owner HeadRow) bool {
+	out, err := s.callPeer(ctx, owner.Addr, request{Kind: kindGreet, Name: s.Name, Addr: s.Addr}, greetTimeout)
+	if err != nil {
+		return false
+	}
+	s.lead.mu.Lock()
+	defer s.lead.mu.Unlock()
+	for name, addr := range out.Known {
+		s.lead.learn(name, addr)
+	}
+	if out.Owner && out.Age < staleCommit {
+		s.lead.ownerOK = s.Now()
+		s.lead.owner = out.Head
+		return true
+	}
+	if !out.Owner && out.Head.Addr != "" && out.Head.Session != owner.Session && out.Head.Session != s.Session {
+		s.lead.owner = out.Head // greeted next time
+	}
+	return false
+}
+
+// learnOwner asks the other hosts who the owner is; it serves a host that the
+// store turns away.
+func (s *Station) learnOwner(ctx context.Context) {
+	for name, addr := range s.lead.others() {
+		if name == s.Name {
+			continue
+		}
+		out, err := s.callPeer(ctx, addr, request{Kind: kindGreet, Name: s.Name, Addr: s.Addr}, greetTimeout)
+		if err != nil || out.Head.Addr == "" || out.Head.Session == s.Session {
+			continue
+		}
+		s.lead.setOwner(out.Head, false)
+		return
+	}
+}
+
+// adviseFrom has another host call for advice.
+func (s *Station) adviseFrom(ctx context.Context, o cell.Ask) cell.Advised {
+	out, err := s.callPeer(ctx, s.lead.memberAddr(o.Host), request{Kind: kindAdvise, ID: o.Step, Workers: o.Workers}, adviceTimeout)
+	if err != nil {
+		s.Log.Debug("advice from another host failed", "host", o.Host, "step", o.Step, "error", err)
+		return cell.Advised{Failure: cell.NoAnswer}
+	}
+	return out.Advice
+}
+
+// callPeer sends a request to the host at addr.
+func (s *Station) callPeer(ctx context.Context, addr string, r request, timeout time.Duration) (reply, error) {
+	var out reply
+	body, err := cbor.Marshal(r)
+	if err != nil {
+		return out, errors.Wrap(err, "encode peer request")
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answer, err := s.peers.Call(ctx, addr, body)
+	if err != nil {
+		return out, err
+	}
+	return out, errors.Wrap(cbor.Unmarshal(answer, &out), "decode peer reply")
+}
--- /dev/null
+++ b/station/lead.go
@@ -0,0 +1,410 @@
+package station
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/cowslipgap/cowslipgap/cell"
+	"github.com/cowslipgap/cowslipgap/peer"
+)
+
+const (
+	// greetEvery is the time between two greetings of the owner.
+	greetEvery = 300 * time.Millisecond
+	// greetTimeout bounds a greeting.
+	greetTimeout = 400 * time.Millisecond
+	// staleCommit is the age of the owner's last confirmed commit from which on
+	// other hosts try to take the cell. An owner commits every half second.
+	staleCommit = 1200 * time.Millisecond
+	// unchangedFor is for how long the head must stand unchanged before a host
+	// claims the cell of an owner that it cannot reach. It is longer than the
+	// owner's longest time between commits plus a slow answer of the store.
+	unchangedFor = 900 * time.Millisecond
+	// memberFor is for how long a host counts as present after its greeting.
+	memberFor = 1200 * time.Millisecond
+	// aloneFor is for how long an owner that had company may hear from no other
+	// host before it looks for them.
+	aloneFor = 1500 * time.Millisecond
+	// claimStagger is the delay between candidates, so that they seldom collide.
+	claimStagger = 60 * time.Millisecond
+	// reclaimDelay keeps a host that gave the cell up from taking it back before
+	// others had their chance.
+	reclaimDelay = 2 * time.Second
+)
+
+// leadership is what a station knows of the cell's ownership.
+type leadership struct {
+	mu          sync.Mutex
+	owner       HeadRow // the last known owner; Version is kept while owned here
+	own         bool
+	confirmedAt cell.Instant // of this host's commits
+	ownerOK     cell.Instant // when the owner last answered with fresh commits
+	storeDown   bool
+	members     map[string]member // hosts that greet this one
+	known       map[string]string // addresses of all hosts ever met, by name
+	gaveUpAt    cell.Instant
+}
+
+type member struct {
+	addr string
+	at   cell.Instant
+}
+
+func (l *leadership) owns() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.own
+}
+
+// nextHead returns the head that the next commit writes, with the version that
+// it is conditional on.
+func (l *leadership) nextHead(seq uint64) (HeadRow, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	head := l.owner
+	head.Seq = seq
+	return head, l.own
+}
+
+func (l *leadership) setOwner(head HeadRow, own bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.owner, l.own = head, own
+}
+
+func (l *leadership) current() (HeadRow, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.owner, l.own
+}
+
+// confirmed notes that a commit of this host took effect.
+func (l *leadership) confirmed(s *Station, version uint64, sent cell.Instant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.owner.Version = version
+	l.confirmedAt = max(l.confirmedAt, sent)
+	if l.storeDown {
+		l.storeDown = false
+		s.Log.Info("store answers again")
+	}
+}
+
+// storeFailed notes that a call to the store had no usable answer.
+func (l *leadership) storeFailed(s *Station, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.storeDown {
+		l.storeDown = true
+		s.Log.Warn("store does not answer", "error", err)
+	}
+}
+
+// storeAnswered notes that the store can be reached.
+func (l *leadership) storeAnswered(s *Station) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.storeDown {
+		l.storeDown = false
+		s.Log.Info("store answers again")
+	}
+}
+
+// meet notes a host that greets this one, and returns whether it is new.
+func (l *leadership) meet(name, addr string, now cell.Instant) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.members == nil {
+		l.members = map[string]member{}
+	}
+	_, present := l.members[name]
+	l.members[name] = member{addr: addr, at: now}
+	l.learn(name, addr)
+	return !present
+}
+
+func (l *leadership) learn(name, addr string) {
+	if l.known == nil {
+		l.known = map[string]string{}
+	}
+	l.known[name] = addr
+}
+
+// memberAddr returns where a host is reached.
+func (l *leadership) memberAddr(name string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known[name]
+}
+
+// others returns the addresses of all hosts ever met.
+func (l *leadership) others() map[string]string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make(map[string]string, len(l.known))
+	for name, addr := range l.known {
+		list[name] = addr
+	}
+	return list
+}
+
+// present drops members that have gone silent and returns the names of the
+// others, and whether the set has changed.
+func (l *leadership) present(now cell.Instant) ([]string, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := false
+	var names []string
+	for name, m := range l.members {
+		if now-m.at > memberFor {
+			delete(l.members, name)
+			changed = true
+			continue
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names, changed
+}
+
+// keepLead greets the owner, and takes the cell when there is none.
+func (s *Station) keepLead(ctx context.Context) {
+	k := keeper{station: s}
+	for ctx.Err() == nil {
+		if s.lead.owns() {
+			k.tendOwn(ctx)
+		} else if !s.leaving.Load() {
+			k.tendOther(ctx)
+		}
+		sleep(ctx, k.pause())
+	}
+}
+
+// keeper is the state of the goroutine that keeps the ownership.
+type keeper struct {
+	station  *Station
+	head     HeadRow      // as last read
+	since    cell.Instant // when it was first seen so
+	suspects bool         // the owner does not answer
+	hosts    string       // the members last told to the cell
+	heard    cell.Instant // when another host last greeted this owner
+	company  bool         // another host has greeted it
+}
+
+func (k *keeper) pause() time.Duration {
+	if k.suspects {
+		return claimStagger
+	}
+	return greetEvery
+}
+
+// tendOwn keeps the members, and gives the cell up if this host is cut off from
+// all others while they may be able to serve.
+func (k *keeper) tendOwn(ctx context.Context) {
+	s := k.station
+	k.suspects = false
+	names, _ := s.lead.present(s.Now())
+	if len(names) > 0 {
+		k.heard, k.company = s.Now(), true
+	}
+	hosts := append([]string{s.Name}, names...)
+	slices.Sort(hosts)
+	if key := joinNames(hosts); key != k.hosts {
+		k.hosts = key
+		s.Log.Info("entry hosts", "present", hosts)
+		s.post(ctx, cell.Members{Hosts: hosts})
+	}
+	if k.company && s.Now()-k.heard > aloneFor && s.cutOff(ctx) {
+		s.Log.Warn("no other entry host can be reached", "silent", s.Now()-k.heard)
+		k.company = false
+		s.resign(ctx)
+	}
+}
+
+func joinNames(names []string) string {
+	out := ""
+	for _, name := range names {
+		out += name + ","
+	}
+	return out
+}
+
+// cutOff reports whether no other host can be reached and none has refused the
+// connection: a machine that refuses is there, its process is not.
+func (s *Station) cutOff(ctx context.Context) bool {
+	for name, addr := range s.lead.others() {
+		if name == s.Name {
+			continue
+		}
+		_, err := s.callPeer(ctx, addr, request{Kind: kindProbe}, greetTimeout)
+		if err == nil || errors.Is(err, peer.ErrUnreachable) && !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err) {
+			return false
+		}
+	}
+	return true
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// resign gives the cell up and asks the others, one after the other, to take it.
+func (s *Station) resign(ctx context.Context) {
+	done := make(chan bool, 1)
+	select {
+	case s.commits <- commitOrder{resign: done}:
+	case <-ctx.Done():
+		return
+	}
+	vacant := false
+	select {
+	case vacant = <-done:
+	case <-ctx.Done():
+		return
+	}
+	s.lead.mu.Lock()
+	s.lead.gaveUpAt = s.Now()
+	s.lead.mu.Unlock()
+	if !vacant {
+		return
+	}
+	for name, addr := range s.lead.others() {
+		if name == s.Name {
+			continue
+		}
+		reply, err := s.callPeer(ctx, addr, request{Kind: kindTake}, greetTimeout)
+		if err == nil && reply.Owner {
+			return
+		}
+	}
+}
+
+// tendOther greets the owner and watches it.
+func (k *keeper) tendOther(ctx context.Context) {
+	s := k.station
+	k.company, k.hosts = false, ""
+	owner, _ := s.lead.current()
+	if owner.Addr != "" && owner.Session != s.Session && s.greet(ctx, owner) {
+		k.suspects = false
+		return
+	}
+	k.suspects = true
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	head, err := s.ReadHead(callCtx)
+	cancel()
+	if err != nil {
+		s.lead.storeFailed(s, err)
+		s.learnOwner(ctx)
+		sleep(ctx, greetEvery)
+		return
+	}
+	s.lead.storeAnswered(s)
+	now := s.Now()
+	if head.Version != k.head.Version || head.Session != k.head.Session {
+		k.since = now
+		if head.Session != owner.Session && !head.Vacant && head.Version > 0 && head.Name != s.Name {
+			s.lead.setOwner(head, false)
+			k.head = head
+			return
+		}
+	}
+	k.head = head
+	if s.mayClaim(head, now-k.since) {
+		s.claim(ctx, head)
+	}
+}
+
+// mayClaim decides whether to claim a cell whose head has stood unchanged for
+// the given time. It answers owners that die, are cut off or give up: a host
+// that is alone with a vacant cell takes it at once, others wait their turn.
+func (s *Station) mayClaim(head HeadRow, unchanged time.Duration) bool {
+	turn := time.Duration(s.turn(head.Version)) * claimStagger
+	s.lead.mu.Lock()
+	gaveUp := s.lead.gaveUpAt
+	s.lead.mu.Unlock()
+	if gaveUp > 0 && s.Now()-gaveUp < reclaimDelay {
+		return false
+	}
+	switch {
+	case s.Rules() == nil:
+		return false
+	case head.Name == s.Name && head.Session != s.Session:
+		return true // this host's earlier process is gone
+	case head.Version == 0 || head.Vacant:
+		return unchanged >= turn
+	default:
+		return unchanged >= unchangedFor+turn
+	}
+}
+
+// turn spreads candidates, in another order for each claim.
+func (s *Station) turn(version uint64) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s.Name)) // never fails
+	return int((uint64(h.Sum32()) + version) % 7)
+}
+
+// claim takes the cell.
+func (s *Station) claim(ctx context.Context, head HeadRow) {
+	mine := Head{Session: s.Session, Name: s.Name, Addr: s.Addr}
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	version, stands, err := s.Write(callCtx, head.Version, mine, nil, nil)
+	cancel()
+	if err == nil && stands != nil && stands.Session == s.Session && stands.Token == 0 {
+		version, stands = stands.Version, nil // an earlier sending took effect
+	}
+	switch {
+	case err != nil:
+		s.lead.storeFailed(s, err)
+		return // the head tells next time whether it took effect
+	case stands != nil:
+		s.lead.setOwner(*stands, false)
+		return
+	}
+	s.takeOver(ctx, mine, version, head.Version > 0)
+}
+
+// takeOver begins to act as the owner.
+func (s *Station) takeOver(ctx context.Context, mine Head, version uint64, previous bool) {
+	mine.Token = version
+	claimedAt := s.Now()
+	var jobs []cell.Stored
+	var workers []cell.WorkerRef
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, 3*storeTimeout)
+		var err error
+		jobs, workers, err = s.Load(callCtx)
+		cancel()
+		if err == nil {
+			break
+		}
+		s.lead.storeFailed(s, err)
+		if s.Now()-claimedAt > cell.Authority {
+			return // another host has claimed it long since, or will
+		}
+		sleep(ctx, commitRetry)
+	}
+	s.Counts.Claims.Add(1)
+	s.lead.mu.Lock()
+	s.lead.owner, s.lead.own = HeadRow{Head: mine, Version: version}, true
+	s.lead.confirmedAt = claimedAt
+	s.lead.members = nil
+	s.lead.mu.Unlock()
+	s.post(ctx, cell.Claimed{Token: version, Previous: previous, Jobs: jobs, Workers: workers})
+	if rules := s.Rules(); rules != nil {
+		s.post(ctx, rules.Policy())
+	}
+	s.post(ctx, cell.Members{Hosts: []string{s.Name}})
+}
+
+// deposed notes that another host owns the cell.
+func (s *Station) deposed(ctx context.Context, head HeadRow) {
+	s.Counts.Deposals.Add(1)
+	s.lead.setOwner(head, false)
+	s.post(ctx, cell.Deposed{Reason: "claimed by " + head.Name})
+}
