cell: a team's backlog counts the work that goes before a job, not all of it

Cause: slot checks were refused as late because the wait under the team's ceiling summed its patient work too. And a caller with less than 200 ms left was told that there is no owner without the owner being asked.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -27,10 +27,16 @@
 // loadEstimate is how much accepted work is left, in core-seconds.
 type loadEstimate struct {
 	byRank   map[int]float64
-	byTeam   map[string]float64
+	byTeam   map[teamRank]float64
 	capacity map[string]float64 // cores, by service
 }
 
+// teamRank is a team's work of one rank.
+type teamRank struct {
+	team string
+	rank int
+}
+
 // submit accepts a job or refuses it. It answers a fleet that is offered more
 // than it can do: what would come too late is refused at once, with the time at
 // which there will be room, rather than accepted and done late.
@@ -100,7 +106,13 @@
 	}
 	wait := ahead / (capacity * packing)
 	if ceiling := c.policy[spec.Team].Ceiling.MilliCPU; ceiling > 0 {
-		wait = max(wait, c.load.byTeam[spec.Team]/(float64(ceiling)/1000))
+		ahead = 0
+		for key, work := range c.load.byTeam {
+			if key.team == spec.Team && key.rank <= spec.Queue.Priority {
+				ahead += work
+			}
+		}
+		wait = max(wait, ahead/(float64(ceiling)/1000))
 	}
 	return time.Duration(wait * float64(time.Second))
 }
@@ -153,7 +165,7 @@
 
 // estimateLoad sums what is left of the accepted jobs.
 func (c *Cell) estimateLoad() {
-	c.load = loadEstimate{byRank: map[int]float64{}, byTeam: map[string]float64{}, capacity: map[string]float64{}}
+	c.load = loadEstimate{byRank: map[int]float64{}, byTeam: map[teamRank]float64{}, capacity: map[string]float64{}}
 	for _, w := range c.workers {
 		if w.listed && !w.Draining && !w.silent(c.now.Steady) {
 			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000
@@ -184,5 +196,5 @@
 		rank += 100
 	}
 	c.load.byRank[rank] += work
-	c.load.byTeam[j.Team] += work
+	c.load.byTeam[teamRank{j.Team, rank}] += work
 }
--- a/station/caller.go
+++ b/station/caller.go
@@ -21,7 +21,7 @@
 	// the caller still waits.
 	ownerTimeout = 1200 * time.Millisecond
 	// answerMargin is the time before a caller's deadline at which it is told
-	// what is known.
+	// what is known, but at most a tenth of the time that it waits.
 	answerMargin = 200 * time.Millisecond
 	// retryAfter is what a caller is told to wait if the cell has no owner.
 	retryAfter = time.Second
@@ -118,10 +118,14 @@
 func (s *Station) resolve(ctx context.Context, r request) Outcome {
 	began := s.Now()
 	taken := false
+	margin := answerMargin
+	if deadline, ok := ctx.Deadline(); ok {
+		margin = min(margin, time.Until(deadline)/10)
+	}
 	for {
 		left := ownerTimeout
 		if deadline, ok := ctx.Deadline(); ok {
-			left = min(left, time.Until(deadline)-answerMargin)
+			left = min(left, time.Until(deadline)-margin)
 		}
 		if left <= 0 || ctx.Err() != nil {
 			return unresolved(taken)
