--- a/cell/admission.go
+++ b/cell/admission.go
@@ -81,7 +81,7 @@
 		return "too many tasks", maxRetry
 	}
 	capacity := c.load.capacity[spec.Queue.Service]
-	if capacity == 0 {
+	if c.listedOnce && capacity == 0 {
 		return "the service has no workers", spread(spec.ID, minRetry)
 	}
 	chain := longestChain(spec)
@@ -104,7 +104,10 @@
 			ahead += work
 		}
 	}
-	wait := ahead / (capacity * packing)
+	wait := 0.0
+	if capacity > 0 {
+		wait = ahead / (capacity * packing)
+	}
 	if ceiling := c.policy[spec.Team].Ceiling.MilliCPU; ceiling > 0 {
 		ahead = 0
 		for key, work := range c.load.byTeam {
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -62,18 +62,19 @@
 	owner   bool
 	token   uint64
 
-	jobs      map[string]*job
-	workers   map[string]*worker
-	teams     map[string]*teamUse
-	services  map[string]Service
-	policy    map[string]Team
-	hosts     []string
-	lanes     map[string]int // calls for advice in flight, by host
-	waiting   []*step        // ready steps with tasks that have no run
-	unopened  []*job         // jobs with steps that are not ready yet
-	learned   map[string]*lesson
-	recovered bool
-	recoverBy Instant
+	jobs       map[string]*job
+	workers    map[string]*worker
+	teams      map[string]*teamUse
+	services   map[string]Service
+	policy     map[string]Team
+	hosts      []string
+	lanes      map[string]int // calls for advice in flight, by host
+	waiting    []*step        // ready steps with tasks that have no run
+	unopened   []*job         // jobs with steps that are not ready yet
+	learned    map[string]*lesson
+	recovered  bool
+	recoverBy  Instant
+	listedOnce bool // the workers were listed since the claim
 
 	book      ledger
 	lastTick  Instant
@@ -116,7 +117,7 @@
 	}
 	c.book = ledger{}
 	c.load = loadEstimate{}
-	c.recovered = false
+	c.recovered, c.listedOnce = false, false
 }
 
 // Owner reports whether this host owns the cell.
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -17,7 +17,7 @@
 	// whose owner commits nothing.
 	heartbeat = 500 * time.Millisecond
 	// maxRows and maxBytes bound a commit below the store's limits of 100 entries
-	// and 1 MB in base64.
+	// and 1 MB in base64. A job adds up to three rows to it, the head two.
 	maxRows  = 90
 	maxBytes = 500 << 10
 )
@@ -70,7 +70,7 @@
 	p := &pendingCommit{seq: b.seq}
 	effect := Commit{Seq: b.seq}
 	size := 0
-	for len(b.dirty) > 0 && len(effect.Puts) < maxRows && size < maxBytes {
+	for len(b.dirty) > 0 && effect.rows() < maxRows && size < maxBytes {
 		j := b.dirty[0]
 		b.dirty = b.dirty[1:]
 		rows := c.jobRows(j, p)
@@ -80,7 +80,7 @@
 		effect.Puts = append(effect.Puts, rows.puts...)
 		effect.Drops = append(effect.Drops, rows.drops...)
 	}
-	if n := min(len(b.drops), maxRows-len(effect.Puts)); n > 0 {
+	if n := min(len(b.drops), maxRows-effect.rows()); n > 0 {
 		effect.Drops = append(effect.Drops, b.drops[:n]...)
 		b.drops = b.drops[n:]
 	}
--- a/cell/effect.go
+++ b/cell/effect.go
@@ -15,6 +15,8 @@
 	Drops []Row
 }
 
+func (c *Commit) rows() int { return len(c.Puts) + len(c.Drops) }
+
 // Table names a kind of row.
 type Table int
 
--- a/cell/job.go
+++ b/cell/job.go
@@ -211,7 +211,7 @@
 			}
 			faults, saved = s.faults, s.checkpoint
 		}
-		if faults.Count > 0 {
+		if len(faults) > 0 {
 			if rec.Faults == nil {
 				rec.Faults = map[int]docket.Faults{}
 			}
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -7,6 +7,7 @@
 // listed takes the store's list of workers. A worker gets no work before a
 // successor would find it on the roster.
 func (c *Cell) listed(e Listed) {
+	c.listedOnce = true
 	present := make(map[string]bool, len(e.Workers))
 	for _, info := range e.Workers {
 		present[info.ID] = true
--- a/cell/run.go
+++ b/cell/run.go
@@ -380,8 +380,8 @@
 	if !faults.Add(n) || s.spec.LongRunning {
 		return
 	}
-	c.note("run failed", slog.String("task", t.name), slog.Uint64("run", n), slog.String("worker", w.ID), slog.Int("attempts", faults.Count))
-	if limit := s.job.Queue.MaxAttempts; limit > 0 && faults.Count >= limit {
+	c.note("run failed", slog.String("task", t.name), slog.Uint64("run", n), slog.String("worker", w.ID), slog.Int("attempts", len(*faults)))
+	if limit := s.job.Queue.MaxAttempts; limit > 0 && len(*faults) >= limit {
 		c.conclude(s.job, docket.Failed)
 		c.stopAll(s.job)
 	}
--- a/docket/progress.go
+++ b/docket/progress.go
@@ -1,6 +1,7 @@
 package docket
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,20 +48,17 @@
 	return p, nil
 }
 
-// Faults counts the failed runs of a task or, under index 0, of a gang. A run
-// number that is not higher than LastRun has been counted: workers repeat what
-// they list until it is acknowledged.
-type Faults struct {
-	Count   int    `cbor:"1,keyasint"`
-	LastRun uint64 `cbor:"2,keyasint"`
-}
+// Faults are the numbers of the failed runs of a task or, under index 0, of a
+// gang. Workers repeat what they list until it is acknowledged, and a new owner
+// hears of the same task's runs from several workers in any order, so a count
+// would not do.
+type Faults []uint64
 
-// Add counts a failed run and reports whether it is new.
+// Add notes a failed run and reports whether it is new.
 func (f *Faults) Add(run uint64) bool {
-	if run <= f.LastRun {
+	if slices.Contains(*f, run) {
 		return false
 	}
-	f.Count++
-	f.LastRun = run
+	*f = append(*f, run)
 	return true
 }
