--- a/cell/advice.go
+++ b/cell/advice.go
@@ -40,12 +40,12 @@
 type adviceState struct {
 	needed   bool
 	asking   bool
-	eligible map[string]bool // of the workers asked about; it never changes
-	tickets  map[string]ticket
+	eligible map[*worker]bool // of the workers asked about; it never changes
+	tickets  map[*worker]ticket
 }
 
 // knows reports whether w is known to be allowed to run the step.
-func (a *adviceState) knows(w *worker) bool { return !a.needed || a.eligible[w.ID] }
+func (a *adviceState) knows(w *worker) bool { return !a.needed || a.eligible[w] }
 
 // knowsAny reports whether the service has answered for this step.
 func (a *adviceState) knowsAny() bool { return !a.needed || len(a.eligible) > 0 }
@@ -55,7 +55,7 @@
 	if !a.needed {
 		return true
 	}
-	t, ok := a.tickets[w.ID]
+	t, ok := a.tickets[w]
 	return ok && now < t.until && t.born == w.Born
 }
 
@@ -64,49 +64,43 @@
 	return a.knows(w) && a.valid(w, now)
 }
 
-func (a *adviceState) ticket(worker string) string { return a.tickets[worker].text }
+func (a *adviceState) ticket(w *worker) string { return a.tickets[w].text }
 
 // ask asks about workers that have room for tasks of the step now.
-func (c *Cell) ask(p *round, s *step, tasks int) {
-	if s.advice.asking {
+func (c *Cell) ask(of *pool, s *step, tasks int) {
+	advice := s.job.Queue.Advice
+	if s.advice.asking || c.lane(advice, 1) == "" {
 		return
 	}
 	type option struct {
 		w      *worker
-		n      int
-		chance float64
+		expect float64 // tasks that may find a place there
 	}
-	advice := s.job.Queue.Advice
 	chance := c.lesson(s.job.Queue.Name).eligible
 	everyone := s.spec.Gang && advice.Decision >= heavyCall
 	var options []option
-	for _, w := range c.workers {
-		if !c.suits(s, w) || s.advice.valid(w, c.now.Steady) && !s.spec.Gang {
+	for _, sl := range of.slots {
+		if !s.spec.Gang && s.advice.valid(sl.w, c.now.Steady) || !sl.w.hasLabel(s.spec.Label) {
 			continue
 		}
-		good, known := s.advice.eligible[w.ID]
+		good, known := s.advice.eligible[sl.w]
 		if known && !good {
 			continue
 		}
-		n := room(s, w, p.free(w))
+		n := s.room(sl.w, sl.free)
 		if n == 0 && everyone {
-			n = min(1, room(s, w, w.Capacity))
+			n = min(1, s.room(sl.w, sl.w.Capacity))
 		}
 		if n == 0 {
 			continue
 		}
-		o := option{w, n, chance}
-		if known {
-			o.chance = 1
+		expect := float64(n)
+		if !known {
+			expect *= chance
 		}
-		options = append(options, o)
+		options = append(options, option{sl.w, expect})
 	}
-	slices.SortFunc(options, func(a, b option) int {
-		if d := cmp.Compare(float64(b.n)*b.chance, float64(a.n)*a.chance); d != 0 {
-			return d
-		}
-		return cmp.Compare(a.w.ID, b.w.ID)
-	})
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.expect, a.expect) })
 	var names []string
 	expected := 0.0
 	for _, o := range options {
@@ -116,23 +110,22 @@
 			break
 		}
 		names = append(names, o.w.ID)
-		expected += float64(o.n) * o.chance
+		expected += o.expect
 	}
-	if len(names) == 0 {
-		return
+	if len(names) > 0 {
+		c.call(s, names)
 	}
-	c.call(s, names)
 }
 
 // askMore asks about workers that a gang's earlier calls did not name.
-func (c *Cell) askMore(s *step) {
+func (c *Cell) askMore(of *pool, s *step) {
 	if s.advice.asking {
 		return
 	}
 	var names []string
-	for _, w := range c.workers {
-		if _, known := s.advice.eligible[w.ID]; !known && c.suits(s, w) && room(s, w, w.Capacity) > 0 {
-			names = append(names, w.ID)
+	for _, sl := range of.slots {
+		if _, known := s.advice.eligible[sl.w]; !known && sl.w.hasLabel(s.spec.Label) && s.room(sl.w, sl.w.Capacity) > 0 {
+			names = append(names, sl.w.ID)
 		}
 	}
 	if len(names) > 0 {
@@ -204,18 +197,21 @@
 		return
 	}
 	if s.advice.eligible == nil {
-		s.advice.eligible = map[string]bool{}
-		s.advice.tickets = map[string]ticket{}
+		s.advice.eligible = map[*worker]bool{}
+		s.advice.tickets = map[*worker]ticket{}
 	}
 	good := 0
 	for id, text := range e.Tickets {
-		s.advice.eligible[id] = text != ""
-		if text == "" {
+		w := c.workers[id]
+		if text != "" {
+			good++
+		}
+		if w == nil {
 			continue
 		}
-		good++
-		if w := c.workers[id]; w != nil {
-			s.advice.tickets[id] = ticket{text: text, until: c.now.Steady + e.Validity - ticketMargin, born: w.Born}
+		s.advice.eligible[w] = text != ""
+		if text != "" {
+			s.advice.tickets[w] = ticket{text: text, until: c.now.Steady + e.Validity - ticketMargin, born: w.Born}
 		}
 	}
 	c.learnEligible(s.job.Queue.Name, good, len(e.Tickets))
--- a/cell/job.go
+++ b/cell/job.go
@@ -99,17 +99,6 @@
 
 func (s *step) waiting() int { return s.left - s.active }
 
-// pending returns the tasks that have no run and are not done.
-func (s *step) pending() []*task {
-	var list []*task
-	for _, t := range s.tasks {
-		if !t.done && len(t.runs) == 0 {
-			list = append(list, t)
-		}
-	}
-	return list
-}
-
 // newJob builds the working state of a job with the given progress.
 func newJob(spec *docket.Job, p docket.Progress, firstRun uint64) *job {
 	j := &job{Job: spec, id: spec.ID, progress: p, shown: p.State}
--- a/cell/place.go
+++ b/cell/place.go
@@ -13,31 +13,76 @@
 	maxReserved = 0.35
 	// Penalties order workers for a task; the rest of the score is the share of
 	// the processor left unused, at most 1.
-	penaltyFaulted  = 4 // the task failed there before
-	penaltyOffRack  = 8 // its data is elsewhere, it takes longer
-	minLease        = 2 * leaseMargin
-	unlimitedWorker = 1 << 30
+	penaltyFaulted = 4 // the task failed there before
+	penaltyOffRack = 8 // its data is elsewhere, it takes longer
+	// minLease is the least time that a lease must have left for a start.
+	minLease = 2 * leaseMargin
+	// unlimited is the room for tasks that need nothing that is counted.
+	unlimited = 1 << 30
 )
 
+// slot is one usable worker during a round of placement.
+type slot struct {
+	w    *worker
+	free resource.Vector // room that nothing earlier in the order has or keeps
+}
+
 // round is one pass over what waits.
 type round struct {
-	reserved map[*worker]resource.Vector
-	kept     int64 // processors reserved, in thousandths
-	total    int64 // processors of all workers
+	pools map[string]*pool // by service
+	kept  int64            // processors reserved, in thousandths
+	total int64            // processors of all usable workers
+}
+
+// pool is the usable workers of one service.
+type pool struct {
+	slots []*slot
+	most  resource.Vector // no worker has more room in any dimension
+}
+
+// newRound takes stock of the workers.
+func (c *Cell) newRound() *round {
+	p := &round{pools: map[string]*pool{}}
+	for _, w := range c.workers {
+		if !w.usable(c.now.Steady) {
+			continue
+		}
+		of := p.pools[w.Service]
+		if of == nil {
+			of = &pool{}
+			p.pools[w.Service] = of
+		}
+		free := w.free()
+		of.slots = append(of.slots, &slot{w, free})
+		of.most = of.most.Max(free)
+		p.total += w.Capacity.MilliCPU
+	}
+	for _, of := range p.pools {
+		slices.SortFunc(of.slots, func(a, b *slot) int { return cmp.Compare(a.w.ID, b.w.ID) })
+	}
+	return p
 }
 
-// free returns the room on w that nobody earlier in the order has reserved.
-func (p *round) free(w *worker) resource.Vector {
-	free := w.free()
-	if kept, ok := p.reserved[w]; ok {
-		free = free.Sub(kept)
+// need returns what a task of the step takes from a worker's room.
+func (s *step) need() resource.Vector {
+	need := s.spec.Need
+	if s.spec.Fills {
+		need.MilliCPU = 0
 	}
-	return free
+	return need
 }
 
-func (p *round) reserve(w *worker, need resource.Vector) {
-	p.reserved[w] = p.reserved[w].Add(need)
-	p.kept += need.MilliCPU
+func (p *round) reserve(s *step, seats []seat) {
+	if float64(p.kept) > maxReserved*float64(p.total) {
+		return
+	}
+	need := s.need()
+	for _, seat := range seats {
+		for range seat.n {
+			seat.free = seat.free.Sub(need)
+			p.kept += need.MilliCPU
+		}
+	}
 }
 
 // place starts what can start, in order, and asks for advice where it is needed.
@@ -46,52 +91,45 @@
 		return
 	}
 	c.sortWaiting()
-	p := &round{reserved: map[*worker]resource.Vector{}}
-	for _, w := range c.workers {
-		p.total += w.Capacity.MilliCPU
-	}
+	p := c.newRound()
 	for _, s := range c.waiting {
-		if !c.mayStart(s) {
+		of := p.pools[s.job.Queue.Service]
+		if of == nil || !c.mayStart(s) {
 			continue
 		}
 		if s.spec.Gang {
-			c.placeGang(p, s)
+			c.placeGang(p, of, s)
 		} else {
-			c.placeTasks(p, s)
+			c.placeTasks(of, s)
 		}
 	}
 }
 
-// mayStart reports whether tasks of the step may be started at all now.
+// mayStart reports whether tasks of the step may be started, or asked about, at
+// all now.
 func (c *Cell) mayStart(s *step) bool {
-	if s.job.restored && !c.recovered {
+	if s.job.restored && !c.recovered || c.now.Steady < s.notBefore {
 		return false
 	}
-	return c.now.Steady >= s.notBefore && (s.job.stored || s.job.Queue.Advice != nil)
-}
-
-// suits reports whether a worker may run the step, room aside.
-func (c *Cell) suits(s *step, w *worker) bool {
-	return w.Service == s.job.Queue.Service && w.usable(c.now.Steady) && w.hasLabel(s.spec.Label)
+	return s.job.stored || s.advice.needed
 }
 
-// room returns how many tasks of the step fit into free on w.
-func room(s *step, w *worker, free resource.Vector) int {
-	n := unlimitedWorker
+// room returns how many tasks of the step fit on the worker.
+func (s *step) room(w *worker, free resource.Vector) int {
+	n := len(s.tasks)
 	fit := func(have, need int64) {
 		if need > 0 {
 			n = min(n, int(max(0, have)/need))
 		}
 	}
-	if !s.spec.Fills {
-		fit(free.MilliCPU, s.spec.Need.MilliCPU)
-	}
-	fit(free.MemoryMB, s.spec.Need.MemoryMB)
-	fit(free.Accelerators, s.spec.Need.Accelerators)
-	if limit := s.spec.MaxPerWorker; limit > 0 {
+	need := s.need()
+	fit(free.MilliCPU, need.MilliCPU)
+	fit(free.MemoryMB, need.MemoryMB)
+	fit(free.Accelerators, need.Accelerators)
+	if limit := s.spec.MaxPerWorker; limit > 0 && n > 0 {
 		n = min(n, limit-s.onWorker(w))
 	}
-	return min(max(0, n), len(s.tasks))
+	return max(0, n)
 }
 
 // onWorker counts the runs of the step on w.
@@ -106,54 +144,60 @@
 }
 
 // placeTasks starts tasks of a step one by one where there is room.
-func (c *Cell) placeTasks(p *round, s *step) {
+func (c *Cell) placeTasks(of *pool, s *step) {
+	need := s.need()
+	if !need.Fits(of.most) {
+		return // nothing has room, the usual case when the fleet is full
+	}
 	allowed := c.teamRoom(s)
 	if allowed == 0 {
 		return
 	}
-	pending := s.pending()
-	if len(pending) > allowed {
-		pending = pending[:allowed]
-	}
-	var candidates []*worker
-	for _, w := range c.workers {
-		if c.suits(s, w) && s.advice.allows(w, c.now.Steady) {
-			candidates = append(candidates, w)
+	var candidates []*slot
+	if s.job.stored {
+		for _, sl := range of.slots {
+			if need.Fits(sl.free) && s.advice.allows(sl.w, c.now.Steady) && sl.w.hasLabel(s.spec.Label) {
+				candidates = append(candidates, sl)
+			}
 		}
 	}
 	left := 0
-	for _, t := range pending {
-		w := c.best(p, s, t, candidates)
-		if w == nil || !s.job.stored {
+	for _, t := range s.tasks {
+		if t.done || len(t.runs) > 0 || allowed == 0 {
+			continue
+		}
+		allowed--
+		sl := c.best(s, t, candidates)
+		if sl == nil {
 			left++
 			continue
 		}
 		t.nextRun++
-		c.begin(t, w, t.nextRun)
+		c.begin(t, sl.w, t.nextRun)
+		sl.free = sl.free.Sub(need)
 	}
-	if left > 0 && s.job.Queue.Advice != nil {
-		c.ask(p, s, left)
+	if left > 0 && s.advice.needed {
+		c.ask(of, s, left)
 	}
 }
 
 // best returns the worker on which the task leaves least unused.
-func (c *Cell) best(p *round, s *step, t *task, candidates []*worker) *worker {
-	var best *worker
+func (c *Cell) best(s *step, t *task, candidates []*slot) *slot {
+	var best *slot
 	bestScore := 0.0
-	for _, w := range candidates {
-		free := p.free(w)
-		if room(s, w, free) == 0 {
+	for _, sl := range candidates {
+		if s.room(sl.w, sl.free) == 0 {
 			continue
 		}
-		score := float64(free.MilliCPU-s.spec.Need.MilliCPU) / float64(max(1, w.Capacity.MilliCPU))
-		if t.avoid[w.ID] {
+		score := float64(sl.free.MilliCPU-s.spec.Need.MilliCPU) / float64(max(1, sl.w.Capacity.MilliCPU))
+		if t.avoid[sl.w.ID] {
 			score += penaltyFaulted
 		}
-		if s.spec.Rack != "" && w.Rack != s.spec.Rack {
+		if s.spec.Rack != "" && sl.w.Rack != s.spec.Rack {
 			score += penaltyOffRack
 		}
-		if best == nil || score < bestScore || score == bestScore && w.ID < best.ID {
-			best, bestScore = w, score
+		if best == nil || score < bestScore {
+			best, bestScore = sl, score
 		}
 	}
 	return best
@@ -161,36 +205,36 @@
 
 // seat is a number of a gang's members on one worker.
 type seat struct {
-	w *worker
+	*slot
 	n int
 }
 
 // placeGang starts all members at once, or keeps room for them.
-func (c *Cell) placeGang(p *round, s *step) {
+func (c *Cell) placeGang(p *round, of *pool, s *step) {
 	if s.active > 0 || c.teamRoom(s) < len(s.tasks) {
 		return
 	}
-	if s.job.Queue.Advice != nil && !s.advice.knowsAny() {
-		c.ask(p, s, len(s.tasks))
+	if !s.advice.knowsAny() {
+		c.ask(of, s, len(s.tasks))
 		return
 	}
-	seats, complete := c.seatGang(p, s)
+	seats, complete := c.seatGang(of, s)
 	if !complete {
-		c.reserveFor(p, s, seats)
-		if s.job.Queue.Advice != nil {
-			c.askMore(s)
+		p.reserve(s, seats)
+		if s.advice.needed {
+			c.askMore(of, s)
 		}
 		return
 	}
 	for _, seat := range seats {
 		if !s.advice.valid(seat.w, c.now.Steady) {
-			c.reserveFor(p, s, seats)
+			p.reserve(s, seats)
 			c.renew(s, seats)
 			return
 		}
 	}
 	if !s.job.stored {
-		c.reserveFor(p, s, seats)
+		p.reserve(s, seats)
 		return
 	}
 	s.nextRun++
@@ -200,6 +244,7 @@
 			t := s.tasks[next]
 			t.nextRun = s.nextRun
 			c.begin(t, seat.w, s.nextRun)
+			seat.free = seat.free.Sub(s.need())
 			next++
 		}
 	}
@@ -207,24 +252,21 @@
 
 // seatGang divides the members over workers with room, few workers first. If
 // they do not all fit, it returns the seats that there are.
-func (c *Cell) seatGang(p *round, s *step) ([]seat, bool) {
+func (c *Cell) seatGang(of *pool, s *step) ([]seat, bool) {
 	var seats []seat
-	for _, w := range c.workers {
-		if !c.suits(s, w) || !s.advice.knows(w) {
+	for _, sl := range of.slots {
+		if !s.advice.knows(sl.w) || !sl.w.hasLabel(s.spec.Label) {
 			continue
 		}
-		if n := room(s, w, p.free(w)); n > 0 {
-			seats = append(seats, seat{w, n})
+		if n := s.room(sl.w, sl.free); n > 0 {
+			seats = append(seats, seat{sl, n})
 		}
 	}
-	slices.SortFunc(seats, func(a, b seat) int {
-		if d := cmp.Compare(c.offRack(s, a.w), c.offRack(s, b.w)); d != 0 {
+	slices.SortStableFunc(seats, func(a, b seat) int {
+		if d := cmp.Compare(s.distance(a.w), s.distance(b.w)); d != 0 {
 			return d
 		}
-		if d := cmp.Compare(b.n, a.n); d != 0 {
-			return d
-		}
-		return cmp.Compare(a.w.ID, b.w.ID)
+		return cmp.Compare(b.n, a.n)
 	})
 	if s.spec.RackLocal {
 		if one := singleRack(seats, len(s.tasks)); one != nil {
@@ -242,50 +284,35 @@
 	return seats, false
 }
 
-// offRack is 1 for a worker far from the step's data, or one on which a gang of
-// it has failed.
-func (c *Cell) offRack(s *step, w *worker) int {
-	penalty := 0
+// distance orders workers for a gang: those far from its data come last, then
+// those on which it has failed.
+func (s *step) distance(w *worker) int {
+	distance := 0
 	if s.spec.Rack != "" && w.Rack != s.spec.Rack {
-		penalty = 2
+		distance = 2
 	}
 	if s.tasks[0].avoid[w.ID] {
-		penalty++
+		distance++
 	}
-	return penalty
+	return distance
 }
 
 // singleRack returns the seats of one rack that holds the whole gang, if any.
 func singleRack(seats []seat, members int) []seat {
 	racks := map[string][]seat{}
-	for _, one := range seats {
-		racks[one.w.Rack] = append(racks[one.w.Rack], one)
-	}
+	total := map[string]int{}
 	var best []seat
-	for _, list := range racks {
-		total := 0
-		for _, one := range list {
-			total += one.n
-		}
-		if total >= members && (best == nil || len(list) < len(best)) {
-			best = list
+	for _, one := range seats {
+		rack := one.w.Rack
+		racks[rack] = append(racks[rack], one)
+		total[rack] += one.n
+		if total[rack] >= members && (best == nil || len(racks[rack]) < len(best)) {
+			best = racks[rack]
 		}
 	}
 	return best
 }
 
-// reserveFor keeps the room of the seats from steps later in the order.
-func (c *Cell) reserveFor(p *round, s *step, seats []seat) {
-	if float64(p.kept) > maxReserved*float64(p.total) {
-		return
-	}
-	for _, seat := range seats {
-		for range seat.n {
-			p.reserve(seat.w, s.spec.Need)
-		}
-	}
-}
-
 // teamRoom returns how many more tasks of the step the team's ceiling allows.
 func (c *Cell) teamRoom(s *step) int {
 	ceiling := c.policy[s.job.Team].Ceiling
--- a/cell/run.go
+++ b/cell/run.go
@@ -38,7 +38,7 @@
 	}
 	c.emit(Start{
 		Order: c.order(w), Task: t.name, Run: n, Spec: s.job.Spec, Checkpoint: checkpoint,
-		Ticket: s.advice.ticket(w.ID), LeaseUntil: w.lease(c.now.Steady, c.leaseLength()),
+		Ticket: s.advice.ticket(w), LeaseUntil: w.lease(c.now.Steady, c.leaseLength()),
 	})
 }
 
@@ -110,7 +110,7 @@
 	case NotSent:
 		w.failing = true
 	case BadTicket:
-		delete(r.task.step.advice.tickets, w.ID)
+		delete(r.task.step.advice.tickets, w)
 	case NoRoom:
 		w.pausedTo = c.now.Steady + lookRetry
 	case Superseded:
--- a/station/station.go
+++ b/station/station.go
@@ -34,7 +34,11 @@
 	// eventQueue bounds the events that wait for the cell's goroutine.
 	eventQueue = 4096
 	// pumpGap is the least time between two rounds of placement.
-	pumpGap = 4 * time.Millisecond
+	pumpGap = 5 * time.Millisecond
+	// pumpShare bounds the time that rounds take: after one, this many times its
+	// length passes before the next, so that callers are still answered when much
+	// waits.
+	pumpShare = 4
 	// idlePump is the time between rounds of placement when nothing happens.
 	idlePump = 20 * time.Millisecond
 )
@@ -154,7 +158,7 @@
 	waiters := map[uint64]chan cell.Answer{}
 	timer := time.NewTimer(idlePump)
 	defer timer.Stop()
-	pumped := s.Now()
+	next := s.Now() // round of placement
 	for {
 		select {
 		case event := <-s.events:
@@ -168,13 +172,14 @@
 			timer.Reset(time.Second)
 			continue
 		}
-		if now := s.Now(); now-pumped >= pumpGap {
-			pumped = now
-			s.apply(ctx, state, waiters, cell.Pump{})
-			timer.Reset(idlePump)
-		} else {
-			timer.Reset(pumpGap - (now - pumped))
+		now := s.Now()
+		if now < next {
+			timer.Reset(next - now)
+			continue
 		}
+		s.apply(ctx, state, waiters, cell.Pump{})
+		next = now + max(pumpGap, pumpShare*(s.Now()-now))
+		timer.Reset(max(idlePump, next-now))
 	}
 }
 
