--- a/cell/cell.go
+++ b/cell/cell.go
@@ -74,7 +74,8 @@
 	learned    map[string]*lesson
 	recovered  bool
 	recoverBy  Instant
-	listedOnce bool // the workers were listed since the claim
+	hidden     map[string]resource.Vector // what teams may have running unseen
+	listedOnce bool                       // the workers were listed since the claim
 
 	book      ledger
 	lastTick  Instant
--- /dev/null
+++ b/cell/cell_test.go
@@ -0,0 +1,138 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/docket"
+)
+
+// calm hands in a light mix.
+func (f *fleet) calm(from, to Instant) {
+	for at, i := from, 0; at < to; at, i = at+100*time.Millisecond, i+1 {
+		f.submit(at, lookup(fmt.Sprintf("aa%014x", i)))
+		if i%5 == 0 {
+			f.submit(at, quote(fmt.Sprintf("bb%014x", i)))
+		}
+		if i%20 == 0 {
+			f.submit(at, refret(fmt.Sprintf("cc%014x", i)))
+		}
+	}
+}
+
+func TestCalmDayIsServedWithinItsObjectives(t *testing.T) {
+	f := newFleet(t, 1, 48)
+	f.calm(2*time.Second, 12*time.Second)
+	f.run(60 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+	for id, j := range f.jobs {
+		require.True(t, j.accepted, "job %s", id)
+		require.Equal(t, docket.Completed, j.state)
+		require.LessOrEqual(t, j.endedAt-j.handedIn, time.Duration(j.spec.Queue.Slack*float64(longestChain(j.spec)))+j.spec.Queue.Target, id)
+	}
+}
+
+func TestNewOwnerCountsFailedRunsInAnyOrder(t *testing.T) {
+	spec := lookup("dd00000000000001")
+	spec.Steps[0].Count = 1
+	for _, order := range [][]uint64{{1, 2, 3}, {3, 2, 1}, {2, 3, 1}} {
+		c := New(Config{HoldMax: simHold, StatusFor: time.Minute})
+		clock := Clock{Steady: time.Hour, Wall: time.Unix(1, 0)}
+		refs := []WorkerRef{{ID: "w1"}, {ID: "w2"}, {ID: "w3"}}
+		c.Update(clock, Claimed{Token: 9, Previous: true, Workers: refs, Jobs: []Stored{{ID: spec.ID, Job: spec, Progress: &docket.Progress{}}}})
+		for _, n := range order {
+			c.Update(clock, Looked{Worker: fmt.Sprintf("w%d", n), Received: clock.Steady, Report: Report{
+				Ended: []EndedTask{{N: 1, Task: spec.ID + ".0.0.0", Run: n, How: Faulted}},
+			}})
+		}
+		require.Equal(t, docket.Failed, c.jobs[spec.ID].progress.State, "order %v", order)
+	}
+}
+
+func TestCommitStaysWithinTheStoresLimit(t *testing.T) {
+	f := newFleet(t, 1, 48)
+	// Far more ends at once than a transaction holds: each drops a row too.
+	for i := range 300 {
+		f.submit(2*time.Second, lookup(fmt.Sprintf("aa%014x", i)))
+	}
+	f.run(30 * time.Second)
+	f.requireSound() // the imitated store counts the entries
+	f.requireAllEnded()
+}
+
+func TestFaultsBreakNoRule(t *testing.T) {
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := newFleet(t, seed, 24)
+			f.teams["red"] = Team{Rate: 100, Ceiling: refret("").Steps[0].Need}
+			ceiling := f.teams["red"]
+			ceiling.Ceiling.MilliCPU, ceiling.Ceiling.MemoryMB = 300_000, 0
+			f.teams["red"] = ceiling
+			f.lateShare = 0.05
+			f.calm(2*time.Second, 14*time.Second)
+			f.at(time.Duration(3+seed%4)*time.Second, func() { f.kill(700 * time.Millisecond) })
+			f.at(9*time.Second, func() { f.kill(1200 * time.Millisecond) })
+			dark := f.workers[fmt.Sprintf("w%03d", seed%24)]
+			f.at(5*time.Second, func() { dark.dark = true })
+			f.at(11*time.Second, func() { dark.dark = false })
+			f.at(12*time.Second, func() { f.crash(f.workers["w020"]) })
+			f.at(10*time.Second, func() { f.storeDown = true })
+			f.at(13*time.Second, func() { f.storeDown = false })
+			f.run(90 * time.Second)
+			f.requireSound()
+			f.requireAllEnded()
+		})
+	}
+}
+
+func TestCutOffOwnerDoublesNothing(t *testing.T) {
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := newFleet(t, seed, 24)
+			f.lateShare = 0.03
+			f.calm(2*time.Second, 16*time.Second)
+			f.at(time.Duration(4000+700*seed%3000)*time.Millisecond, func() {
+				f.cutOwner(1500*time.Millisecond, time.Duration(5+seed%16)*time.Second)
+			})
+			f.run(90 * time.Second)
+			f.requireSound()
+			f.requireAllEnded()
+		})
+	}
+}
+
+// crash restarts a worker under its id: nothing runs, and its counts begin anew.
+func (f *fleet) crash(w *simWorker) {
+	for name, r := range w.runs {
+		delete(w.runs, name)
+		f.usedByTeam[f.jobs[r.task.Job].spec.Team] -= r.need.MilliCPU
+		if f.jobs[r.task.Job].spec.Steps[r.task.Step].Gang {
+			f.breakGang(r)
+		}
+	}
+	w.ended, w.n, w.token = nil, 0, 0
+	clear(w.barred)
+	w.info.Born++
+}
+
+func TestRoundOfPlacementIsCheapWhenTheFleetIsFull(t *testing.T) {
+	f := newFleet(t, 1, 48)
+	for i := range 400 {
+		f.submit(2*time.Second, quote(fmt.Sprintf("bb%014x", i)))
+	}
+	f.run(4 * time.Second)
+	rounds := 0
+	result := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			f.owner.place()
+			f.owner.effects = f.owner.effects[:0]
+			rounds++
+		}
+	})
+	// A twentieth of a processor for 200 rounds a second on 0.4 of a core.
+	require.Less(t, result.NsPerOp(), int64(time.Millisecond))
+}
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -32,6 +32,7 @@
 	dirty      []*job
 	drops      []Row
 	rosterOpen bool // the roster has to be written
+	wanted     bool // a confirmation of the ownership is waited for
 }
 
 // pendingCommit is what becomes true once a commit is confirmed.
@@ -61,12 +62,13 @@
 func (c *Cell) flush() {
 	b := &c.book
 	since := c.now.Steady - b.lastSent
-	due := len(b.dirty) > 0 || len(b.drops) > 0 || b.rosterOpen || c.ackable()
+	due := len(b.dirty) > 0 || len(b.drops) > 0 || b.rosterOpen || b.wanted || c.ackable()
 	if b.inFlight != nil || c.resigning || since < commitGap || !due && since < heartbeat {
 		return
 	}
 	b.seq++
 	b.lastSent = c.now.Steady
+	b.wanted = false
 	p := &pendingCommit{seq: b.seq}
 	effect := Commit{Seq: b.seq}
 	size := 0
--- a/cell/effect.go
+++ b/cell/effect.go
@@ -104,3 +104,6 @@
 	Text  string
 	Attrs []slog.Attr
 }
+
+// Abdicate says that another host owns the cell, as a worker has told.
+type Abdicate struct{}
--- /dev/null
+++ b/cell/fleet_test.go
@@ -0,0 +1,782 @@
+package cell
+
+import (
+	"container/heap"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/docket"
+	"github.com/cowslipgap/cowslipgap/resource"
+)
+
+// fleet drives cells against imitated workers, store and advice service on a
+// clock of its own, and checks from outside what must hold.
+type fleet struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     Instant
+	wall    time.Time
+	events  eventHeap
+	seq     int
+	workers map[string]*simWorker
+	owner   *Cell
+	store   simStore
+	lanes   map[string]Instant
+	jobs    map[string]*simJob
+	reply   uint64
+	replies map[uint64]func(Answer)
+	hosts   []string
+
+	teams      map[string]Team
+	usedByTeam map[string]int64 // processors, as truly at work
+	lateShare  float64          // of starts without an answer that are carried out late
+	storeDown  bool
+	storeless  map[*Cell]bool // owners that the store does not answer
+	violations []string
+	starts     int
+	wasted     float64 // core-seconds that were not the work of a task's last run
+}
+
+type simStore struct {
+	version   uint64
+	token     uint64 // of the owner
+	jobs      map[string]*docket.Job
+	progress  map[string]*docket.Progress
+	roster    []WorkerRef
+	attempted map[uint64]bool
+}
+
+type simJob struct {
+	spec      *docket.Job
+	actual    map[string]time.Duration // of each task on a worker of speed 1
+	faulty    bool                     // every run fails
+	handedIn  Instant
+	accepted  bool
+	refused   bool
+	endedAt   Instant
+	state     docket.State
+	cancelled bool
+	done      map[string]bool // tasks whose end was acknowledged
+	failed    map[string]int  // acknowledged failed runs
+}
+
+type simWorker struct {
+	info    WorkerInfo
+	speed   float64
+	token   uint64
+	runs    map[string]*simRun
+	ended   []EndedTask
+	n       uint64
+	barred  map[string]uint64 // highest run stopped or ended, by task
+	lease   Instant
+	dark    bool           // nothing reaches it
+	cutFrom map[*Cell]bool // owners that do not reach it
+	gone    bool
+	failing bool
+	look    func() // answers the look that waits
+}
+
+type simRun struct {
+	task   docket.TaskID
+	n      uint64
+	need   resource.Vector
+	work   time.Duration
+	since  Instant
+	waits  bool // for the other members of its gang
+	ended  bool
+	faulty bool
+}
+
+type event struct {
+	at  Instant
+	seq int
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+const (
+	simDelay    = time.Millisecond
+	simTxn      = 4 * time.Millisecond
+	simNoAnswer = 700 * time.Millisecond
+	simHold     = 6 * time.Second
+	simGangWait = 3 * time.Second
+	simPump     = 5 * time.Millisecond
+	simList     = 400 * time.Millisecond
+)
+
+func newFleet(t *testing.T, seed uint64, workers int) *fleet {
+	f := &fleet{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), wall: time.Unix(1_700_000_000, 0),
+		workers: map[string]*simWorker{}, lanes: map[string]Instant{}, jobs: map[string]*simJob{},
+		replies: map[uint64]func(Answer){}, hosts: []string{"a1", "a2", "b1", "b2", "c1", "c2"},
+		teams: map[string]Team{"blue": {Rate: 100}, "red": {Rate: 100}}, usedByTeam: map[string]int64{}, storeless: map[*Cell]bool{},
+	}
+	f.now = time.Second
+	f.store = simStore{jobs: map[string]*docket.Job{}, progress: map[string]*docket.Progress{}, version: 10}
+	speeds := []float64{0.8, 1, 1.25}
+	for i := range workers {
+		id := fmt.Sprintf("w%03d", i)
+		f.workers[id] = &simWorker{
+			info:  WorkerInfo{ID: id, Addr: id, Service: "s", Zone: "a", Rack: "r" + strconv.Itoa(i/8), Labels: []string{"k" + strconv.Itoa(i%2), "r" + strconv.Itoa(i/8)}, Capacity: resource.Vector{MilliCPU: 32000, MemoryMB: 65536}, Born: 1},
+			speed: speeds[i%3], runs: map[string]*simRun{}, barred: map[string]uint64{},
+		}
+	}
+	f.claim()
+	f.every(simPump, func() { f.update(Pump{}) })
+	f.every(simList, f.list)
+	return f
+}
+
+func (f *fleet) at(t Instant, do func()) {
+	f.seq++
+	heap.Push(&f.events, event{t, f.seq, do})
+}
+
+func (f *fleet) after(d time.Duration, do func()) { f.at(f.now+d, do) }
+
+func (f *fleet) every(d time.Duration, do func()) {
+	var again func()
+	again = func() {
+		do()
+		f.after(d, again)
+	}
+	f.after(d, again)
+}
+
+func (f *fleet) run(until Instant) {
+	for len(f.events) > 0 && f.events[0].at <= until {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = until
+}
+
+func (f *fleet) clock() Clock { return Clock{Steady: f.now, Wall: f.wall.Add(f.now)} }
+
+func (f *fleet) broken(rule, format string, args ...any) {
+	f.violations = append(f.violations, fmt.Sprintf("%.3f s %s: ", f.now.Seconds(), rule)+fmt.Sprintf(format, args...))
+}
+
+// claim makes a new owner, as a successor or for the first time.
+func (f *fleet) claim() {
+	f.store.version++
+	f.store.token = f.store.version
+	c := New(Config{HoldMax: simHold, StopTimeout: 200 * time.Millisecond, GangTimeout: simGangWait, StatusFor: 120 * time.Second})
+	previous := f.owner != nil
+	f.owner = c
+	claimed := Claimed{Token: f.store.token, Previous: previous, Workers: f.store.roster}
+	for id, p := range f.store.progress {
+		copied := *p
+		claimed.Jobs = append(claimed.Jobs, Stored{ID: id, Job: f.store.jobs[id], Progress: &copied})
+	}
+	f.send(c, Policy{Teams: f.teams, Services: map[string]Service{"s": {}}})
+	f.send(c, claimed)
+	f.send(c, Members{Hosts: f.hosts})
+	f.list()
+}
+
+func (f *fleet) list() {
+	if f.owner == nil || f.storeDown {
+		return
+	}
+	var infos []WorkerInfo
+	for _, w := range f.workers {
+		if !w.gone {
+			infos = append(infos, w.info)
+		}
+	}
+	slices.SortFunc(infos, func(a, b WorkerInfo) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	f.send(f.owner, Listed{Workers: infos})
+}
+
+func (f *fleet) update(event any) {
+	if f.owner != nil {
+		f.send(f.owner, event)
+	}
+}
+
+// send applies an event to a cell, which may be a deposed one, and performs the
+// effects.
+func (f *fleet) send(c *Cell, event any) {
+	for _, effect := range append([]any(nil), c.Update(f.clock(), event)...) {
+		f.perform(c, effect)
+	}
+}
+
+func (f *fleet) perform(c *Cell, effect any) {
+	switch e := effect.(type) {
+	case Commit:
+		f.commit(c, e, f.now)
+	case Answer:
+		if do := f.replies[e.Reply]; do != nil {
+			delete(f.replies, e.Reply)
+			do(e)
+		}
+	case Start:
+		f.after(simDelay, func() { f.start(c, e) })
+	case Stop:
+		f.after(simDelay, func() { f.stop(c, e) })
+	case Look:
+		sent := f.now
+		f.after(simDelay, func() { f.look(c, e, sent) })
+	case Ask:
+		f.ask(c, e)
+	}
+}
+
+// commit takes a transaction if its owner has not been replaced. With the store
+// down it is sent again until the store answers.
+func (f *fleet) commit(c *Cell, e Commit, sent Instant) {
+	f.after(simTxn, func() {
+		if f.storeDown || f.storeless[c] {
+			f.after(50*time.Millisecond, func() { f.commit(c, e, sent) })
+			return
+		}
+		if c.token != f.store.token || !c.owner {
+			f.send(c, Deposed{Reason: "claimed"})
+			return
+		}
+		f.store.version++
+		if rows := len(e.Puts) + len(e.Drops) + 2; rows > 100 {
+			f.broken("STORE", "%d entries in one transaction", rows)
+		}
+		for _, r := range e.Puts {
+			f.put(r)
+		}
+		for _, r := range e.Drops {
+			switch r.Table {
+			case Jobs:
+				delete(f.store.jobs, r.Key)
+			case Progress:
+				delete(f.store.progress, r.Key)
+			}
+		}
+		f.send(c, Committed{Seq: e.Seq, Sent: sent})
+	})
+}
+
+func (f *fleet) put(r Row) {
+	switch r.Table {
+	case Jobs:
+		j, err := docket.DecodeJob(r.Value)
+		require.NoError(f.t, err)
+		f.store.jobs[r.Key] = j
+	case Progress:
+		p, err := docket.DecodeProgress(r.Value)
+		require.NoError(f.t, err)
+		f.store.progress[r.Key] = p
+		if j := f.jobs[r.Key]; j != nil && p.State.Final() && j.endedAt == 0 {
+			j.endedAt, j.state = f.now, p.State
+			if p.State == docket.Completed && len(j.done) < j.tasks() && !j.allEnded(f) {
+				f.broken("MIXED", "%s is completed with tasks left", r.Key)
+			}
+		}
+	case Roster:
+		refs, err := DecodeRoster(r.Value)
+		require.NoError(f.t, err)
+		f.store.roster = refs
+	}
+}
+
+func (j *simJob) tasks() int {
+	n := 0
+	for i := range j.spec.Steps {
+		n += j.spec.Steps[i].Count
+	}
+	return n * j.spec.Occurrences()
+}
+
+// allEnded reports whether every task of the job has ended done on some worker.
+func (j *simJob) allEnded(f *fleet) bool {
+	done := map[string]bool{}
+	for name := range j.done {
+		done[name] = true
+	}
+	for _, w := range f.workers {
+		for _, e := range w.ended {
+			if e.How == Done {
+				done[e.Task] = true
+			}
+		}
+	}
+	return len(done) >= j.tasks()
+}
+
+func (w *simWorker) unreachable(c *Cell) bool { return w.gone || w.dark || w.cutFrom[c] }
+
+// start is the arrival of a start at its worker.
+func (f *fleet) start(c *Cell, e Start) {
+	w := f.workers[e.Worker]
+	answer := func(failure Failure) {
+		f.after(simDelay, func() {
+			f.send(c, Started{Worker: e.Worker, Task: e.Task, Run: e.Run, Received: f.now, Failure: failure, Clock: f.now})
+		})
+	}
+	if w == nil || w.unreachable(c) {
+		f.after(simNoAnswer, func() { answer(NoAnswer) })
+		return
+	}
+	if f.rng.Float64() < f.lateShare {
+		f.after(time.Duration(2+f.rng.IntN(10))*time.Second, func() { f.carryOut(w, e) })
+		f.after(simNoAnswer, func() { answer(NoAnswer) })
+		return
+	}
+	answer(f.carryOut(w, e))
+}
+
+// carryOut begins a run if the worker's rules allow it.
+func (f *fleet) carryOut(w *simWorker, e Start) Failure {
+	switch {
+	case w.gone || w.dark:
+		return NoAnswer
+	case e.Token < w.token:
+		return Fenced
+	case e.LeaseUntil < f.now:
+		return Expired
+	}
+	w.token = e.Token
+	if r := w.runs[e.Task]; r != nil && r.n == e.Run {
+		return None
+	}
+	if e.Run <= w.barred[e.Task] {
+		return Superseded
+	}
+	id, err := docket.ParseTaskID(e.Task)
+	require.NoError(f.t, err)
+	j := f.jobs[id.Job]
+	step := j.spec.Steps[id.Step]
+	r := &simRun{task: id, n: e.Run, need: step.Need, since: f.now, faulty: j.faulty || w.failing}
+	r.work = time.Duration(float64(j.actual[e.Task]) / w.speed)
+	f.checkStart(w, j, e, r)
+	w.runs[e.Task] = r
+	w.lease = max(w.lease, min(e.LeaseUntil, f.now+simHold))
+	f.usedByTeam[j.spec.Team] += r.need.MilliCPU
+	f.starts++
+	f.expireLater(w)
+	if step.Gang {
+		f.joinGang(w, r, step.Count)
+	} else {
+		f.after(r.work, func() { f.end(w, e.Task, r, r.outcome(), 0) })
+	}
+	return None
+}
+
+func (r *simRun) outcome() End {
+	if r.faulty {
+		return Faulted
+	}
+	return Done
+}
+
+// joinGang begins a gang's work once all members of a run are there.
+func (f *fleet) joinGang(w *simWorker, r *simRun, members int) {
+	r.waits = true
+	type place struct {
+		w *simWorker
+		r *simRun
+	}
+	var gang []place
+	work, faulty := time.Duration(0), false
+	for _, other := range f.workers {
+		for _, m := range other.runs {
+			if m.task.Job == r.task.Job && m.task.Step == r.task.Step && m.task.Occurrence == r.task.Occurrence && m.n == r.n {
+				gang = append(gang, place{other, m})
+				work, faulty = max(work, m.work), faulty || m.faulty
+			}
+		}
+	}
+	name := r.task.String()
+	if len(gang) < members {
+		f.after(simGangWait, func() {
+			if r.waits {
+				f.end(w, name, r, Alone, 0)
+			}
+		})
+		return
+	}
+	how := Done
+	if faulty {
+		how = Faulted
+	}
+	for _, m := range gang {
+		m.r.waits = false
+		f.after(work, func() { f.end(m.w, m.r.task.String(), m.r, how, 0) })
+	}
+}
+
+// checkStart records what a start breaks.
+func (f *fleet) checkStart(w *simWorker, j *simJob, e Start, r *simRun) {
+	step := j.spec.Steps[r.task.Step]
+	if !step.Speculative {
+		for _, other := range f.workers {
+			if m := other.runs[e.Task]; m != nil && !other.gone {
+				f.broken("TWICE", "%s run %d begins on %s while run %d is on %s", e.Task, e.Run, w.info.ID, m.n, other.info.ID)
+			}
+		}
+	}
+	if j.done[e.Task] {
+		f.broken("TWICE", "%s run %d begins after an acknowledged end", e.Task, e.Run)
+	}
+	used := r.need
+	for _, m := range w.runs {
+		used = used.Add(m.need)
+	}
+	if !used.Fits(w.info.Capacity) {
+		f.broken("LIMIT", "%s on %s: %v of %v", e.Task, w.info.ID, used, w.info.Capacity)
+	}
+	if ceiling := f.teams[j.spec.Team].Ceiling.MilliCPU; ceiling > 0 && f.usedByTeam[j.spec.Team]+r.need.MilliCPU > ceiling {
+		f.broken("QUOTA", "%s has %d of %d", j.spec.Team, f.usedByTeam[j.spec.Team]+r.need.MilliCPU, ceiling)
+	}
+	if limit := j.spec.Queue.MaxAttempts; j.failed[e.Task] >= limit {
+		f.broken("BUDGET", "%s begins after %d failed runs", e.Task, j.failed[e.Task])
+	}
+	if !j.accepted && j.refused {
+		f.broken("REFUSED", "%s begins", e.Task)
+	}
+	if limit := step.MaxPerWorker; limit > 0 {
+		n := 1
+		for _, m := range w.runs {
+			if m.task.Job == r.task.Job && m.task.Step == r.task.Step {
+				n++
+			}
+		}
+		if n > limit {
+			f.broken("ROUTE", "%s: %d of its step on %s", e.Task, n, w.info.ID)
+		}
+	}
+	if e.Spec != j.spec.Spec {
+		f.broken("UNASKED", "%s has another spec", e.Task)
+	}
+}
+
+// end ends a run on its worker, if it is still that run.
+func (f *fleet) end(w *simWorker, name string, r *simRun, how End, _ int) {
+	if w.runs[name] != r || w.gone {
+		return
+	}
+	delete(w.runs, name)
+	j := f.jobs[r.task.Job]
+	f.usedByTeam[j.spec.Team] -= r.need.MilliCPU
+	if how != Done {
+		f.wasted += (f.now - r.since).Seconds() * float64(r.need.MilliCPU) / 1000
+	}
+	w.n++
+	w.barred[name] = max(w.barred[name], r.n)
+	w.ended = append(w.ended, EndedTask{N: w.n, Task: name, Run: r.n, How: how})
+	if step := j.spec.Steps[r.task.Step]; step.Gang && how != Done && how != Broken {
+		f.breakGang(r)
+	}
+	if w.look != nil {
+		look := w.look
+		w.look = nil
+		look()
+	}
+}
+
+// breakGang ends the other members of a gang's run.
+func (f *fleet) breakGang(r *simRun) {
+	for _, other := range f.workers {
+		for name, m := range other.runs {
+			if m.task.Job == r.task.Job && m.task.Step == r.task.Step && m.n == r.n {
+				f.end(other, name, m, Broken, 0)
+			}
+		}
+	}
+}
+
+// expireLater kills what runs on a worker when its lease runs out.
+func (f *fleet) expireLater(w *simWorker) {
+	f.at(w.lease+time.Millisecond, func() {
+		if f.now <= w.lease {
+			f.expireLater(w)
+			return
+		}
+		for name, r := range w.runs {
+			f.end(w, name, r, Lapsed, 0)
+		}
+	})
+}
+
+func (f *fleet) stop(c *Cell, e Stop) {
+	w := f.workers[e.Worker]
+	answer := func(failure Failure) {
+		f.after(simDelay, func() {
+			f.send(c, StopDone{Worker: e.Worker, Task: e.Task, Run: e.Run, Received: f.now, Failure: failure})
+		})
+	}
+	switch {
+	case w == nil || w.unreachable(c):
+		f.after(simNoAnswer, func() { answer(NoAnswer) })
+	case e.Token < w.token:
+		answer(Fenced)
+	default:
+		w.token = e.Token
+		w.barred[e.Task] = max(w.barred[e.Task], e.Run)
+		if r := w.runs[e.Task]; r != nil && r.n == e.Run {
+			f.after(100*time.Millisecond, func() { f.end(w, e.Task, r, Stopped, 0) })
+		}
+		answer(None)
+	}
+}
+
+func (f *fleet) look(c *Cell, e Look, sent Instant) {
+	w := f.workers[e.Worker]
+	fail := func(failure Failure) {
+		f.after(simDelay, func() {
+			f.send(c, Looked{Worker: e.Worker, Sent: sent, Received: f.now, Failure: failure})
+		})
+	}
+	switch {
+	case w == nil || w.unreachable(c):
+		f.after(simNoAnswer, func() { fail(NoAnswer) })
+		return
+	case e.Token < w.token:
+		fail(Fenced)
+		return
+	}
+	w.token = e.Token
+	if e.LeaseUntil > 0 {
+		w.lease = max(w.lease, min(e.LeaseUntil, f.now+simHold))
+	}
+	f.acknowledge(w, e.Ack)
+	answered := false
+	answer := func() {
+		if answered || w.unreachable(c) {
+			return
+		}
+		answered = true
+		report := Report{Born: w.info.Born, Clock: f.now, Ended: slices.Clone(w.ended)}
+		for name, r := range w.runs {
+			percent := 0
+			if !r.waits && r.work > 0 {
+				percent = int(100 * (f.now - r.since) / r.work)
+			}
+			report.Running = append(report.Running, RunningTask{Task: name, Run: r.n, Percent: percent})
+		}
+		f.after(simDelay, func() {
+			f.send(c, Looked{Worker: e.Worker, Sent: sent, Received: f.now, Report: report})
+		})
+	}
+	if e.Wait == 0 || len(w.ended) > 0 {
+		answer()
+		return
+	}
+	w.look = answer
+	f.after(e.Wait, func() {
+		if answered {
+			return
+		}
+		if w.unreachable(c) {
+			answered = true
+			fail(NoAnswer)
+			return
+		}
+		answer()
+	})
+}
+
+// acknowledge forgets ends, and remembers what they mean from then on.
+func (f *fleet) acknowledge(w *simWorker, upTo uint64) {
+	kept := w.ended[:0]
+	for _, e := range w.ended {
+		if e.N > upTo {
+			kept = append(kept, e)
+			continue
+		}
+		id, err := docket.ParseTaskID(e.Task)
+		require.NoError(f.t, err)
+		j := f.jobs[id.Job]
+		switch e.How {
+		case Done:
+			j.done[e.Task] = true
+			if j.spec.Steps[id.Step].Gang {
+				for i := range j.spec.Steps[id.Step].Count {
+					id.Index = i
+					j.done[id.String()] = true
+				}
+			}
+		case Faulted:
+			j.failed[e.Task]++
+		}
+	}
+	w.ended = kept
+}
+
+// ask answers a call for advice after its time in the host's lane.
+func (f *fleet) ask(c *Cell, e Ask) {
+	id, err := docket.ParseTaskID(e.Step + ".0")
+	require.NoError(f.t, err)
+	advice := f.jobs[id.Job].spec.Queue.Advice
+	begin := max(f.lanes[e.Host], f.now+simDelay)
+	done := begin + advice.Decision + time.Duration(len(e.Workers))*advice.PerWorker
+	f.lanes[e.Host] = done
+	f.at(done+simDelay, func() {
+		tickets := map[string]string{}
+		for _, id := range e.Workers {
+			h := fnv.New32a()
+			_, _ = h.Write([]byte(e.Step + id))
+			tickets[id] = ""
+			if h.Sum32()%100 < 45 {
+				tickets[id] = "t"
+			}
+		}
+		f.send(c, Advised{Host: e.Host, Step: e.Step, Tickets: tickets, Validity: advice.Validity})
+	})
+}
+
+// submit hands a job in at a time; a caller that is refused does not return.
+func (f *fleet) submit(at Instant, spec *docket.Job) *simJob {
+	j := &simJob{spec: spec, actual: map[string]time.Duration{}, done: map[string]bool{}, failed: map[string]int{}}
+	for n := range spec.Steps {
+		for i := range spec.Steps[n].Count {
+			for k := range spec.Occurrences() {
+				id := docket.TaskID{Job: spec.ID, Occurrence: k, Step: n, Index: i}
+				j.actual[id.String()] = time.Duration(float64(spec.Steps[n].Estimate) * (0.85 + 0.3*f.rng.Float64()))
+			}
+		}
+	}
+	f.jobs[spec.ID] = j
+	f.at(at, func() { f.handIn(j) })
+	return j
+}
+
+func (f *fleet) handIn(j *simJob) {
+	if j.handedIn == 0 {
+		j.handedIn = f.now
+	}
+	if f.owner == nil {
+		f.after(50*time.Millisecond, func() { f.handIn(j) })
+		return
+	}
+	f.reply++
+	f.replies[f.reply] = func(a Answer) {
+		switch a.Verdict {
+		case Accepted:
+			j.accepted = true
+			if f.store.progress[j.spec.ID] == nil {
+				f.broken("LOST", "%s is accepted and not stored", j.spec.ID)
+			}
+		case Refused:
+			j.refused = true
+		default:
+			f.after(50*time.Millisecond, func() { f.handIn(j) })
+		}
+	}
+	f.update(Submit{Reply: f.reply, Job: j.spec})
+}
+
+// kill ends the owner's process; a successor claims after the delay.
+func (f *fleet) kill(delay time.Duration) {
+	f.owner = nil
+	f.replies = map[uint64]func(Answer){}
+	for _, j := range f.jobs {
+		if j.handedIn > 0 && !j.accepted && !j.refused {
+			f.after(delay, func() { f.handIn(j) })
+		}
+	}
+	f.after(delay, f.claim2)
+}
+
+// cutOwner cuts the owner off from the store and half of the workers off from
+// its successor, which claims after the delay. The old owner goes on.
+func (f *fleet) cutOwner(delay, length time.Duration) {
+	old := f.owner
+	f.storeless[old] = true
+	for _, j := range f.jobs {
+		if j.handedIn > 0 && !j.accepted && !j.refused {
+			f.after(delay, func() { f.handIn(j) })
+		}
+	}
+	f.every(simPump, func() { f.send(old, Pump{}) })
+	f.after(delay, func() {
+		f.claim2()
+		for id, w := range f.workers {
+			if id[len(id)-1]%2 == 0 {
+				w.cutFrom = map[*Cell]bool{f.owner: true}
+			}
+		}
+	})
+	f.after(length, func() {
+		delete(f.storeless, old)
+		for _, w := range f.workers {
+			w.cutFrom = nil
+		}
+	})
+}
+
+// claim2 is claim by a successor.
+func (f *fleet) claim2() {
+	f.owner = New(Config{})
+	f.claim()
+}
+
+func (f *fleet) requireSound() {
+	f.t.Helper()
+	require.Empty(f.t, f.violations)
+}
+
+// requireAllEnded checks that every accepted job has ended.
+func (f *fleet) requireAllEnded() {
+	f.t.Helper()
+	for id, j := range f.jobs {
+		if j.accepted {
+			require.NotZero(f.t, j.endedAt, "job %s was accepted and has not ended", id)
+		}
+	}
+}
+
+// Job kinds like those of the users: small lookups, patient quotes of many
+// tasks, and wide gangs.
+func lookup(id string) *docket.Job {
+	return &docket.Job{
+		ID: id, Team: "blue", Spec: "check " + id,
+		Queue: docket.Queue{Name: "lookup", Service: "s", Priority: 0, MaxAttempts: 3, Slack: 1.5, Target: 250 * time.Millisecond, Advice: &docket.Advice{Decision: 6 * time.Millisecond, PerWorker: 80 * time.Microsecond, Validity: 1500 * time.Millisecond}},
+		Steps: []docket.Step{{Count: 2, Need: resource.Vector{MilliCPU: 2800, MemoryMB: 5200}, Estimate: 640 * time.Millisecond}},
+	}
+}
+
+func quote(id string) *docket.Job {
+	return &docket.Job{
+		ID: id, Team: "red", Spec: "quote " + id,
+		Queue: docket.Queue{Name: "quote", Service: "s", Priority: 2, MaxAttempts: 3, Slack: 4, Target: 3 * time.Second, Advice: &docket.Advice{Decision: 42 * time.Millisecond, PerWorker: 600 * time.Microsecond, Validity: 1500 * time.Millisecond}},
+		Steps: []docket.Step{
+			{Count: 10, Need: resource.Vector{MilliCPU: 2000, MemoryMB: 2000}, Estimate: 2200 * time.Millisecond, Checkpointing: true, MaxPerWorker: 4},
+			{Count: 4, Need: resource.Vector{MilliCPU: 2000, MemoryMB: 2000}, Estimate: 1200 * time.Millisecond, After: []int{0}},
+		},
+	}
+}
+
+func refret(id string) *docket.Job {
+	return &docket.Job{
+		ID: id, Team: "red", Spec: "refret " + id,
+		Queue: docket.Queue{Name: "refret", Service: "s", Priority: 1, MaxAttempts: 3, Slack: 2.2, Target: time.Second, Advice: &docket.Advice{Decision: 480 * time.Millisecond, PerWorker: 6900 * time.Microsecond, Validity: 1500 * time.Millisecond}},
+		Steps: []docket.Step{{Count: 8, Gang: true, Need: resource.Vector{MilliCPU: 9000, MemoryMB: 17000}, Estimate: 6200 * time.Millisecond, Checkpointing: true}},
+	}
+}
--- a/cell/job.go
+++ b/cell/job.go
@@ -53,11 +53,12 @@
 	faults     docket.Faults // of a gang
 	checkpoint string        // of a gang
 
-	advice     adviceState
-	notBefore  Instant // pause after a refusal
-	latestAt   Instant // start by then to meet the objective
-	rank       int
-	blockedFor Instant // since when it waits for room
+	advice       adviceState
+	notBefore    Instant // pause after a refusal
+	confirmAfter Instant // start again only if a commit sent since is confirmed
+	latestAt     Instant // start by then to meet the objective
+	rank         int
+	blockedFor   Instant // since when it waits for room
 }
 
 // task is one task of a step.
--- a/cell/place.go
+++ b/cell/place.go
@@ -91,6 +91,7 @@
 		return
 	}
 	c.sortWaiting()
+	c.hidden = c.hiddenUse()
 	p := c.newRound()
 	for _, s := range c.waiting {
 		of := p.pools[s.job.Queue.Service]
@@ -108,7 +109,7 @@
 // mayStart reports whether tasks of the step may be started, or asked about, at
 // all now.
 func (c *Cell) mayStart(s *step) bool {
-	if s.job.restored && !c.recovered || c.now.Steady < s.notBefore {
+	if s.job.restored && !c.recovered || c.now.Steady < s.notBefore || c.book.confirmed < s.confirmAfter {
 		return false
 	}
 	return s.job.stored || s.advice.needed
@@ -316,7 +317,7 @@
 // teamRoom returns how many more tasks of the step the team's ceiling allows.
 func (c *Cell) teamRoom(s *step) int {
 	ceiling := c.policy[s.job.Team].Ceiling
-	used := c.team(s.job.Team).used
+	used := c.team(s.job.Team).used.Add(c.hidden[s.job.Team])
 	n := len(s.tasks)
 	fit := func(limit, have, need int64) {
 		if limit > 0 && need > 0 {
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/docket"
+	"github.com/cowslipgap/cowslipgap/resource"
 )
 
 // runsPerClaim is the room for run numbers between two claims: run numbers rise
@@ -75,6 +76,43 @@
 	c.note("recovery complete", slog.Uint64("token", c.token), slog.Int("workers", len(c.workers)))
 }
 
+// hiddenUse returns what each team may have running, started by a predecessor, on
+// workers that have not answered yet: no more than those workers hold, and no
+// more than the team's earlier tasks that have not been found.
+func (c *Cell) hiddenUse() map[string]resource.Vector {
+	if c.recovered {
+		return nil
+	}
+	room := resource.Vector{}
+	for _, w := range c.workers {
+		if w.onRoster && !w.synced {
+			if w.Capacity == (resource.Vector{}) {
+				room.MilliCPU, room.MemoryMB, room.Accelerators = unlimited, unlimited, unlimited
+			}
+			room = room.Add(w.Capacity)
+		}
+	}
+	hidden := map[string]resource.Vector{}
+	for _, j := range c.jobs {
+		if j.Job == nil || !j.restored {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				for range s.left - s.active {
+					hidden[j.Team] = hidden[j.Team].Add(s.spec.Need)
+				}
+			}
+		}
+	}
+	for team, use := range hidden {
+		hidden[team] = resource.Vector{
+			MilliCPU: min(use.MilliCPU, room.MilliCPU), MemoryMB: min(use.MemoryMB, room.MemoryMB), Accelerators: min(use.Accelerators, room.Accelerators),
+		}
+	}
+	return hidden
+}
+
 // depose ends the claim. Callers are sent to the next owner, who knows from the
 // store what was accepted.
 func (c *Cell) depose(reason string) {
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -53,8 +53,7 @@
 		if w.failing && expired && len(w.runs) > 0 && now-w.answered > silentAfter*2 {
 			c.note("leases ran out", slog.String("worker", id), slog.Int("runs", len(w.runs)), slog.Duration("silent", now-w.answered))
 			for _, r := range w.runs {
-				c.drop(r)
-				c.abortGang(r.task.step, r.n)
+				c.dropLost(r)
 			}
 		}
 		if !w.listed && len(w.runs) == 0 && expired && (w.failing || w.synced) {
--- a/cell/run.go
+++ b/cell/run.go
@@ -63,6 +63,13 @@
 	c.queue(t.step)
 }
 
+// dropLost forgets a run that was lost with its worker.
+func (c *Cell) dropLost(r *run) {
+	c.drop(r)
+	c.retryLater(r.task.step)
+	c.abortGang(r.task.step, r.n)
+}
+
 // queue puts a step among those that wait, if it has tasks to start.
 func (c *Cell) queue(s *step) {
 	if !s.ready || s.done || s.queued || s.job.Job == nil || s.job.progress.State.Final() {
@@ -103,8 +110,10 @@
 		return
 	case Fenced:
 		c.fenced(w)
+		return
 	case OtherLife:
 		c.loseWorker(w, "another worker answers at its address")
+		return
 	case Unhealthy:
 		w.pausedTo = c.now.Steady + unhealthyPause
 	case NotSent:
@@ -122,12 +131,21 @@
 	c.abortGang(r.task.step, r.n)
 }
 
-// fenced notes that a worker has seen a higher token. The store decides whether
-// this host still owns the cell; until the next commit the worker is left alone.
+// fenced ends the claim: a worker has seen a higher token, and only a later
+// claim has one.
 func (c *Cell) fenced(w *worker) {
 	c.note("worker has seen a higher token", slog.String("worker", w.ID), slog.Uint64("token", c.token))
-	w.failing = true
-	w.pausedTo = c.now.Steady + unhealthyPause
+	c.depose("fenced")
+	c.emit(Abdicate{})
+}
+
+// retryLater keeps a step whose run has ended otherwise than done from starting
+// again before a commit that is sent from now on is confirmed. Until then a
+// successor may have found the same run, or what became of it, and started the
+// task elsewhere.
+func (c *Cell) retryLater(s *step) {
+	s.confirmAfter = c.now.Steady
+	c.book.wanted = true
 }
 
 // nowActive shows a job as active once a task of it has begun.
@@ -291,6 +309,9 @@
 	default:
 		t.nextRun = max(t.nextRun, end.Run)
 	}
+	if end.How != Done {
+		c.retryLater(s)
+	}
 	c.touch(s.job)
 }
 
@@ -441,10 +462,10 @@
 	switch {
 	case r.stopAcked > 0 && asked > r.stopAcked:
 		c.drop(r) // it has not begun and is forbidden, or its end was acknowledged
+		c.retryLater(r.task.step)
 	case r.state == running && asked > r.confirmed:
 		c.note("run vanished", slog.String("task", r.task.name), slog.Uint64("run", r.n), slog.String("worker", r.w.ID))
-		c.drop(r)
-		c.abortGang(r.task.step, r.n)
+		c.dropLost(r)
 	case r.state == unsettled && r.stopAcked == 0 && asked > r.sent:
 		c.halt(r)
 	}
@@ -495,8 +516,7 @@
 		if r.state != running && r.state != stopping {
 			continue // the order may have reached the new life
 		}
-		c.drop(r)
-		c.abortGang(r.task.step, r.n)
+		c.dropLost(r)
 	}
 }
 
@@ -504,8 +524,7 @@
 func (c *Cell) loseWorker(w *worker, why string) {
 	c.note("worker lost", slog.String("worker", w.ID), slog.String("why", why), slog.Int("runs", len(w.runs)))
 	for _, r := range w.runs {
-		c.drop(r)
-		c.abortGang(r.task.step, r.n)
+		c.dropLost(r)
 	}
 	delete(c.workers, w.ID)
 	c.book.rosterOpen = true
--- a/station/call.go
+++ b/station/call.go
@@ -32,7 +32,7 @@
 	Name    string        `cbor:"2,keyasint,omitempty"`
 	Addr    string        `cbor:"3,keyasint,omitempty"`
 	Job     *docket.Job   `cbor:"4,keyasint,omitempty"`
-	ID      string        `cbor:"5,keyasint,omitempty"` // of a job; the queue for a count; the step for advice
+	ID      string        `cbor:"5,keyasint,omitempty"` // of a job; the queue for a count; the step for advice; the session that offers the cell
 	Workers []string      `cbor:"6,keyasint,omitempty"`
 	Relayed bool          `cbor:"7,keyasint,omitempty"` // do not pass it on
 	Left    time.Duration `cbor:"8,keyasint,omitempty"` // time until the caller stops waiting
@@ -66,7 +66,7 @@
 	case kindProbe:
 		return reply{}
 	case kindTake:
-		return s.asked(ctx)
+		return s.asked(ctx, r.ID)
 	case kindAdvise:
 		return reply{Advice: s.Advise(ctx, r.ID, r.Workers)}
 	}
@@ -91,13 +91,16 @@
 	return out
 }
 
-// asked takes a vacant cell for a host that gives it up.
-func (s *Station) asked(ctx context.Context) reply {
-	if s.leaving.Load() || s.Rules() == nil {
+// asked takes a cell that is vacant, or whose owner, the session given, cannot
+// write to the store while this host can.
+func (s *Station) asked(ctx context.Context, session string) reply {
+	if s.leaving.Load() || s.Rules() == nil || s.lead.owns() {
 		return reply{}
 	}
+	ctx, cancel := context.WithTimeout(ctx, storePrompt)
 	head, err := s.ReadHead(ctx)
-	if err == nil && head.Vacant && !s.lead.owns() {
+	cancel()
+	if err == nil && (head.Vacant || session != "" && head.Session == session) {
 		s.claim(context.WithoutCancel(ctx), head)
 	}
 	return reply{Owner: s.lead.owns()}
--- a/station/lead.go
+++ b/station/lead.go
@@ -29,6 +29,11 @@
 	// aloneFor is for how long an owner that had company may hear from no other
 	// host before it looks for them.
 	aloneFor = 1500 * time.Millisecond
+	// handOverAfter is the age of an owner's last confirmed commit from which on
+	// it asks hosts that reach the store to take the cell.
+	handOverAfter = 800 * time.Millisecond
+	// storePrompt is the longest time that a working store takes for a read.
+	storePrompt = 150 * time.Millisecond
 	// claimStagger is the delay between candidates, so that they seldom collide.
 	claimStagger = 60 * time.Millisecond
 	// reclaimDelay keeps a host that gave the cell up from taking it back before
@@ -218,6 +223,12 @@
 		s.Log.Info("entry hosts", "present", hosts)
 		s.post(ctx, cell.Members{Hosts: hosts})
 	}
+	s.lead.mu.Lock()
+	age := s.Now() - s.lead.confirmedAt
+	s.lead.mu.Unlock()
+	if age > handOverAfter {
+		s.offer(ctx, true)
+	}
 	if k.company && s.Now()-k.heard > aloneFor && s.cutOff(ctx) {
 		s.Log.Warn("no other entry host can be reached", "silent", s.Now()-k.heard)
 		k.company = false
@@ -273,12 +284,23 @@
 	if !vacant {
 		return
 	}
+	s.offer(ctx, false)
+}
+
+// offer asks the other hosts, one after the other, to take the cell: one that is
+// vacant, or that this host owns and cannot write for.
+func (s *Station) offer(ctx context.Context, owned bool) {
 	for name, addr := range s.lead.others() {
 		if name == s.Name {
 			continue
 		}
-		reply, err := s.callPeer(ctx, addr, request{Kind: kindTake}, greetTimeout)
+		r := request{Kind: kindTake}
+		if owned {
+			r.ID = s.Session
+		}
+		reply, err := s.callPeer(ctx, addr, r, greetTimeout)
 		if err == nil && reply.Owner {
+			s.Log.Info("cell handed over", "to", name, "owned", owned)
 			return
 		}
 	}
@@ -402,9 +424,18 @@
 	s.post(ctx, cell.Members{Hosts: []string{s.Name}})
 }
 
-// deposed notes that another host owns the cell.
-func (s *Station) deposed(ctx context.Context, head HeadRow) {
+// deposed notes that the claim with the given token is over. A later claim of
+// this host stands.
+func (s *Station) deposed(ctx context.Context, token uint64, head HeadRow) {
+	s.lead.mu.Lock()
+	current := s.lead.own && s.lead.owner.Token == token
+	if current {
+		s.lead.owner, s.lead.own = head, false
+	}
+	s.lead.mu.Unlock()
+	if !current {
+		return
+	}
 	s.Counts.Deposals.Add(1)
-	s.lead.setOwner(head, false)
 	s.post(ctx, cell.Deposed{Reason: "claimed by " + head.Name})
 }
--- a/station/perform.go
+++ b/station/perform.go
@@ -53,6 +53,8 @@
 	case cell.Ask:
 		s.Counts.Advice.Add(1)
 		go s.sendAsk(ctx, e)
+	case cell.Abdicate:
+		s.lead.setOwner(HeadRow{}, false)
 	case cell.Note:
 		s.Log.LogAttrs(ctx, e.Level, e.Text, e.Attrs...)
 	default:
@@ -146,7 +148,7 @@
 		case stands.Session == s.Session && stands.Seq == commit.Seq && stands.Token == head.Token:
 			version = stands.Version // an earlier sending took effect
 		default:
-			s.deposed(ctx, *stands)
+			s.deposed(ctx, head.Token, *stands)
 			return
 		}
 		s.lead.confirmed(s, version, sent)
