--- a/cell/admission.go
+++ b/cell/admission.go
@@ -24,10 +24,22 @@
 	maxTasks = 20_000
 )
 
-// loadEstimate is how much accepted work is left, in core-seconds.
+// demand is accepted work that is not done.
+type demand struct {
+	work  float64 // core-seconds left
+	cores float64 // that it would take now if it could
+}
+
+func (d *demand) add(other demand) {
+	d.work += other.work
+	d.cores += other.cores
+}
+
+// loadEstimate is the demand on the fleet. Running work is counted apart: it
+// keeps its room whatever its rank.
 type loadEstimate struct {
-	byRank   map[int]float64
-	byTeam   map[teamRank]float64
+	running  map[string]demand // by team
+	waiting  map[teamRank]demand
 	capacity map[string]float64 // cores, by service
 }
 
@@ -84,7 +96,8 @@
 	if c.listedOnce && capacity == 0 {
 		return "the service has no workers", spread(spec.ID, minRetry)
 	}
-	chain := longestChain(spec)
+	lesson := c.lesson(spec.Queue.Name)
+	chain := lesson.actual(longestChain(spec))
 	slack := time.Duration((spec.Queue.Slack-1)*float64(chain)) + spec.Queue.Target
 	if spec.Queue.Advice != nil {
 		slack -= spec.Queue.Advice.Decision + adviceWorkers*spec.Queue.Advice.PerWorker
@@ -96,28 +109,53 @@
 	return "", 0
 }
 
-// expectedWait estimates for how long a job would wait behind what was accepted.
+// expectedWait estimates for how long a job would wait behind what was accepted:
+// not at all as long as everything ahead of it fits with it, and for all the
+// work ahead when much more than the capacity is wanted at once.
 func (c *Cell) expectedWait(spec *docket.Job, capacity float64) time.Duration {
-	ahead := 0.0
-	for rank, work := range c.load.byRank {
-		if rank <= spec.Queue.Priority {
-			ahead += work
+	var fleet, team demand
+	for name, d := range c.load.running {
+		fleet.add(d)
+		if name == spec.Team {
+			team.add(d)
 		}
 	}
-	wait := 0.0
-	if capacity > 0 {
-		wait = ahead / (capacity * packing)
+	for key, d := range c.load.waiting {
+		if key.rank > spec.Queue.Priority {
+			continue
+		}
+		fleet.add(d)
+		if key.team == spec.Team {
+			team.add(d)
+		}
 	}
+	wait := fleet.drain(width(spec), capacity*packing)
 	if ceiling := c.policy[spec.Team].Ceiling.MilliCPU; ceiling > 0 {
-		ahead = 0
-		for key, work := range c.load.byTeam {
-			if key.team == spec.Team && key.rank <= spec.Queue.Priority {
-				ahead += work
-			}
+		wait = max(wait, team.drain(width(spec), float64(ceiling)/1000))
+	}
+	return wait
+}
+
+// drain returns how long it takes until a number of cores is free beside the
+// demand.
+func (d demand) drain(cores, capacity float64) time.Duration {
+	wanted := d.cores + min(cores, capacity)
+	if capacity <= 0 || wanted <= capacity {
+		return 0
+	}
+	return time.Duration(d.work / capacity * (wanted - capacity) / wanted * float64(time.Second))
+}
+
+// width returns the most cores that a step of the job takes.
+func width(spec *docket.Job) float64 {
+	widest := 0.0
+	for i := range spec.Steps {
+		st := &spec.Steps[i]
+		if !st.Fills {
+			widest = max(widest, float64(st.Count)*float64(st.Need.MilliCPU)/1000)
 		}
-		wait = max(wait, ahead/(float64(ceiling)/1000))
 	}
-	return time.Duration(wait * float64(time.Second))
+	return widest
 }
 
 // spread returns a time to come back, different for each job so that callers who
@@ -168,7 +206,7 @@
 
 // estimateLoad sums what is left of the accepted jobs.
 func (c *Cell) estimateLoad() {
-	c.load = loadEstimate{byRank: map[int]float64{}, byTeam: map[teamRank]float64{}, capacity: map[string]float64{}}
+	c.load = loadEstimate{running: map[string]demand{}, waiting: map[teamRank]demand{}, capacity: map[string]float64{}}
 	for _, w := range c.workers {
 		if w.listed && !w.Draining && !w.silent(c.now.Steady) {
 			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000
@@ -183,14 +221,28 @@
 
 // addLoad adds what is left of a job to the estimate.
 func (c *Cell) addLoad(j *job) {
-	if c.load.byRank == nil {
+	if c.load.running == nil {
 		return // the next estimate counts it
 	}
-	work := 0.0
+	var running, waiting demand
+	lesson := c.lesson(j.Queue.Name)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			if !s.spec.Fills && !s.spec.LongRunning {
-				work += float64(s.left) * s.spec.Estimate.Seconds() * float64(s.spec.Need.MilliCPU) / 1000
+			if s.done || s.spec.Fills {
+				continue
+			}
+			cores := float64(s.spec.Need.MilliCPU) / 1000
+			length := lesson.actual(s.spec.Estimate).Seconds()
+			for _, t := range s.tasks {
+				switch {
+				case t.done:
+				case len(t.runs) > 0:
+					running.add(demand{work: length * cores * (1 - t.runs[0].share()), cores: cores})
+				case s.ready || j.received == c.now.Steady:
+					waiting.add(demand{work: length * cores, cores: cores})
+				default:
+					waiting.work += length * cores
+				}
 			}
 		}
 	}
@@ -198,6 +250,14 @@
 	if j.beyondRate {
 		rank += 100
 	}
-	c.load.byRank[rank] += work
-	c.load.byTeam[teamRank{j.Team, rank}] += work
+	use := c.load.running[j.Team]
+	use.add(running)
+	c.load.running[j.Team] = use
+	key := teamRank{j.Team, rank}
+	queued := c.load.waiting[key]
+	queued.add(waiting)
+	c.load.waiting[key] = queued
 }
+
+// share returns which part of its work a run has done.
+func (r *run) share() float64 { return min(1, max(0, float64(r.percent)/100)) }
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -216,25 +216,3 @@
 	}
 	c.learnEligible(s.job.Queue.Name, good, len(e.Tickets))
 }
-
-// lesson returns what is learned of a queue.
-func (c *Cell) lesson(queue string) *lesson {
-	l := c.learned[queue]
-	if l == nil {
-		l = &lesson{eligible: firstEligible}
-		c.learned[queue] = l
-	}
-	return l
-}
-
-// learnEligible averages the share of eligible workers over some tens of calls.
-func (c *Cell) learnEligible(queue string, good, asked int) {
-	if asked == 0 {
-		return
-	}
-	const memory = 32 // calls
-	l := c.lesson(queue)
-	l.samples = min(l.samples+1, memory)
-	l.eligible += (float64(good)/float64(asked) - l.eligible) / float64(l.samples)
-	l.eligible = max(l.eligible, 0.05)
-}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -90,12 +90,6 @@
 	at    Instant
 }
 
-// lesson is what is learned of a queue's jobs.
-type lesson struct {
-	eligible float64 // share of workers that may run a step
-	samples  int
-}
-
 // New returns a Cell that owns nothing.
 func New(cfg Config) *Cell {
 	c := &Cell{Config: cfg}
--- a/cell/run.go
+++ b/cell/run.go
@@ -558,13 +558,6 @@
 	return c.now.Steady-r.w.answered < lookWait
 }
 
-// learn takes what a run's end teaches.
-func (c *Cell) learn(r *run, how End) {
-	if how == Alone {
-		c.note("gang incomplete", slog.String("task", r.task.name), slog.Uint64("run", r.n))
-	}
-}
-
 // lookAround sends the looks that are due.
 func (c *Cell) lookAround() {
 	now := c.now.Steady
