cell: a placement is stored before its start, so a takeover waits only for its own

Weighed: shorter leases (work lapses in store outages of 4.5 s), trusting refused connections (a cut refuses too).

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -74,6 +74,7 @@
 	learned    map[string]*lesson
 	recovered  bool
 	recoverBy  Instant
+	held       map[string][]*task         // tasks that may run for an earlier owner, by worker
 	hidden     map[string]resource.Vector // what teams may have running unseen
 	listedOnce bool                       // the workers were listed since the claim
 
@@ -113,6 +114,7 @@
 	c.book = ledger{}
 	c.load = loadEstimate{}
 	c.recovered, c.listedOnce = false, false
+	c.held, c.hidden = map[string][]*task{}, nil
 }
 
 // Owner reports whether this host owns the cell.
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -32,7 +32,6 @@
 	dirty      []*job
 	drops      []Row
 	rosterOpen bool // the roster has to be written
-	wanted     bool // a confirmation of the ownership is waited for
 }
 
 // pendingCommit is what becomes true once a commit is confirmed.
@@ -48,6 +47,7 @@
 	state   docket.State
 	accepts []uint64
 	cancels []uint64
+	placed  []*run // to be started
 }
 
 // touch queues a job for the next commit.
@@ -62,13 +62,12 @@
 func (c *Cell) flush() {
 	b := &c.book
 	since := c.now.Steady - b.lastSent
-	due := len(b.dirty) > 0 || len(b.drops) > 0 || b.rosterOpen || b.wanted || c.ackable()
+	due := len(b.dirty) > 0 || len(b.drops) > 0 || b.rosterOpen || c.ackable()
 	if b.inFlight != nil || c.resigning || since < commitGap || !due && since < heartbeat {
 		return
 	}
 	b.seq++
 	b.lastSent = c.now.Steady
-	b.wanted = false
 	p := &pendingCommit{seq: b.seq}
 	effect := Commit{Seq: b.seq}
 	size := 0
@@ -113,6 +112,26 @@
 	return false
 }
 
+// planned returns the runs of the job that wait for their placement to be stored.
+func (j *job) planned() []*run {
+	var list []*run
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.active == 0 {
+				continue
+			}
+			for _, t := range s.tasks {
+				for _, r := range t.runs {
+					if r.state == planned {
+						list = append(list, r)
+					}
+				}
+			}
+		}
+	}
+	return list
+}
+
 type rowSet struct{ puts, drops []Row }
 
 // jobRows returns the rows that store a job as it is now.
@@ -128,7 +147,7 @@
 		j.deleted = true
 		rows.drops = append(rows.drops, Row{Table: Jobs, Key: j.id})
 	}
-	p.jobs = append(p.jobs, jobWrite{job: j, state: record.State, accepts: j.acceptWaits, cancels: j.cancelWaits})
+	p.jobs = append(p.jobs, jobWrite{job: j, state: record.State, accepts: j.acceptWaits, cancels: j.cancelWaits, placed: j.planned()})
 	j.acceptWaits, j.cancelWaits = nil, nil
 	return rows
 }
@@ -198,6 +217,9 @@
 	for _, reply := range write.cancels {
 		c.emit(Answer{Reply: reply, Verdict: Accepted, State: j.shown})
 	}
+	for _, r := range write.placed {
+		c.sendStart(r)
+	}
 	if write.state.Final() && j.Job != nil {
 		c.stopAll(j)
 		j.Job, j.occurrences = nil, nil
--- a/cell/job.go
+++ b/cell/job.go
@@ -53,12 +53,11 @@
 	faults     docket.Faults // of a gang
 	checkpoint string        // of a gang
 
-	advice       adviceState
-	notBefore    Instant // pause after a refusal
-	confirmAfter Instant // start again only if a commit sent since is confirmed
-	latestAt     Instant // start by then to meet the objective
-	rank         int
-	blockedFor   Instant // since when it waits for room
+	advice     adviceState
+	notBefore  Instant // pause after a refusal
+	latestAt   Instant // start by then to meet the objective
+	rank       int
+	blockedFor Instant // since when it waits for room
 }
 
 // task is one task of a step.
@@ -72,13 +71,15 @@
 	nextRun    uint64
 	runs       []*run
 	avoid      map[string]bool // workers on which it failed
+	held       string          // a worker that may run it for an earlier owner
 }
 
 // runState is what is known of a run.
 type runState int
 
 const (
-	starting  runState = iota // the order is on its way
+	planned   runState = iota // its placement is being stored
+	starting                  // the order is on its way
 	unsettled                 // no answer; it may begin later
 	running
 	stopping
@@ -148,6 +149,11 @@
 			s.checkpoint = saved
 		}
 	}
+	for i, at := range rec.Placed {
+		if i < len(s.tasks) {
+			s.tasks[i].held = at.Worker
+		}
+	}
 	if rec.AllDone || s.left == 0 {
 		s.finish()
 	}
@@ -194,10 +200,16 @@
 			rec.Done = append(rec.Done, t.index)
 			continue
 		}
+		if at, placed := t.placement(); placed {
+			if rec.Placed == nil {
+				rec.Placed = map[int]docket.Placement{}
+			}
+			rec.Placed[t.index] = at
+		}
 		faults, saved := t.faults, t.checkpoint
 		if s.spec.Gang {
 			if t.index > 0 {
-				break
+				continue
 			}
 			faults, saved = s.faults, s.checkpoint
 		}
@@ -214,7 +226,16 @@
 			rec.Checkpoints[t.index] = saved
 		}
 	}
-	return rec, len(rec.Done)+len(rec.Faults)+len(rec.Checkpoints) > 0
+	return rec, len(rec.Done)+len(rec.Faults)+len(rec.Checkpoints)+len(rec.Placed) > 0
+}
+
+// placement returns where the task may be at work.
+func (t *task) placement() (docket.Placement, bool) {
+	if len(t.runs) > 0 {
+		r := t.runs[len(t.runs)-1]
+		return docket.Placement{Worker: r.w.ID, Run: r.n}, true
+	}
+	return docket.Placement{Worker: t.held}, t.held != ""
 }
 
 // open returns the steps that may run now: all they wait for is done, and their
--- a/cell/place.go
+++ b/cell/place.go
@@ -109,7 +109,7 @@
 // mayStart reports whether tasks of the step may be started, or asked about, at
 // all now.
 func (c *Cell) mayStart(s *step) bool {
-	if s.job.restored && !c.recovered || c.now.Steady < s.notBefore || c.book.confirmed < s.confirmAfter {
+	if c.now.Steady < s.notBefore {
 		return false
 	}
 	return s.job.stored || s.advice.needed
@@ -164,7 +164,7 @@
 	}
 	left := 0
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || allowed == 0 {
+		if t.done || len(t.runs) > 0 || t.held != "" || allowed == 0 {
 			continue
 		}
 		allowed--
@@ -204,6 +204,16 @@
 	return best
 }
 
+// held reports whether a member may be at work for an earlier owner.
+func (s *step) held() bool {
+	for _, t := range s.tasks {
+		if t.held != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // seat is a number of a gang's members on one worker.
 type seat struct {
 	*slot
@@ -212,7 +222,7 @@
 
 // placeGang starts all members at once, or keeps room for them.
 func (c *Cell) placeGang(p *round, of *pool, s *step) {
-	if s.active > 0 || c.teamRoom(s) < len(s.tasks) {
+	if s.active > 0 || s.held() || c.teamRoom(s) < len(s.tasks) {
 		return
 	}
 	if !s.advice.knowsAny() {
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -12,9 +12,9 @@
 // over owners, and a successor does not know how far its predecessor got.
 const runsPerClaim = 1 << 12
 
-// restore begins a claim with what the store holds. Tasks accepted earlier may
-// be at work on any worker of the roster, so none of them starts before all of
-// these have answered or their leases have run out.
+// restore begins a claim with what the store holds. A task that was placed may be
+// at work on its worker, so it does not start again before that worker has
+// answered or every lease there has run out.
 func (c *Cell) restore(e Claimed) {
 	c.reset()
 	c.owner, c.token = true, e.Token
@@ -52,6 +52,15 @@
 	c.jobs[j.id] = j
 	c.unopened = append(c.unopened, j)
 	c.setObjective(j)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.held != "" {
+					c.held[t.held] = append(c.held[t.held], t)
+				}
+			}
+		}
+	}
 	for _, o := range j.occurrences {
 		if o.left == 0 && j.progress.State < docket.Completed {
 			c.checkComplete(j)
@@ -73,43 +82,43 @@
 		}
 	}
 	c.recovered = true
+	for worker := range c.held {
+		c.release(worker)
+	}
 	c.note("recovery complete", slog.Uint64("token", c.token), slog.Int("workers", len(c.workers)))
 }
 
-// hiddenUse returns what each team may have running, started by a predecessor, on
-// workers that have not answered yet: no more than those workers hold, and no
-// more than the team's earlier tasks that have not been found.
-func (c *Cell) hiddenUse() map[string]resource.Vector {
-	if c.recovered {
-		return nil
+// release lets tasks start that a worker might have run for an earlier owner: it
+// has told what it runs, or it runs nothing any more.
+func (c *Cell) release(worker string) {
+	tasks := c.held[worker]
+	if len(tasks) == 0 {
+		return
 	}
-	room := resource.Vector{}
-	for _, w := range c.workers {
-		if w.onRoster && !w.synced {
-			if w.Capacity == (resource.Vector{}) {
-				room.MilliCPU, room.MemoryMB, room.Accelerators = unlimited, unlimited, unlimited
-			}
-			room = room.Add(w.Capacity)
+	delete(c.held, worker)
+	for _, t := range tasks {
+		if t.held == worker {
+			t.held = ""
+			c.queue(t.step)
 		}
 	}
+}
+
+// hiddenUse returns what each team may have running on workers that have not
+// answered yet, started by an earlier owner.
+func (c *Cell) hiddenUse() map[string]resource.Vector {
+	if len(c.held) == 0 {
+		return nil
+	}
 	hidden := map[string]resource.Vector{}
-	for _, j := range c.jobs {
-		if j.Job == nil || !j.restored {
-			continue
-		}
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				for range s.left - s.active {
-					hidden[j.Team] = hidden[j.Team].Add(s.spec.Need)
-				}
+	for _, tasks := range c.held {
+		for _, t := range tasks {
+			if t.held != "" {
+				team := t.step.job.team()
+				hidden[team] = hidden[team].Add(t.step.spec.Need)
 			}
 		}
 	}
-	for team, use := range hidden {
-		hidden[team] = resource.Vector{
-			MilliCPU: min(use.MilliCPU, room.MilliCPU), MemoryMB: min(use.MemoryMB, room.MemoryMB), Accelerators: min(use.Accelerators, room.Accelerators),
-		}
-	}
 	return hidden
 }
 
--- a/cell/run.go
+++ b/cell/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/docket"
@@ -22,22 +23,37 @@
 	return Order{Worker: w.ID, Addr: w.Addr, Token: c.token, NotAfter: c.authority()}
 }
 
-// begin starts a task on a worker.
+// begin places a task on a worker. The start is sent once the store holds the
+// placement: a successor then knows which worker to ask about the task.
 func (c *Cell) begin(t *task, w *worker, n uint64) {
 	s := t.step
 	r := &run{task: t, n: n, w: w, sent: c.now.Steady, movedAt: c.now.Steady}
 	t.runs = append(t.runs, r)
 	s.active++
-	s.job.startedCount++
 	w.runs[t.name] = r
 	w.charge(r, 1)
 	c.chargeTeam(s, 1)
+	c.touch(s.job)
+}
+
+// sendStart sends the start of a run whose placement is stored.
+func (c *Cell) sendStart(r *run) {
+	t, s, w := r.task, r.task.step, r.w
+	if r.state != planned || w.runs[t.name] != r || s.job.Job == nil || s.job.progress.State.Final() {
+		return
+	}
+	if !s.advice.valid(w, c.now.Steady) || c.leaseLength() < minLease || !w.usable(c.now.Steady) {
+		c.drop(r)
+		c.abortGang(s, r.n)
+		return
+	}
+	r.state, r.sent = starting, c.now.Steady
 	checkpoint := t.checkpoint
 	if s.spec.Gang {
 		checkpoint = s.checkpoint
 	}
 	c.emit(Start{
-		Order: c.order(w), Task: t.name, Run: n, Spec: s.job.Spec, Checkpoint: checkpoint,
+		Order: c.order(w), Task: t.name, Run: r.n, Spec: s.job.Spec, Checkpoint: checkpoint,
 		Ticket: s.advice.ticket(w), LeaseUntil: w.lease(c.now.Steady, c.leaseLength()),
 	})
 }
@@ -56,7 +72,9 @@
 			if r.w.runs[t.name] == r {
 				delete(r.w.runs, t.name)
 			}
-			r.w.freedAt = c.now.Steady
+			if t.step.job.Job != nil {
+				c.touch(t.step.job)
+			}
 			break
 		}
 	}
@@ -66,7 +84,6 @@
 // dropLost forgets a run that was lost with its worker.
 func (c *Cell) dropLost(r *run) {
 	c.drop(r)
-	c.retryLater(r.task.step)
 	c.abortGang(r.task.step, r.n)
 }
 
@@ -139,15 +156,6 @@
 	c.emit(Abdicate{})
 }
 
-// retryLater keeps a step whose run has ended otherwise than done from starting
-// again before a commit that is sent from now on is confirmed. Until then a
-// successor may have found the same run, or what became of it, and started the
-// task elsewhere.
-func (c *Cell) retryLater(s *step) {
-	s.confirmAfter = c.now.Steady
-	c.book.wanted = true
-}
-
 // nowActive shows a job as active once a task of it has begun.
 func (c *Cell) nowActive(j *job) {
 	if j.progress.State == docket.Queued && j.Job != nil {
@@ -162,7 +170,7 @@
 		return
 	}
 	for _, t := range s.tasks {
-		for _, r := range t.runs {
+		for _, r := range slices.Clone(t.runs) {
 			if r.n == n {
 				c.halt(r)
 			}
@@ -172,6 +180,10 @@
 
 // halt stops a run.
 func (c *Cell) halt(r *run) {
+	if r.state == planned {
+		c.drop(r)
+		return
+	}
 	if r.stopAcked > 0 || r.stopSent > 0 && c.now.Steady-r.stopSent < stopRetry {
 		return
 	}
@@ -187,7 +199,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				for _, r := range t.runs {
+				for _, r := range slices.Clone(t.runs) {
 					c.halt(r)
 				}
 			}
@@ -259,6 +271,7 @@
 	w.synced = true
 	c.takeEnds(w, e.Report.Ended)
 	c.takeRunning(w, e)
+	c.release(w.ID)
 }
 
 // takeEnds processes the ends that are new.
@@ -309,9 +322,6 @@
 	default:
 		t.nextRun = max(t.nextRun, end.Run)
 	}
-	if end.How != Done {
-		c.retryLater(s)
-	}
 	c.touch(s.job)
 }
 
@@ -343,7 +353,7 @@
 	} else {
 		t.done = true
 		s.left--
-		for _, other := range t.runs {
+		for _, other := range slices.Clone(t.runs) {
 			c.halt(other) // a copy
 		}
 		if s.left == 0 {
@@ -462,7 +472,6 @@
 	switch {
 	case r.stopAcked > 0 && asked > r.stopAcked:
 		c.drop(r) // it has not begun and is forbidden, or its end was acknowledged
-		c.retryLater(r.task.step)
 	case r.state == running && asked > r.confirmed:
 		c.note("run vanished", slog.String("task", r.task.name), slog.Uint64("run", r.n), slog.String("worker", r.w.ID))
 		c.dropLost(r)
@@ -474,17 +483,10 @@
 // adoptRun takes a run over that an earlier owner started.
 func (c *Cell) adoptRun(w *worker, entry RunningTask, at Instant) *run {
 	t := c.task(entry.Task)
-	if t == nil || t.done || t.step.job.progress.State.Final() || c.recovered && !t.step.job.restored {
-		return nil
-	}
-	for _, other := range t.runs {
-		if other.n == entry.Run {
-			return nil
-		}
-	}
-	if len(t.runs) > 0 && !t.step.spec.Speculative {
+	if t == nil || t.done || t.held != w.ID || len(t.runs) > 0 || t.step.job.progress.State.Final() {
 		return nil
 	}
+	t.held = ""
 	s := t.step
 	r := &run{task: t, n: entry.Run, w: w, state: running, sent: at, confirmed: at, movedAt: at}
 	t.runs = append(t.runs, r)
@@ -514,7 +516,7 @@
 	clear(w.strays)
 	for _, r := range w.runs {
 		if r.state != running && r.state != stopping {
-			continue // the order may have reached the new life
+			continue // the order may reach the new life
 		}
 		c.dropLost(r)
 	}
@@ -526,6 +528,7 @@
 	for _, r := range w.runs {
 		c.dropLost(r)
 	}
+	c.release(w.ID)
 	delete(c.workers, w.ID)
 	c.book.rosterOpen = true
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -49,7 +49,6 @@
 	used     resource.Vector
 	leaseEnd Instant // when all that runs there is certainly dead without renewal
 	pausedTo Instant
-	freedAt  Instant
 	faults   int     // failed ends in a row
 	goneAt   Instant // when it left the store's list
 }
--- a/docket/progress.go
+++ b/docket/progress.go
@@ -28,6 +28,15 @@
 	Done        []int          `cbor:"4,keyasint,omitempty"` // indexes, unless AllDone
 	Faults      map[int]Faults `cbor:"5,keyasint,omitempty"` // failed runs by index
 	Checkpoints map[int]string `cbor:"6,keyasint,omitempty"` // by index
+	// Placed are the runs that may be at work, by index. A run is stored here
+	// before its start is sent.
+	Placed map[int]Placement `cbor:"7,keyasint,omitempty"`
+}
+
+// Placement is a run of a task on a worker.
+type Placement struct {
+	Worker string `cbor:"1,keyasint"`
+	Run    uint64 `cbor:"2,keyasint"`
 }
 
 // Encode returns the stored form.
