Logs of decisions, latency histograms, metrics port, explain

One line for each admission with what decided it, each placement, advice answer and first start; histograms of submit, commit, takeover and first start by expvar. cowslipgapd explain puts one request's lines of several hosts in order.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -66,9 +66,13 @@
 		c.touch(j)
 		return
 	}
-	if reason, wait := c.refuse(e.Job); reason != "" {
-		c.note("job refused", slog.String("id", e.Job.ID), slog.String("queue", e.Job.Queue.Name), slog.String("team", e.Job.Team), slog.String("reason", reason), slog.Duration("retryAfter", wait))
-		c.emit(Answer{Reply: e.Reply, Verdict: Refused, RetryAfter: wait, Reason: reason})
+	ruling := c.rule(e.Job)
+	c.note("job "+ruling.outcome(), slog.String("id", e.Job.ID), slog.String("queue", e.Job.Queue.Name),
+		slog.String("team", e.Job.Team), slog.String("reason", ruling.reason), slog.Duration("retryAfter", ruling.retryAfter),
+		slog.Duration("wait", ruling.wait), slog.Duration("slack", ruling.slack), slog.Float64("cores", ruling.cores),
+		slog.Duration("commitAge", c.now.Steady-c.book.confirmed))
+	if ruling.reason != "" {
+		c.emit(Answer{Reply: e.Reply, Verdict: Refused, RetryAfter: ruling.retryAfter, Reason: ruling.reason})
 		return
 	}
 	j := newJob(e.Job, docket.Progress{ReceivedAt: c.now.Wall, Queue: e.Job.Queue.Name, Team: e.Job.Team}, 0)
@@ -80,33 +84,52 @@
 	c.touch(j)
 }
 
-// refuse returns why a job cannot be accepted now, and when to come back.
-func (c *Cell) refuse(spec *docket.Job) (string, time.Duration) {
+// ruling is the decision on a job that is handed in, with what decided it.
+type ruling struct {
+	reason     string // why it is refused; "" if it is accepted
+	retryAfter time.Duration
+	wait       time.Duration // expected
+	slack      time.Duration // that its objective leaves for waiting
+	cores      float64       // of the service
+}
+
+func (r ruling) outcome() string {
+	if r.reason == "" {
+		return "admitted"
+	}
+	return "refused"
+}
+
+// rule decides on a job that is handed in.
+func (c *Cell) rule(spec *docket.Job) ruling {
+	r := ruling{cores: c.load.capacity[spec.Queue.Service]}
+	refuse := func(reason string, wait time.Duration) ruling {
+		r.reason, r.retryAfter = reason, spread(spec.ID, wait)
+		return r
+	}
 	if silent := c.now.Steady - c.book.confirmed; silent > storeSilence {
-		return "the store does not answer", spread(spec.ID, minRetry)
+		return refuse("the store does not answer", minRetry)
 	}
 	tasks := 0
 	for i := range spec.Steps {
-		tasks += spec.Steps[i].Count
+		tasks += spec.Steps[i].Count * spec.Occurrences()
 	}
 	if tasks > maxTasks {
-		return "too many tasks", maxRetry
+		return refuse("too many tasks", maxRetry)
 	}
-	capacity := c.load.capacity[spec.Queue.Service]
-	if c.listedOnce && capacity == 0 {
-		return "the service has no workers", spread(spec.ID, minRetry)
+	if c.listedOnce && r.cores == 0 {
+		return refuse("the service has no workers", minRetry)
 	}
-	lesson := c.lesson(spec.Queue.Name)
-	chain := lesson.actual(longestChain(spec))
-	slack := time.Duration((spec.Queue.Slack-1)*float64(chain)) + spec.Queue.Target
+	chain := c.lesson(spec.Queue.Name).actual(longestChain(spec))
+	r.slack = time.Duration((spec.Queue.Slack-1)*float64(chain)) + spec.Queue.Target
 	if spec.Queue.Advice != nil {
-		slack -= spec.Queue.Advice.Decision + adviceWorkers*spec.Queue.Advice.PerWorker
+		r.slack -= spec.Queue.Advice.Decision + adviceWorkers*spec.Queue.Advice.PerWorker
 	}
-	wait := c.expectedWait(spec, capacity)
-	if wait > slack {
-		return "it would be late", spread(spec.ID, wait-slack)
+	r.wait = c.expectedWait(spec, r.cores)
+	if r.wait > r.slack {
+		return refuse("it would be late", r.wait-r.slack)
 	}
-	return "", 0
+	return r
 }
 
 // expectedWait estimates for how long a job would wait behind what was accepted:
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -40,6 +40,7 @@
 type adviceState struct {
 	needed   bool
 	asking   bool
+	askedAt  Instant
 	eligible map[*worker]bool // of the workers asked about; it never changes
 	tickets  map[*worker]ticket
 }
@@ -152,7 +153,7 @@
 		return
 	}
 	c.lanes[host]++
-	s.advice.asking = true
+	s.advice.asking, s.advice.askedAt = true, c.now.Steady
 	c.emit(Ask{Host: host, Step: s.name, Workers: names})
 }
 
@@ -214,5 +215,7 @@
 			s.advice.tickets[w] = ticket{text: text, until: c.now.Steady + e.Validity - ticketMargin, born: w.Born}
 		}
 	}
+	c.note("advice", slog.String("step", e.Step), slog.String("host", e.Host), slog.Int("asked", len(e.Tickets)), slog.Int("eligible", good),
+		slog.Duration("took", c.now.Steady-s.advice.askedAt))
 	c.learnEligible(s.job.Queue.Name, good, len(e.Tickets))
 }
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -243,3 +243,38 @@
 		}
 	}
 }
+
+// Summary is the state of a cell in numbers.
+type Summary struct {
+	Owner     bool   `json:"owner"`
+	Token     uint64 `json:"token"`
+	Live      int    `json:"liveJobs"`
+	Ended     int    `json:"endedJobs"`
+	Waiting   int    `json:"waitingSteps"`
+	Running   int    `json:"runs"`
+	Workers   int    `json:"workers"`
+	Usable    int    `json:"usableWorkers"`
+	HeldTasks int    `json:"heldTasks"` // that may run for an earlier owner
+}
+
+// Summary returns the present summary.
+func (c *Cell) Summary() Summary {
+	sum := Summary{Owner: c.owner, Token: c.token, Waiting: len(c.waiting), Workers: len(c.workers)}
+	for _, j := range c.jobs {
+		if j.Job != nil {
+			sum.Live++
+		} else {
+			sum.Ended++
+		}
+	}
+	for _, w := range c.workers {
+		sum.Running += len(w.runs)
+		if w.usable(c.now.Steady) {
+			sum.Usable++
+		}
+	}
+	for _, tasks := range c.held {
+		sum.HeldTasks += len(tasks)
+	}
+	return sum
+}
--- a/cell/effect.go
+++ b/cell/effect.go
@@ -98,6 +98,9 @@
 	Workers []string
 }
 
+// Waited says how long a job waited for its first start, for the metrics.
+type Waited struct{ For time.Duration }
+
 // Note is a line for the log.
 type Note struct {
 	Level slog.Level
--- a/cell/place.go
+++ b/cell/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
 
 	"github.com/cowslipgap/cowslipgap/resource"
@@ -162,7 +163,7 @@
 			}
 		}
 	}
-	left := 0
+	left, placed := 0, 0
 	for _, t := range s.tasks {
 		if t.done || len(t.runs) > 0 || t.held != "" || allowed == 0 {
 			continue
@@ -175,8 +176,10 @@
 		}
 		t.nextRun++
 		c.begin(t, sl.w, t.nextRun)
+		placed++
 		sl.free = sl.free.Sub(need)
 	}
+	c.notePlaced(s, placed, left)
 	if left > 0 && s.advice.needed {
 		c.ask(of, s, left)
 	}
@@ -259,6 +262,14 @@
 			next++
 		}
 	}
+	c.notePlaced(s, next, 0)
+}
+
+// notePlaced logs the placement of tasks of a step.
+func (c *Cell) notePlaced(s *step, placed, left int) {
+	if placed > 0 {
+		c.note("placed", slog.String("step", s.name), slog.Int("tasks", placed), slog.Int("left", left), slog.Uint64("token", c.token))
+	}
 }
 
 // seatGang divides the members over workers with room, few workers first. If
--- a/cell/run.go
+++ b/cell/run.go
@@ -160,6 +160,8 @@
 func (c *Cell) nowActive(j *job) {
 	if j.progress.State == docket.Queued && j.Job != nil {
 		j.progress.State = docket.Active
+		c.emit(Waited{For: c.now.Steady - j.received})
+		c.note("job active", slog.String("id", j.id), slog.Duration("waited", c.now.Steady-j.received))
 		c.touch(j)
 	}
 }
--- a/cmd/cowslipgapd/main.go
+++ b/cmd/cowslipgapd/main.go
@@ -4,9 +4,10 @@
 //
 //	COWSLIPGAP_BOOT=boot.conf cowslipgapd serve
 //	COWSLIPGAP_BOOT=boot.conf cowslipgapd check
+//	cowslipgapd explain 5c0e7a21d94b36f8 host-a.log host-b.log
 //
-// Exit status: 0 done, 1 it failed, 2 the command line or the settings are
-// wrong.
+// Exit status: 0 done, 1 it failed or nothing was found, 2 the command line or
+// the settings are wrong.
 package main
 
 import (
@@ -14,10 +15,12 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"path/filepath"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/cowslipgap/cowslipgap/inquiry"
 	"github.com/cowslipgap/cowslipgap/logbook"
 	"github.com/cowslipgap/cowslipgap/platform"
 )
@@ -53,6 +56,7 @@
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "run the entry host", Action: serve},
 			{Name: "check", Usage: "check the settings file", Action: check},
+			{Name: "explain", Usage: "tell what was decided on one request, from the logs of several hosts", ArgsUsage: "ID LOG...", Action: explain},
 		},
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return errors.Mark(err, errUsage)
@@ -79,3 +83,29 @@
 	_, err = fmt.Fprintf(c.Writer, "%s in %s: settings are usable\n", settings.Name, settings.Zone)
 	return err
 }
+
+func explain(_ context.Context, c *cli.Command) error {
+	args := c.Args().Slice()
+	if len(args) < 2 {
+		return errors.Mark(errors.New("explain needs an ID and at least one log file"), errUsage)
+	}
+	q := inquiry.Inquiry{ID: args[0]}
+	for _, name := range args[1:] {
+		if err := readLog(&q, name); err != nil {
+			return err
+		}
+	}
+	if q.Found() == 0 {
+		return errors.Newf("no line names %s", q.ID)
+	}
+	return q.Tell(c.Writer)
+}
+
+func readLog(q *inquiry.Inquiry, name string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer func() { _ = file.Close() }() // it was only read
+	return q.Read(filepath.Base(name), file)
+}
--- a/station/caller.go
+++ b/station/caller.go
@@ -43,7 +43,9 @@
 
 // Submit hands a job in and returns once it is stored or refused.
 func (s *Station) Submit(ctx context.Context, job *docket.Job) Outcome {
+	began := s.Now()
 	out := s.resolve(ctx, request{Kind: kindSubmit, Job: job})
+	s.Counts.Submit.Observe(s.Now() - began)
 	switch {
 	case out.Unanswered:
 		s.Counts.Unanswered.Add(1)
--- a/station/lead.go
+++ b/station/lead.go
@@ -412,6 +412,7 @@
 		sleep(ctx, commitRetry)
 	}
 	s.Counts.Claims.Add(1)
+	s.Counts.Takeover.Observe(s.Now() - claimedAt)
 	s.lead.mu.Lock()
 	s.lead.owner, s.lead.own = HeadRow{Head: mine, Version: version}, true
 	s.lead.confirmedAt = claimedAt
--- a/station/perform.go
+++ b/station/perform.go
@@ -53,6 +53,8 @@
 	case cell.Ask:
 		s.Counts.Advice.Add(1)
 		go s.sendAsk(ctx, e)
+	case cell.Waited:
+		s.Counts.Waited.Observe(e.For)
 	case cell.Abdicate:
 		s.lead.setOwner(HeadRow{}, false)
 	case cell.Note:
@@ -152,6 +154,7 @@
 			return
 		}
 		s.lead.confirmed(s, version, sent)
+		s.Counts.Commit.Observe(s.Now() - sent)
 		s.post(ctx, cell.Committed{Seq: commit.Seq, Sent: sent})
 		return
 	}
--- a/station/station.go
+++ b/station/station.go
@@ -104,14 +104,10 @@
 	commits chan commitOrder
 	nextID  atomic.Uint64
 	leaving atomic.Bool
+	summary atomic.Pointer[cell.Summary]
 	Counts  Counts
 }
 
-// Counts are what a station counts for its metrics.
-type Counts struct {
-	Accepted, Refused, Unanswered, Claims, Deposals, Commits, Starts, Looks, Advice atomic.Int64
-}
-
 // waiter is a caller's question on its way through the cell.
 type waiter struct {
 	event  any // with a Reply
@@ -169,6 +165,7 @@
 			return
 		}
 		if !state.Owner() {
+			s.summarize(state, s.Now())
 			timer.Reset(time.Second)
 			continue
 		}
@@ -178,6 +175,7 @@
 			continue
 		}
 		s.apply(ctx, state, waiters, cell.Pump{})
+		s.summarize(state, now)
 		next = now + max(pumpGap, pumpShare*(s.Now()-now))
 		timer.Reset(max(idlePump, next-now))
 	}
