--- a/cell/commit.go
+++ b/cell/commit.go
@@ -15,7 +15,7 @@
 	commitGap = 15 * time.Millisecond
 	// heartbeat is the longest time without a commit. Other hosts take a cell
 	// whose owner commits nothing.
-	heartbeat = 500 * time.Millisecond
+	heartbeat = 250 * time.Millisecond
 	// maxRows and maxBytes bound a commit below the store's limits of 100 entries
 	// and 1 MB in base64. A job adds up to three rows to it, the head two.
 	maxRows  = 90
--- a/cell/lesson.go
+++ b/cell/lesson.go
@@ -15,6 +15,14 @@
 	runMemory = 200
 	// maxRatio bounds the ratio of one run.
 	maxRatio = 8
+	// speedMemory is how many observations a worker's speed is averaged over: a
+	// few seconds of lookups.
+	speedMemory = 12
+	// maxSpeed bounds one observation.
+	maxSpeed = 3
+	// speedGap is the least time between two reports that tell a speed: progress
+	// is told in whole percents.
+	speedGap = 150 * time.Millisecond
 )
 
 // lesson is what is learned of a queue's jobs.
@@ -65,5 +73,35 @@
 		l.runs = min(l.runs+1, runMemory)
 		ratio := min(maxRatio, float64(c.now.Steady-r.confirmed)/float64(s.spec.Estimate))
 		l.ratio += (ratio - l.ratio) / float64(l.runs)
+		if l.runs == runMemory {
+			length := l.actual(s.spec.Estimate)
+			r.w.observeSpeed(min(maxSpeed, float64(length)/float64(max(1, c.now.Steady-r.confirmed))))
+		}
 	}
 }
+
+// learnSpeed takes what a run's progress, from one report to the next, tells of
+// its worker. Estimates are rough, so one observation says little.
+func (c *Cell) learnSpeed(r *run, percent int, at Instant) {
+	s := r.task.step
+	passed := at - r.movedAt
+	if passed < speedGap || percent <= r.percent || s.spec.LongRunning || s.spec.Fills || s.job.Job == nil {
+		return
+	}
+	length := c.lesson(s.job.Queue.Name).actual(s.spec.Estimate)
+	speed := float64(percent-r.percent) / 100 * float64(length) / float64(passed)
+	r.w.observeSpeed(min(speed, maxSpeed))
+}
+
+func (w *worker) observeSpeed(speed float64) {
+	w.observed = min(w.observed+1, speedMemory)
+	w.speed += (speed - w.speed) / float64(w.observed)
+}
+
+// pace returns the worker's speed against the usual one, 1 if it is not known.
+func (w *worker) pace() float64 {
+	if w.observed < speedMemory/2 {
+		return 1
+	}
+	return w.speed
+}
--- /dev/null
+++ b/cell/load_test.go
@@ -0,0 +1,144 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/docket"
+)
+
+// tally is how the jobs of a kind fared.
+type tally struct {
+	asked, prompt, late, refused int
+	total                        time.Duration // from hand-in to end, of those that ended
+}
+
+func (t tally) String() string {
+	mean := time.Duration(0)
+	if n := t.prompt + t.late; n > 0 {
+		mean = (t.total / time.Duration(n)).Round(time.Millisecond)
+	}
+	return fmt.Sprintf("asked %d, within the objective %d, late %d, refused %d, mean %v", t.asked, t.prompt, t.late, t.refused, mean)
+}
+
+func (t tally) share() float64 { return float64(t.prompt) / float64(t.asked) }
+
+// tallies counts the jobs by queue.
+func (f *fleet) tallies() map[string]tally {
+	out := map[string]tally{}
+	for _, j := range f.jobs {
+		t := out[j.spec.Queue.Name]
+		t.asked++
+		objective := time.Duration(j.spec.Queue.Slack*float64(longestChain(j.spec))) + j.spec.Queue.Target
+		switch {
+		case j.refused && !j.accepted:
+			t.refused++
+		case j.endedAt > 0 && j.state == docket.Completed:
+			t.total += j.endedAt - j.handedIn
+			if j.endedAt-j.handedIn <= objective {
+				t.prompt++
+			} else {
+				t.late++
+			}
+		}
+		out[j.spec.Queue.Name] = t
+	}
+	return out
+}
+
+// mix hands in jobs of the three kinds at the given rates a second.
+func (f *fleet) mix(prefix string, from, to Instant, lookups, quotes, refrets float64) {
+	hand := func(kind string, rate float64, make func(string) *docket.Job) {
+		if rate == 0 {
+			return
+		}
+		gap := time.Duration(float64(time.Second) / rate)
+		for at, i := from, 0; at < to; at, i = at+gap, i+1 {
+			jitter := time.Duration(f.rng.Int64N(int64(gap)))
+			f.submit(at+jitter, make(fmt.Sprintf("%s%s%012x", kind, prefix, i)))
+		}
+	}
+	hand("aa", lookups, lookup)
+	hand("bb", quotes, quote)
+	hand("cc", refrets, refret)
+}
+
+// loadPattern is a load that was hard, with what has to be served under it.
+type loadPattern struct {
+	name    string
+	replay  func(f *fleet)
+	lookups float64 // least share within the objective
+	quotes  float64
+	refrets float64
+}
+
+// The fleet of these patterns has 48 workers of 32 cores; the usual rates are
+// those of the users' calm days and take about two thirds of it.
+var loadPatterns = []loadPattern{
+	{"usual", func(f *fleet) { f.mix("00", 2*time.Second, 22*time.Second, 40, 6, 1) }, 0.98, 0.98, 0.95},
+	{"burst of lookups", func(f *fleet) {
+		f.mix("00", 2*time.Second, 22*time.Second, 40, 6, 1)
+		f.mix("01", 8*time.Second, 12*time.Second, 60, 0, 0)
+	}, 0.95, 0.95, 0.8},
+	{"burst of wide gangs", func(f *fleet) {
+		f.mix("00", 2*time.Second, 22*time.Second, 40, 6, 1)
+		f.mix("01", 8*time.Second, 12*time.Second, 0, 0, 1)
+	}, 0.95, 0.9, 0.7},
+	{"workers lost in a burst", func(f *fleet) {
+		f.mix("00", 2*time.Second, 22*time.Second, 40, 6, 1)
+		f.mix("01", 8*time.Second, 12*time.Second, 40, 0, 0)
+		f.at(9*time.Second, func() {
+			for i := range 4 {
+				f.workers[fmt.Sprintf("w%03d", i*9)].dark = true
+			}
+		})
+	}, 0.9, 0.85, 0.6},
+	{"workers slow in a burst", func(f *fleet) {
+		f.mix("00", 2*time.Second, 22*time.Second, 40, 6, 1)
+		f.at(6*time.Second, func() {
+			for i := range 6 {
+				f.workers[fmt.Sprintf("w%03d", i*8)].speed /= 6
+			}
+		})
+		f.at(14*time.Second, func() {
+			for i := range 6 {
+				f.workers[fmt.Sprintf("w%03d", i*8)].speed *= 6
+			}
+		})
+	}, 0.85, 0.8, 0.5},
+	{"jobs that can never be done", func(f *fleet) {
+		f.mix("00", 2*time.Second, 22*time.Second, 40, 6, 1)
+		f.mix("01", 6*time.Second, 14*time.Second, 10, 2, 0)
+		for id, j := range f.jobs {
+			j.faulty = id[2:4] == "01"
+		}
+	}, 0.75, 0.7, 0.6},
+	{"all owners die in a burst", func(f *fleet) {
+		f.mix("00", 2*time.Second, 22*time.Second, 40, 6, 1)
+		f.mix("01", 8*time.Second, 12*time.Second, 40, 0, 0)
+		f.at(10*time.Second, func() { f.kill(700 * time.Millisecond) })
+	}, 0.9, 0.9, 0.6},
+}
+
+func TestLoadPatterns(t *testing.T) {
+	for _, p := range loadPatterns {
+		t.Run(p.name, func(t *testing.T) {
+			f := newFleet(t, 7, 48)
+			p.replay(f)
+			f.run(80 * time.Second)
+			f.requireSound()
+			f.requireAllEnded()
+			got := f.tallies()
+			for _, queue := range []string{"lookup", "quote", "refret"} {
+				t.Logf("%-8s %v", queue, got[queue])
+			}
+			t.Logf("starts %d, core-seconds lost %.0f", f.starts, f.wasted)
+			require.GreaterOrEqual(t, got["lookup"].share(), p.lookups)
+			require.GreaterOrEqual(t, got["quote"].share(), p.quotes)
+			require.GreaterOrEqual(t, got["refret"].share(), p.refrets)
+		})
+	}
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -16,6 +16,9 @@
 	// the processor left unused, at most 1.
 	penaltyFaulted = 4 // the task failed there before
 	penaltyOffRack = 8 // its data is elsewhere, it takes longer
+	// speedWeight is what a worker of twice the usual speed is worth, in shares
+	// of a processor left unused.
+	speedWeight = 0.6
 	// minLease is the least time that a lease must have left for a start.
 	minLease = 2 * leaseMargin
 	// unlimited is the room for tasks that need nothing that is counted.
@@ -194,6 +197,7 @@
 			continue
 		}
 		score := float64(sl.free.MilliCPU-s.spec.Need.MilliCPU) / float64(max(1, sl.w.Capacity.MilliCPU))
+		score -= speedWeight * sl.w.pace()
 		if t.avoid[sl.w.ID] {
 			score += penaltyFaulted
 		}
--- a/cell/run.go
+++ b/cell/run.go
@@ -456,6 +456,7 @@
 		r.movedAt = at
 	}
 	if entry.Percent != r.percent {
+		c.learnSpeed(r, entry.Percent, at)
 		r.percent, r.movedAt = entry.Percent, at
 	}
 	s := r.task.step
@@ -515,6 +516,7 @@
 func (c *Cell) reborn(w *worker) {
 	c.note("worker restarted", slog.String("worker", w.ID), slog.Int("runs", len(w.runs)))
 	w.seen, w.ackable, w.acked = 0, 0, 0
+	w.observed = 0
 	clear(w.strays)
 	for _, r := range w.runs {
 		if r.state != running && r.state != stopping {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -50,6 +50,8 @@
 	leaseEnd Instant // when all that runs there is certainly dead without renewal
 	pausedTo Instant
 	faults   int     // failed ends in a row
+	speed    float64 // against the estimates, averaged
+	observed int
 	goneAt   Instant // when it left the store's list
 }
 
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -103,14 +103,21 @@
 	return j.FirstAt.Add(time.Duration(k) * j.Interval)
 }
 
+// maxCount bounds tasks of a step and occurrences of a job, so that sums of them
+// cannot overflow.
+const maxCount = 1 << 20
+
 // Validate reports what makes the job impossible to run.
 func (j *Job) Validate() error {
 	if len(j.Steps) == 0 {
 		return errors.New("a job needs a step")
 	}
+	if j.Repeat < 0 || j.Repeat > maxCount {
+		return errors.Newf("%d occurrences", j.Repeat)
+	}
 	for i, step := range j.Steps {
-		if step.Count < 1 {
-			return errors.Newf("step %d has no tasks", i)
+		if step.Count < 1 || step.Count > maxCount {
+			return errors.Newf("step %d has %d tasks", i, step.Count)
 		}
 		for _, before := range step.After {
 			if before < 0 || before >= i {
--- a/station/call.go
+++ b/station/call.go
@@ -108,8 +108,8 @@
 
 // greet tells the owner that this host is present, and reports whether it is
 // the owner and its commits are fresh.
-func (s *Station) greet(ctx context.Context, owner HeadRow) bool {
-	out, err := s.callPeer(ctx, owner.Addr, request{Kind: kindGreet, Name: s.Name, Addr: s.Addr}, greetTimeout)
+func (s *Station) greet(ctx context.Context, owner HeadRow, timeout time.Duration) bool {
+	out, err := s.callPeer(ctx, owner.Addr, request{Kind: kindGreet, Name: s.Name, Addr: s.Addr}, timeout)
 	if err != nil {
 		return false
 	}
--- a/station/lead.go
+++ b/station/lead.go
@@ -17,13 +17,16 @@
 	greetEvery = 300 * time.Millisecond
 	// greetTimeout bounds a greeting.
 	greetTimeout = 400 * time.Millisecond
+	// suspectTimeout bounds it once the owner has not answered.
+	suspectTimeout = 100 * time.Millisecond
 	// staleCommit is the age of the owner's last confirmed commit from which on
-	// other hosts try to take the cell. An owner commits every half second.
-	staleCommit = 1200 * time.Millisecond
+	// other hosts try to take the cell. An owner commits four times a second.
+	staleCommit = 1000 * time.Millisecond
 	// unchangedFor is for how long the head must stand unchanged before a host
 	// claims the cell of an owner that it cannot reach. It is longer than the
-	// owner's longest time between commits plus a slow answer of the store.
-	unchangedFor = 900 * time.Millisecond
+	// owner's longest time between commits; where the store is slow a claim may
+	// come too early, which moves the cell and does no harm.
+	unchangedFor = 500 * time.Millisecond
 	// memberFor is for how long a host counts as present after its greeting.
 	memberFor = 1200 * time.Millisecond
 	// aloneFor is for how long an owner that had company may hear from no other
@@ -36,6 +39,15 @@
 	storePrompt = 150 * time.Millisecond
 	// claimStagger is the delay between candidates, so that they seldom collide.
 	claimStagger = 60 * time.Millisecond
+	// candidateTurns is how many turns candidates of equal strength are spread
+	// over.
+	candidateTurns = 5
+	// strongCores is the processor share of a host that need not stand back,
+	// weakTurns is by how many turns a host stands back for each core that it
+	// lacks, up to maxWeakTurns.
+	strongCores  = 0.8
+	weakTurns    = 20
+	maxWeakTurns = 12
 	// reclaimDelay keeps a host that gave the cell up from taking it back before
 	// others had their chance.
 	reclaimDelay = 2 * time.Second
@@ -311,7 +323,11 @@
 	s := k.station
 	k.company, k.hosts = false, ""
 	owner, _ := s.lead.current()
-	if owner.Addr != "" && owner.Session != s.Session && s.greet(ctx, owner) {
+	timeout := greetTimeout
+	if k.suspects {
+		timeout = suspectTimeout
+	}
+	if owner.Addr != "" && owner.Session != s.Session && s.greet(ctx, owner, timeout) {
 		k.suspects = false
 		return
 	}
@@ -364,11 +380,16 @@
 	}
 }
 
-// turn spreads candidates, in another order for each claim.
+// turn spreads candidates, in another order for each claim, the strongest hosts
+// first: an owner needs more processor time than the others.
 func (s *Station) turn(version uint64) int {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(s.Name)) // never fails
-	return int((uint64(h.Sum32()) + version) % 7)
+	weak := 0
+	if s.Cores > 0 {
+		weak = int(min(maxWeakTurns, max(0, (strongCores-s.Cores)*weakTurns)))
+	}
+	return weak + int((uint64(h.Sum32())+version)%candidateTurns)
 }
 
 // claim takes the cell.
--- a/station/station.go
+++ b/station/station.go
@@ -88,8 +88,9 @@
 type Station struct {
 	Seams
 	Name    string
-	Session string // unique to this process
-	Addr    string // for other entry hosts
+	Session string  // unique to this process
+	Addr    string  // for other entry hosts
+	Cores   float64 // processor share of this host; 0 if it is not known
 	Cell    cell.Config
 	Log     *slog.Logger
 	// Now is the steady clock, which must go on while the host is suspended.
