cell: a gang's member that is through waits, it does not stand still

The imitated fleet's check of completed jobs now goes by ends that happened, as an end may be lost with its worker after it was read.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -119,6 +119,35 @@
 	w.info.Born++
 }
 
+func TestGangMemberThatIsThroughIsNotStuck(t *testing.T) {
+	f := newFleet(t, 1, 48)
+	j := f.submit(2*time.Second, refret("cc00000000000001"))
+	for name := range j.actual {
+		j.actual[name] = 2 * time.Second
+	}
+	j.actual["cc00000000000001.0.0.5"] = 9 * time.Second
+	f.run(30 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+	require.Equal(t, 8, f.starts, "no run is stopped and started again")
+}
+
+func TestRunThatStandsStillIsStartedElsewhere(t *testing.T) {
+	f := newFleet(t, 1, 8)
+	j := f.submit(2*time.Second, quote("bb00000000000001"))
+	f.at(2500*time.Millisecond, func() {
+		for _, w := range f.workers {
+			for _, r := range w.runs {
+				r.work = time.Hour // it makes no progress any more
+				return
+			}
+		}
+	})
+	f.run(30 * time.Second)
+	f.requireSound()
+	require.Equal(t, docket.Completed, j.state)
+}
+
 func TestRoundOfPlacementIsCheapWhenTheFleetIsFull(t *testing.T) {
 	f := newFleet(t, 1, 48)
 	for i := range 400 {
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -64,6 +64,7 @@
 	state     docket.State
 	cancelled bool
 	done      map[string]bool // tasks whose end was acknowledged
+	ended     map[string]bool // tasks that have ended done, acknowledged or not
 	failed    map[string]int  // acknowledged failed runs
 }
 
@@ -294,7 +295,7 @@
 		f.store.progress[r.Key] = p
 		if j := f.jobs[r.Key]; j != nil && p.State.Final() && j.endedAt == 0 {
 			j.endedAt, j.state = f.now, p.State
-			if p.State == docket.Completed && len(j.done) < j.tasks() && !j.allEnded(f) {
+			if p.State == docket.Completed && !j.allEnded() {
 				f.broken("MIXED", "%s is completed with tasks left", r.Key)
 			}
 		}
@@ -314,20 +315,8 @@
 }
 
 // allEnded reports whether every task of the job has ended done on some worker.
-func (j *simJob) allEnded(f *fleet) bool {
-	done := map[string]bool{}
-	for name := range j.done {
-		done[name] = true
-	}
-	for _, w := range f.workers {
-		for _, e := range w.ended {
-			if e.How == Done {
-				done[e.Task] = true
-			}
-		}
-	}
-	return len(done) >= j.tasks()
-}
+// A worker that crashed since no longer lists its ends.
+func (j *simJob) allEnded() bool { return len(j.ended) >= j.tasks() }
 
 func (w *simWorker) unreachable(c *Cell) bool { return w.gone || w.dark || w.cutFrom[c] }
 
@@ -383,11 +372,22 @@
 	if step.Gang {
 		f.joinGang(w, r, step.Count)
 	} else {
-		f.after(r.work, func() { f.end(w, e.Task, r, r.outcome(), 0) })
+		f.endWhenDone(w, e.Task, r)
 	}
 	return None
 }
 
+// endWhenDone ends a run once its work, which a test may change, is done.
+func (f *fleet) endWhenDone(w *simWorker, name string, r *simRun) {
+	f.at(r.since+r.work, func() {
+		if f.now < r.since+r.work {
+			f.endWhenDone(w, name, r)
+			return
+		}
+		f.end(w, name, r, r.outcome(), 0)
+	})
+}
+
 func (r *simRun) outcome() End {
 	if r.faulty {
 		return Faulted
@@ -413,6 +413,11 @@
 		}
 	}
 	name := r.task.String()
+	if len(gang) == members {
+		for _, m := range gang {
+			m.r.since = f.now
+		}
+	}
 	if len(gang) < members {
 		f.after(simGangWait, func() {
 			if r.waits {
@@ -484,7 +489,16 @@
 	delete(w.runs, name)
 	j := f.jobs[r.task.Job]
 	f.usedByTeam[j.spec.Team] -= r.need.MilliCPU
-	if how != Done {
+	if how == Done {
+		j.ended[name] = true
+		if step := j.spec.Steps[r.task.Step]; step.Gang {
+			for i := range step.Count { // one end stands for all
+				id := r.task
+				id.Index = i
+				j.ended[id.String()] = true
+			}
+		}
+	} else {
 		f.wasted += (f.now - r.since).Seconds() * float64(r.need.MilliCPU) / 1000
 	}
 	w.n++
@@ -576,7 +590,7 @@
 		for name, r := range w.runs {
 			percent := 0
 			if !r.waits && r.work > 0 {
-				percent = int(100 * (f.now - r.since) / r.work)
+				percent = min(100, int(100*(f.now-r.since)/r.work))
 			}
 			report.Running = append(report.Running, RunningTask{Task: name, Run: r.n, Percent: percent})
 		}
@@ -653,7 +667,7 @@
 
 // submit hands a job in at a time; a caller that is refused does not return.
 func (f *fleet) submit(at Instant, spec *docket.Job) *simJob {
-	j := &simJob{spec: spec, actual: map[string]time.Duration{}, done: map[string]bool{}, failed: map[string]int{}}
+	j := &simJob{spec: spec, actual: map[string]time.Duration{}, done: map[string]bool{}, ended: map[string]bool{}, failed: map[string]int{}}
 	for n := range spec.Steps {
 		for i := range spec.Steps[n].Count {
 			for k := range spec.Occurrences() {
--- a/cell/run.go
+++ b/cell/run.go
@@ -556,13 +556,30 @@
 	}
 }
 
-// stuck reports whether a run has made no progress for too long.
+// stuck reports whether a run has made no progress for too long. Members of a
+// gang end together: one that is through waits for the others, and none begins
+// before all are there.
 func (c *Cell) stuck(r *run) bool {
 	s := r.task.step
-	if s.spec.LongRunning || s.spec.Fills || r.w.failing || c.now.Steady-r.movedAt < max(stuckAfter, s.spec.Estimate/20) {
+	if s.spec.LongRunning || s.spec.Fills || r.w.failing || r.percent >= 100 {
 		return false
 	}
-	return c.now.Steady-r.w.answered < lookWait
+	if c.now.Steady-r.movedAt < max(stuckAfter, s.spec.Estimate/20) || c.now.Steady-r.w.answered >= lookWait {
+		return false
+	}
+	return !s.spec.Gang || r.percent > 0 || s.begun()
+}
+
+// begun reports whether a member of a gang has made progress.
+func (s *step) begun() bool {
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if r.percent > 0 {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // lookAround sends the looks that are due.
