cell: fewer rows a job, so that a slow store carries more

Cause: with answers 60 times as slow, one commit of 90 rows in 0.4 s was all, and a job took five rows.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -75,7 +75,8 @@
 		c.emit(Answer{Reply: e.Reply, Verdict: Refused, RetryAfter: ruling.retryAfter, Reason: ruling.reason})
 		return
 	}
-	j := newJob(e.Job, docket.Progress{ReceivedAt: c.now.Wall, Queue: e.Job.Queue.Name, Team: e.Job.Team}, 0)
+	e.Job.ReceivedAt = c.now.Wall
+	j := newJob(e.Job, docket.Progress{Queue: e.Job.Queue.Name, Team: e.Job.Team}, 0)
 	j.received = c.now.Steady
 	j.beyondRate = !c.withinRate(e.Job.Team)
 	j.acceptWaits = append(j.acceptWaits, e.Reply)
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -17,7 +17,7 @@
 	// whose owner commits nothing.
 	heartbeat = 250 * time.Millisecond
 	// maxRows and maxBytes bound a commit below the store's limits of 100 entries
-	// and 1 MB in base64. A job adds up to three rows to it, the head two.
+	// and 1 MB in base64. A job adds up to two rows to it, the head two entries.
 	maxRows  = 90
 	maxBytes = 500 << 10
 )
@@ -62,7 +62,7 @@
 func (c *Cell) flush() {
 	b := &c.book
 	since := c.now.Steady - b.lastSent
-	due := len(b.dirty) > 0 || len(b.drops) > 0 || b.rosterOpen || c.ackable()
+	due := len(b.dirty) > 0 || len(b.drops) > maxRows/2 || b.rosterOpen || c.ackable()
 	if b.inFlight != nil || c.resigning || since < commitGap || !due && since < heartbeat {
 		return
 	}
@@ -74,12 +74,10 @@
 	for len(b.dirty) > 0 && effect.rows() < maxRows && size < maxBytes {
 		j := b.dirty[0]
 		b.dirty = b.dirty[1:]
-		rows := c.jobRows(j, p)
-		for _, row := range rows.puts {
+		for _, row := range c.jobRows(j, p) {
 			size += len(row.Value)
+			effect.Puts = append(effect.Puts, row)
 		}
-		effect.Puts = append(effect.Puts, rows.puts...)
-		effect.Drops = append(effect.Drops, rows.drops...)
 	}
 	if n := min(len(b.drops), maxRows-effect.rows()); n > 0 {
 		effect.Drops = append(effect.Drops, b.drops[:n]...)
@@ -132,24 +130,27 @@
 	return list
 }
 
-type rowSet struct{ puts, drops []Row }
-
-// jobRows returns the rows that store a job as it is now.
-func (c *Cell) jobRows(j *job, p *pendingCommit) rowSet {
+// jobRows returns the rows that store a job as it is now. A job without a
+// progress row is queued.
+func (c *Cell) jobRows(j *job, p *pendingCommit) []Row {
 	j.dirty = false
-	var rows rowSet
-	if j.Job != nil && !j.stored && !j.progress.State.Final() {
-		rows.puts = append(rows.puts, c.encoded(Jobs, j.id, j.Job.Encode))
-	}
+	var puts []Row
 	record := j.record()
-	rows.puts = append(rows.puts, c.encoded(Progress, j.id, record.Encode))
-	if j.progress.State.Final() && !j.deleted {
-		j.deleted = true
-		rows.drops = append(rows.drops, Row{Table: Jobs, Key: j.id})
+	if !j.stored && !j.storing && j.Job != nil && !record.State.Final() {
+		j.storing = true
+		puts = append(puts, c.encoded(Jobs, j.id, j.Job.Encode))
+	}
+	if j.recorded || record.State != docket.Queued || len(record.Steps) > 0 {
+		j.recorded = true
+		puts = append(puts, c.encoded(Progress, j.id, record.Encode))
+	}
+	if record.State.Final() && !j.deleted {
+		j.deleted = true // the row does no harm meanwhile
+		c.book.drops = append(c.book.drops, Row{Table: Jobs, Key: j.id})
 	}
 	p.jobs = append(p.jobs, jobWrite{job: j, state: record.State, accepts: j.acceptWaits, cancels: j.cancelWaits, placed: j.planned()})
 	j.acceptWaits, j.cancelWaits = nil, nil
-	return rows
+	return puts
 }
 
 // encoded returns a row. The types written always have an encoding; if one did
--- a/cell/event.go
+++ b/cell/event.go
@@ -25,7 +25,8 @@
 	Workers  []WorkerRef // that predecessors may have used
 }
 
-// Stored is one job as the store holds it. Job is nil once it has ended.
+// Stored is one job as the store holds it. Job is nil once it has ended and its
+// row is gone; Progress is nil while nothing has been placed.
 type Stored struct {
 	ID       string
 	Job      *docket.Job
--- a/cell/job.go
+++ b/cell/job.go
@@ -13,6 +13,8 @@
 	progress     docket.Progress
 	shown        docket.State // the state that the store holds
 	stored       bool         // the store has the job
+	storing      bool         // its row is on the way
+	recorded     bool         // the store has, or will have, its progress
 	dirty        bool
 	restored     bool // accepted under a previous owner
 	received     Instant
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -27,14 +27,26 @@
 	firstRun := e.Token * runsPerClaim
 	live := 0
 	for _, stored := range e.Jobs {
-		if stored.Job == nil || stored.Progress.State.Final() {
-			c.jobs[stored.ID] = &job{id: stored.ID, progress: *stored.Progress, shown: stored.Progress.State, stored: true, deleted: true, endedAt: c.now.Steady}
+		progress := docket.Progress{}
+		if stored.Progress != nil {
+			progress = *stored.Progress
+		}
+		if progress.State.Final() {
+			c.jobs[stored.ID] = &job{id: stored.ID, progress: progress, shown: progress.State, stored: true, recorded: true, deleted: true, endedAt: c.now.Steady}
+			if stored.Job != nil {
+				c.book.drops = append(c.book.drops, Row{Table: Jobs, Key: stored.ID})
+			}
+			continue
+		}
+		if stored.Job == nil {
+			c.note("progress without a job", slog.String("id", stored.ID))
 			continue
 		}
 		live++
-		j := newJob(stored.Job, *stored.Progress, firstRun)
-		j.stored, j.restored = true, true
-		age := c.now.Wall.Sub(stored.Progress.ReceivedAt)
+		progress.Team, progress.Queue = stored.Job.Team, stored.Job.Queue.Name
+		j := newJob(stored.Job, progress, firstRun)
+		j.stored, j.restored, j.recorded = true, true, stored.Progress != nil
+		age := c.now.Wall.Sub(stored.Job.ReceivedAt)
 		j.received = c.now.Steady - min(max(0, age), time.Minute)
 		c.adopt(j)
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -159,10 +159,11 @@
 // nowActive shows a job as active once a task of it has begun.
 func (c *Cell) nowActive(j *job) {
 	if j.progress.State == docket.Queued && j.Job != nil {
+		// Not written by itself: the placement that is stored says as much.
 		j.progress.State = docket.Active
+		j.shown = max(j.shown, docket.Active)
 		c.emit(Waited{For: c.now.Steady - j.received})
 		c.note("job active", slog.String("id", j.id), slog.Duration("waited", c.now.Steady-j.received))
-		c.touch(j)
 	}
 }
 
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -90,6 +90,8 @@
 	Repeat   int           `cbor:"6,keyasint,omitempty"` // occurrences; 0: the job runs once, now
 	FirstAt  time.Time     `cbor:"7,keyasint,omitempty"` // due time of occurrence 0
 	Interval time.Duration `cbor:"8,keyasint,omitempty"`
+	// ReceivedAt is the time of day at which the job was accepted.
+	ReceivedAt time.Time `cbor:"9,keyasint,omitempty"`
 }
 
 // Occurrences returns how often the steps run.
--- a/docket/progress.go
+++ b/docket/progress.go
@@ -14,10 +14,8 @@
 	Steps []StepRecord `cbor:"2,keyasint,omitempty"`
 	// EndedAt is the time of day at which the state became final.
 	EndedAt time.Time `cbor:"3,keyasint,omitempty"`
-	// ReceivedAt is the time of day at which the job was accepted.
-	ReceivedAt time.Time `cbor:"4,keyasint,omitempty"`
-	Queue      string    `cbor:"5,keyasint,omitempty"`
-	Team       string    `cbor:"6,keyasint,omitempty"`
+	Queue   string    `cbor:"5,keyasint,omitempty"`
+	Team    string    `cbor:"6,keyasint,omitempty"`
 }
 
 // StepRecord is the progress of one step of one occurrence.
