cell: the workers that can hold a gang soonest are kept for it

Cause: wide gangs waited 5 to 24 s where 0.4 to 3 s were expected: each worker's freed room was taken by small tasks before it held a member, and the earlier reservation kept only whole free places. Now openings are planned from the progress of runs, the workers take only what ends in time (backfill), and tickets are fetched ahead.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -77,11 +77,12 @@
 		w      *worker
 		expect float64 // tasks that may find a place there
 	}
-	chance := c.lesson(s.job.Queue.Name).eligible
+	lesson := c.lesson(s.job.Queue.Name)
+	chance, length := lesson.eligible, lesson.actual(s.spec.Estimate)
 	everyone := s.spec.Gang && advice.Decision >= heavyCall
 	var options []option
 	for _, sl := range of.slots {
-		if !s.spec.Gang && s.advice.valid(sl.w, c.now.Steady) || !sl.w.hasLabel(s.spec.Label) {
+		if !s.spec.Gang && (s.advice.valid(sl.w, c.now.Steady) || sl.keptFrom(c.now.Steady, length)) || !sl.w.hasLabel(s.spec.Label) {
 			continue
 		}
 		good, known := s.advice.eligible[sl.w]
--- /dev/null
+++ b/cell/gang.go
@@ -0,0 +1,270 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cowslipgap/cowslipgap/resource"
+)
+
+const (
+	// maxPlanned is how many waiting gangs a round plans room for. Later ones
+	// could not be served before these anyway.
+	maxPlanned = 8
+	// prefetch is added to the time of a call for advice, so that tickets are
+	// there when the room is.
+	prefetch = 100 * time.Millisecond
+	// overrun is how much longer than planned runs are taken to last when it is
+	// decided what may use room that is kept for later.
+	overrun = 1.2
+)
+
+// This file answers wide gangs on a full fleet. A gang needs room for all of its
+// members at one moment, on the few workers that may run it. Small tasks would
+// take every part of that room as it becomes free, so the workers that can hold
+// the gang soonest are kept for it; until then they take only what ends in time.
+
+// seat is a number of a gang's members on one worker.
+type seat struct {
+	*slot
+	n int
+}
+
+// placeGang starts all members at once, or keeps the workers that can hold them
+// soonest.
+func (c *Cell) placeGang(p *round, of *pool, s *step) {
+	if s.active > 0 || s.held() || c.teamRoom(s) < len(s.tasks) {
+		return
+	}
+	if !s.advice.knowsAny() {
+		c.ask(of, s, len(s.tasks))
+		return
+	}
+	seats, complete := c.seatGang(of, s)
+	if !complete {
+		c.planGang(p, of, s)
+		return
+	}
+	for _, seat := range seats {
+		if !s.advice.valid(seat.w, c.now.Steady) {
+			p.keep(s, seats, c.now.Steady)
+			c.renew(s, seats)
+			return
+		}
+	}
+	if !s.job.stored {
+		p.keep(s, seats, c.now.Steady)
+		return
+	}
+	s.nextRun++
+	next := 0
+	for _, seat := range seats {
+		for range seat.n {
+			t := s.tasks[next]
+			t.nextRun = s.nextRun
+			c.begin(t, seat.w, s.nextRun)
+			seat.free = seat.free.Sub(s.need())
+			next++
+		}
+	}
+	c.notePlaced(s, next, 0)
+}
+
+// seatGang divides the members over workers with room, few workers first. If
+// they do not all fit, it returns the seats that there are.
+func (c *Cell) seatGang(of *pool, s *step) ([]seat, bool) {
+	length := c.lesson(s.job.Queue.Name).actual(s.spec.Estimate)
+	var seats []seat
+	for _, sl := range of.slots {
+		if !s.advice.knows(sl.w) || !sl.w.hasLabel(s.spec.Label) || sl.keptFrom(c.now.Steady, length) {
+			continue
+		}
+		if n := s.room(sl.w, sl.free); n > 0 {
+			seats = append(seats, seat{sl, n})
+		}
+	}
+	slices.SortStableFunc(seats, func(a, b seat) int {
+		if d := cmp.Compare(s.distance(a.w), s.distance(b.w)); d != 0 {
+			return d
+		}
+		return cmp.Compare(b.n, a.n)
+	})
+	if s.spec.RackLocal {
+		if one := singleRack(seats, len(s.tasks)); one != nil {
+			seats = one
+		}
+	}
+	left := len(s.tasks)
+	for i := range seats {
+		seats[i].n = min(seats[i].n, left)
+		left -= seats[i].n
+		if left == 0 {
+			return seats[:i+1], true
+		}
+	}
+	return seats, false
+}
+
+// planGang keeps the workers that can hold the gang soonest, and sees to it that
+// tickets for them are there by then.
+func (c *Cell) planGang(p *round, of *pool, s *step) {
+	if p.planned >= maxPlanned || float64(p.kept) > maxReserved*float64(p.total) {
+		return
+	}
+	p.planned++
+	type opening struct {
+		at Instant
+		sl *slot
+	}
+	var openings []opening
+	for _, sl := range of.slots {
+		if sl.keptUntil > 0 || !s.advice.knows(sl.w) || !sl.w.hasLabel(s.spec.Label) {
+			continue
+		}
+		for _, at := range c.openings(s, sl) {
+			openings = append(openings, opening{at, sl})
+		}
+	}
+	if len(openings) < len(s.tasks) {
+		if s.advice.needed {
+			c.askMore(of, s)
+		}
+		return
+	}
+	slices.SortStableFunc(openings, func(a, b opening) int { return cmp.Compare(a.at, b.at) })
+	openings = openings[:len(s.tasks)]
+	at := openings[len(openings)-1].at
+	var seats []seat
+	for _, o := range openings {
+		i := slices.IndexFunc(seats, func(one seat) bool { return one.slot == o.sl })
+		if i < 0 {
+			seats = append(seats, seat{o.sl, 0})
+			i = len(seats) - 1
+		}
+		seats[i].n++
+	}
+	p.keep(s, seats, at)
+	if !s.advice.needed {
+		return
+	}
+	advice := s.job.Queue.Advice
+	call := advice.Decision + time.Duration(len(seats))*advice.PerWorker + prefetch
+	if at > c.now.Steady+call {
+		return
+	}
+	for _, one := range seats {
+		if !s.advice.valid(one.w, c.now.Steady) {
+			c.renew(s, seats)
+			return
+		}
+	}
+}
+
+// openings returns when room for one, two and more members of the gang is
+// expected on a worker, from how far its runs are.
+func (c *Cell) openings(s *step, sl *slot) []Instant {
+	type release struct {
+		at   Instant
+		need resource.Vector
+	}
+	releases := make([]release, 0, len(sl.w.runs))
+	for _, r := range sl.w.runs {
+		releases = append(releases, release{c.now.Steady + c.remaining(r), r.task.step.need()})
+	}
+	slices.SortFunc(releases, func(a, b release) int { return cmp.Compare(a.at, b.at) })
+	var at []Instant
+	free := sl.free
+	for n := s.room(sl.w, free); len(at) < n; {
+		at = append(at, c.now.Steady)
+	}
+	for _, one := range releases {
+		free = free.Add(one.need)
+		for n := s.room(sl.w, free); len(at) < n; {
+			at = append(at, one.at)
+		}
+	}
+	return at
+}
+
+// remaining estimates how long a run still takes.
+func (c *Cell) remaining(r *run) time.Duration {
+	s := r.task.step
+	if s.job.Job == nil || r.state == stopping {
+		return c.StopTimeout
+	}
+	if s.spec.LongRunning {
+		return time.Hour
+	}
+	length := c.lesson(s.job.Queue.Name).actual(s.spec.Estimate)
+	if r.confirmed == 0 {
+		return length
+	}
+	age := c.now.Steady - r.confirmed
+	if r.percent > 0 {
+		// The progress is known exactly, for the time at which it was told.
+		whole := time.Duration(float64(r.movedAt-r.confirmed) * 100 / float64(r.percent))
+		return max(0, whole-age)
+	}
+	return max(length/8, length-age)
+}
+
+// keep keeps workers for a gang until a time: later steps may use them only for
+// what ends before.
+func (p *round) keep(s *step, seats []seat, until Instant) {
+	need := s.need()
+	for _, one := range seats {
+		one.keptUntil = max(until, 1)
+		one.w.keptUntil = until
+		p.kept += int64(one.n) * need.MilliCPU
+		if left := one.free.Sub(resource.Vector{MilliCPU: int64(one.n) * need.MilliCPU, MemoryMB: int64(one.n) * need.MemoryMB, Accelerators: int64(one.n) * need.Accelerators}); !left.Negative() {
+			// The gang has its room already; the rest is for others.
+			one.free, one.keptUntil = left, 0
+		}
+	}
+}
+
+// keptFrom reports whether a task of the given length would be in the way of a
+// gang for which the worker is kept.
+func (sl *slot) keptFrom(now Instant, length time.Duration) bool {
+	return sl.keptUntil > 0 && now+time.Duration(overrun*float64(length)) > sl.keptUntil
+}
+
+// distance orders workers for a gang: those far from its data come last, then
+// those on which it has failed.
+func (s *step) distance(w *worker) int {
+	distance := 0
+	if s.spec.Rack != "" && w.Rack != s.spec.Rack {
+		distance = 2
+	}
+	if s.tasks[0].avoid[w.ID] {
+		distance++
+	}
+	return distance
+}
+
+// held reports whether a member may be at work for an earlier owner.
+func (s *step) held() bool {
+	for _, t := range s.tasks {
+		if t.held != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// singleRack returns the seats of one rack that holds the whole gang, if any.
+func singleRack(seats []seat, members int) []seat {
+	racks := map[string][]seat{}
+	total := map[string]int{}
+	var best []seat
+	for _, one := range seats {
+		rack := one.w.Rack
+		racks[rack] = append(racks[rack], one)
+		total[rack] += one.n
+		if total[rack] >= members && (best == nil || len(racks[rack]) < len(best)) {
+			best = racks[rack]
+		}
+	}
+	return best
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"log/slog"
 	"slices"
+	"time"
 
 	"github.com/cowslipgap/cowslipgap/resource"
 )
@@ -16,6 +17,9 @@
 	// the processor left unused, at most 1.
 	penaltyFaulted = 4 // the task failed there before
 	penaltyOffRack = 8 // its data is elsewhere, it takes longer
+	// penaltyKept is for workers that were kept for a gang in the last round.
+	// Steps that come before the gang may use them, if nothing else has room.
+	penaltyKept = 2
 	// speedWeight is what a worker of twice the usual speed is worth, in shares
 	// of a processor left unused.
 	speedWeight = 0.6
@@ -28,14 +32,17 @@
 // slot is one usable worker during a round of placement.
 type slot struct {
 	w    *worker
-	free resource.Vector // room that nothing earlier in the order has or keeps
+	free resource.Vector // room that nothing earlier in the order has
+	// keptUntil is when a gang earlier in the order needs the worker; 0 if none.
+	keptUntil Instant
 }
 
 // round is one pass over what waits.
 type round struct {
-	pools map[string]*pool // by service
-	kept  int64            // processors reserved, in thousandths
-	total int64            // processors of all usable workers
+	pools   map[string]*pool // by service
+	kept    int64            // processors kept for gangs, in thousandths
+	total   int64            // processors of all usable workers
+	planned int              // gangs for which workers are kept
 }
 
 // pool is the usable workers of one service.
@@ -57,7 +64,7 @@
 			p.pools[w.Service] = of
 		}
 		free := w.free()
-		of.slots = append(of.slots, &slot{w, free})
+		of.slots = append(of.slots, &slot{w: w, free: free})
 		of.most = of.most.Max(free)
 		p.total += w.Capacity.MilliCPU
 	}
@@ -76,19 +83,6 @@
 	return need
 }
 
-func (p *round) reserve(s *step, seats []seat) {
-	if float64(p.kept) > maxReserved*float64(p.total) {
-		return
-	}
-	need := s.need()
-	for _, seat := range seats {
-		for range seat.n {
-			seat.free = seat.free.Sub(need)
-			p.kept += need.MilliCPU
-		}
-	}
-}
-
 // place starts what can start, in order, and asks for advice where it is needed.
 func (c *Cell) place() {
 	if c.leaseLength() < minLease || len(c.waiting) == 0 {
@@ -97,6 +91,7 @@
 	c.sortWaiting()
 	c.hidden = c.hiddenUse()
 	p := c.newRound()
+	defer p.forget(c.workers)
 	for _, s := range c.waiting {
 		of := p.pools[s.job.Queue.Service]
 		if of == nil || !c.mayStart(s) {
@@ -110,6 +105,21 @@
 	}
 }
 
+// forget ends the keeping of workers that this round did not keep again.
+func (p *round) forget(workers map[string]*worker) {
+	kept := map[*worker]bool{}
+	for _, of := range p.pools {
+		for _, sl := range of.slots {
+			kept[sl.w] = sl.keptUntil > 0
+		}
+	}
+	for _, w := range workers {
+		if !kept[w] {
+			w.keptUntil = 0
+		}
+	}
+}
+
 // mayStart reports whether tasks of the step may be started, or asked about, at
 // all now.
 func (c *Cell) mayStart(s *step) bool {
@@ -158,10 +168,11 @@
 	if allowed == 0 {
 		return
 	}
+	length := c.lesson(s.job.Queue.Name).actual(s.spec.Estimate)
 	var candidates []*slot
 	if s.job.stored {
 		for _, sl := range of.slots {
-			if need.Fits(sl.free) && s.advice.allows(sl.w, c.now.Steady) && sl.w.hasLabel(s.spec.Label) {
+			if need.Fits(sl.free) && !sl.keptFrom(c.now.Steady, length) && s.advice.allows(sl.w, c.now.Steady) && sl.w.hasLabel(s.spec.Label) {
 				candidates = append(candidates, sl)
 			}
 		}
@@ -172,7 +183,7 @@
 			continue
 		}
 		allowed--
-		sl := c.best(s, t, candidates)
+		sl := c.best(s, t, length, candidates)
 		if sl == nil {
 			left++
 			continue
@@ -189,7 +200,7 @@
 }
 
 // best returns the worker on which the task leaves least unused.
-func (c *Cell) best(s *step, t *task, candidates []*slot) *slot {
+func (c *Cell) best(s *step, t *task, length time.Duration, candidates []*slot) *slot {
 	var best *slot
 	bestScore := 0.0
 	for _, sl := range candidates {
@@ -198,6 +209,9 @@
 		}
 		score := float64(sl.free.MilliCPU-s.spec.Need.MilliCPU) / float64(max(1, sl.w.Capacity.MilliCPU))
 		score -= speedWeight * sl.w.pace()
+		if until := sl.w.keptUntil; until > c.now.Steady && c.now.Steady+length > until {
+			score += penaltyKept
+		}
 		if t.avoid[sl.w.ID] {
 			score += penaltyFaulted
 		}
@@ -211,134 +225,6 @@
 	return best
 }
 
-// held reports whether a member may be at work for an earlier owner.
-func (s *step) held() bool {
-	for _, t := range s.tasks {
-		if t.held != "" {
-			return true
-		}
-	}
-	return false
-}
-
-// seat is a number of a gang's members on one worker.
-type seat struct {
-	*slot
-	n int
-}
-
-// placeGang starts all members at once, or keeps room for them.
-func (c *Cell) placeGang(p *round, of *pool, s *step) {
-	if s.active > 0 || s.held() || c.teamRoom(s) < len(s.tasks) {
-		return
-	}
-	if !s.advice.knowsAny() {
-		c.ask(of, s, len(s.tasks))
-		return
-	}
-	seats, complete := c.seatGang(of, s)
-	if !complete {
-		p.reserve(s, seats)
-		if s.advice.needed {
-			c.askMore(of, s)
-		}
-		return
-	}
-	for _, seat := range seats {
-		if !s.advice.valid(seat.w, c.now.Steady) {
-			p.reserve(s, seats)
-			c.renew(s, seats)
-			return
-		}
-	}
-	if !s.job.stored {
-		p.reserve(s, seats)
-		return
-	}
-	s.nextRun++
-	next := 0
-	for _, seat := range seats {
-		for range seat.n {
-			t := s.tasks[next]
-			t.nextRun = s.nextRun
-			c.begin(t, seat.w, s.nextRun)
-			seat.free = seat.free.Sub(s.need())
-			next++
-		}
-	}
-	c.notePlaced(s, next, 0)
-}
-
-// notePlaced logs the placement of tasks of a step.
-func (c *Cell) notePlaced(s *step, placed, left int) {
-	if placed > 0 {
-		c.note("placed", slog.String("step", s.name), slog.Int("tasks", placed), slog.Int("left", left), slog.Uint64("token", c.token))
-	}
-}
-
-// seatGang divides the members over workers with room, few workers first. If
-// they do not all fit, it returns the seats that there are.
-func (c *Cell) seatGang(of *pool, s *step) ([]seat, bool) {
-	var seats []seat
-	for _, sl := range of.slots {
-		if !s.advice.knows(sl.w) || !sl.w.hasLabel(s.spec.Label) {
-			continue
-		}
-		if n := s.room(sl.w, sl.free); n > 0 {
-			seats = append(seats, seat{sl, n})
-		}
-	}
-	slices.SortStableFunc(seats, func(a, b seat) int {
-		if d := cmp.Compare(s.distance(a.w), s.distance(b.w)); d != 0 {
-			return d
-		}
-		return cmp.Compare(b.n, a.n)
-	})
-	if s.spec.RackLocal {
-		if one := singleRack(seats, len(s.tasks)); one != nil {
-			seats = one
-		}
-	}
-	left := len(s.tasks)
-	for i := range seats {
-		seats[i].n = min(seats[i].n, left)
-		left -= seats[i].n
-		if left == 0 {
-			return seats[:i+1], true
-		}
-	}
-	return seats, false
-}
-
-// distance orders workers for a gang: those far from its data come last, then
-// those on which it has failed.
-func (s *step) distance(w *worker) int {
-	distance := 0
-	if s.spec.Rack != "" && w.Rack != s.spec.Rack {
-		distance = 2
-	}
-	if s.tasks[0].avoid[w.ID] {
-		distance++
-	}
-	return distance
-}
-
-// singleRack returns the seats of one rack that holds the whole gang, if any.
-func singleRack(seats []seat, members int) []seat {
-	racks := map[string][]seat{}
-	total := map[string]int{}
-	var best []seat
-	for _, one := range seats {
-		rack := one.w.Rack
-		racks[rack] = append(racks[rack], one)
-		total[rack] += one.n
-		if total[rack] >= members && (best == nil || len(racks[rack]) < len(best)) {
-			best = racks[rack]
-		}
-	}
-	return best
-}
-
 // teamRoom returns how many more tasks of the step the team's ceiling allows.
 func (c *Cell) teamRoom(s *step) int {
 	ceiling := c.policy[s.job.Team].Ceiling
@@ -375,3 +261,10 @@
 
 // team returns the job's team, also after the job has ended.
 func (j *job) team() string { return j.progress.Team }
+
+// notePlaced logs the placement of tasks of a step.
+func (c *Cell) notePlaced(s *step, placed, left int) {
+	if placed > 0 {
+		c.note("placed", slog.String("step", s.name), slog.Int("tasks", placed), slog.Int("left", left), slog.Uint64("token", c.token))
+	}
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -32,27 +32,28 @@
 // worker is what is believed of one worker.
 type worker struct {
 	WorkerInfo
-	listed   bool // in the store's list
-	onRoster bool // a successor would know of it
-	synced   bool // it has answered under the present token
-	looking  bool
-	lookedAt Instant // when the last look was sent
-	answered Instant // when it last answered
-	failing  bool    // the last look had no answer
-	clockAt  Instant // when Clock was read
-	seen     uint64  // highest end processed
-	ackable  uint64  // highest end whose effect is durable
-	acked    uint64  // highest end acknowledged
-	ackSent  uint64  // by the look on its way
-	runs     map[string]*run
-	strays   map[string]uint64 // runs at work there that belong to no task, with their number
-	used     resource.Vector
-	leaseEnd Instant // when all that runs there is certainly dead without renewal
-	pausedTo Instant
-	faults   int     // failed ends in a row
-	speed    float64 // against the estimates, averaged
-	observed int
-	goneAt   Instant // when it left the store's list
+	listed    bool // in the store's list
+	onRoster  bool // a successor would know of it
+	synced    bool // it has answered under the present token
+	looking   bool
+	lookedAt  Instant // when the last look was sent
+	answered  Instant // when it last answered
+	failing   bool    // the last look had no answer
+	clockAt   Instant // when Clock was read
+	seen      uint64  // highest end processed
+	ackable   uint64  // highest end whose effect is durable
+	acked     uint64  // highest end acknowledged
+	ackSent   uint64  // by the look on its way
+	runs      map[string]*run
+	strays    map[string]uint64 // runs at work there that belong to no task, with their number
+	used      resource.Vector
+	leaseEnd  Instant // when all that runs there is certainly dead without renewal
+	pausedTo  Instant
+	keptUntil Instant // a gang needs it then, as the last round planned
+	faults    int     // failed ends in a row
+	speed     float64 // against the estimates, averaged
+	observed  int
+	goneAt    Instant // when it left the store's list
 }
 
 // clockLow returns a lower bound of the worker's clock at t.
