--- a/cell/admission.go
+++ b/cell/admission.go
@@ -69,7 +69,7 @@
 	ruling := c.rule(e.Job)
 	c.note("job "+ruling.outcome(), slog.String("id", e.Job.ID), slog.String("queue", e.Job.Queue.Name),
 		slog.String("team", e.Job.Team), slog.String("reason", ruling.reason), slog.Duration("retryAfter", ruling.retryAfter),
-		slog.Duration("wait", ruling.wait), slog.Duration("slack", ruling.slack), slog.Float64("cores", ruling.cores),
+		slog.Duration("wait", ruling.wait), slog.Duration("slack", ruling.slack), slog.Float64("cores", ruling.cores), slog.Bool("beyondRate", ruling.beyond),
 		slog.Duration("commitAge", c.now.Steady-c.book.confirmed))
 	if ruling.reason != "" {
 		c.emit(Answer{Reply: e.Reply, Verdict: Refused, RetryAfter: ruling.retryAfter, Reason: ruling.reason})
@@ -78,7 +78,10 @@
 	e.Job.ReceivedAt = c.now.Wall
 	j := newJob(e.Job, docket.Progress{Queue: e.Job.Queue.Name, Team: e.Job.Team}, 0)
 	j.received = c.now.Steady
-	j.beyondRate = !c.withinRate(e.Job.Team)
+	j.beyondRate = ruling.beyond
+	if !ruling.beyond {
+		c.team(e.Job.Team).spent--
+	}
 	j.acceptWaits = append(j.acceptWaits, e.Reply)
 	c.adopt(j)
 	c.addLoad(j)
@@ -92,6 +95,7 @@
 	wait       time.Duration // expected
 	slack      time.Duration // that its objective leaves for waiting
 	cores      float64       // of the service
+	beyond     bool          // the team has sent more than it is owed
 }
 
 func (r ruling) outcome() string {
@@ -126,7 +130,12 @@
 	if spec.Queue.Advice != nil {
 		r.slack -= spec.Queue.Advice.Decision + adviceWorkers*spec.Queue.Advice.PerWorker
 	}
-	r.wait = c.expectedWait(spec, r.cores)
+	r.beyond = !c.withinRate(spec.Team)
+	rank := spec.Queue.Priority
+	if r.beyond {
+		rank += rankBeyond
+	}
+	r.wait = c.expectedWait(spec, rank, r.cores)
 	if r.wait > r.slack {
 		return refuse("it would be late", r.wait-r.slack)
 	}
@@ -136,7 +145,7 @@
 // expectedWait estimates for how long a job would wait behind what was accepted:
 // not at all as long as everything ahead of it fits with it, and for all the
 // work ahead when much more than the capacity is wanted at once.
-func (c *Cell) expectedWait(spec *docket.Job, capacity float64) time.Duration {
+func (c *Cell) expectedWait(spec *docket.Job, rank int, capacity float64) time.Duration {
 	var fleet, team demand
 	for name, d := range c.load.running {
 		fleet.add(d)
@@ -145,7 +154,7 @@
 		}
 	}
 	for key, d := range c.load.waiting {
-		if key.rank > spec.Queue.Priority {
+		if key.rank > rank {
 			continue
 		}
 		fleet.add(d)
@@ -191,8 +200,7 @@
 	return min(max(wait, minRetry)+jitter, maxRetry)
 }
 
-// withinRate spends a job of the team's allowance, and reports whether there
-// was one.
+// withinRate reports whether the team has an allowance left for a job.
 func (c *Cell) withinRate(name string) bool {
 	rate := c.policy[name].Rate
 	if rate <= 0 {
@@ -201,11 +209,7 @@
 	use := c.team(name)
 	use.spent = min(use.spent+rate*(c.now.Steady-use.at).Seconds(), rate*rateWindow.Seconds())
 	use.at = c.now.Steady
-	if use.spent < 1 {
-		return false
-	}
-	use.spent--
-	return true
+	return use.spent >= 1
 }
 
 // cancel cancels a job; it is told once the store holds it.
@@ -248,36 +252,36 @@
 	if c.load.running == nil {
 		return // the next estimate counts it
 	}
-	var running, waiting demand
-	lesson := c.lesson(j.Queue.Name)
+	length := c.lesson(j.Queue.Name)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			if s.done || s.spec.Fills {
-				continue
-			}
-			cores := float64(s.spec.Need.MilliCPU) / 1000
-			length := lesson.actual(s.spec.Estimate).Seconds()
-			for _, t := range s.tasks {
-				switch {
-				case t.done:
-				case len(t.runs) > 0:
-					running.add(demand{work: length * cores * (1 - t.runs[0].share()), cores: cores})
-				case s.ready || j.received == c.now.Steady:
-					waiting.add(demand{work: length * cores, cores: cores})
-				default:
-					waiting.work += length * cores
-				}
+			if !s.done && !s.spec.Fills {
+				c.addStep(s, length.actual(s.spec.Estimate).Seconds())
 			}
 		}
 	}
-	rank := j.Queue.Priority
-	if j.beyondRate {
-		rank += 100
+}
+
+// addStep adds what is left of a step whose tasks take the given seconds.
+func (c *Cell) addStep(s *step, seconds float64) {
+	j := s.job
+	cores := float64(s.spec.Need.MilliCPU) / 1000
+	var running, waiting demand
+	for _, t := range s.tasks {
+		switch {
+		case t.done:
+		case len(t.runs) > 0:
+			running.add(demand{work: seconds * cores * (1 - t.runs[0].share()), cores: cores})
+		case s.ready || j.received == c.now.Steady:
+			waiting.add(demand{work: seconds * cores, cores: cores})
+		default:
+			waiting.work += seconds * cores
+		}
 	}
 	use := c.load.running[j.Team]
 	use.add(running)
 	c.load.running[j.Team] = use
-	key := teamRank{j.Team, rank}
+	key := teamRank{j.Team, c.rank(s)}
 	queued := c.load.waiting[key]
 	queued.add(waiting)
 	c.load.waiting[key] = queued
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -53,6 +53,28 @@
 	}
 }
 
+func TestEndsOfAnEarlierLifeAcknowledgeNothing(t *testing.T) {
+	spec := quote("bb00000000000001")
+	c := New(Config{HoldMax: simHold, StatusFor: time.Minute})
+	at := func(ms int) Clock {
+		return Clock{Steady: time.Hour + time.Duration(ms)*time.Millisecond, Wall: time.Unix(1, 0)}
+	}
+	c.Update(at(0), Claimed{Token: 9, Previous: true, Workers: []WorkerRef{{ID: "w1"}}, Jobs: []Stored{{ID: spec.ID, Job: spec}}})
+	look := func(ms int, born int64, ends ...EndedTask) {
+		c.Update(at(ms), Looked{Worker: "w1", Received: at(ms).Steady, Report: Report{Born: born, Ended: ends}})
+	}
+	look(0, 1, EndedTask{N: 5, Task: spec.ID + ".0.0.0", Run: 1, How: Done})
+	var commit Commit
+	for _, e := range c.Update(at(100), Pump{}) {
+		if e, ok := e.(Commit); ok {
+			commit = e
+		}
+	}
+	look(120, 2) // the worker has restarted meanwhile
+	c.Update(at(130), Committed{Seq: commit.Seq, Sent: at(100).Steady})
+	require.Zero(t, c.workers["w1"].ackable)
+}
+
 func TestCommitStaysWithinTheStoresLimit(t *testing.T) {
 	f := newFleet(t, 1, 48)
 	// Far more ends at once than a transaction holds: each drops a row too.
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -38,10 +38,16 @@
 type pendingCommit struct {
 	seq     uint64
 	jobs    []jobWrite
-	acks    map[*worker]uint64
+	acks    map[*worker]lifeAck
 	workers []*worker // on the roster from now on
 }
 
+// lifeAck is an end of one life of a worker.
+type lifeAck struct {
+	life int
+	n    uint64
+}
+
 type jobWrite struct {
 	job     *job
 	state   docket.State
@@ -88,10 +94,10 @@
 		effect.Puts = append(effect.Puts, c.rosterRow(p))
 	}
 	if len(b.dirty) == 0 {
-		p.acks = map[*worker]uint64{}
+		p.acks = map[*worker]lifeAck{}
 		for _, w := range c.workers {
 			if w.seen > w.ackable {
-				p.acks[w] = w.seen
+				p.acks[w] = lifeAck{w.life, w.seen}
 			}
 		}
 	}
@@ -197,8 +203,10 @@
 	for _, w := range p.workers {
 		w.onRoster = true
 	}
-	for w, n := range p.acks {
-		w.ackable = max(w.ackable, n)
+	for w, ack := range p.acks {
+		if ack.life == w.life { // numbers of ends begin anew in each life
+			w.ackable = max(w.ackable, ack.n)
+		}
 	}
 }
 
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -123,6 +123,31 @@
 	}, 0.9, 0.9, 0.6},
 }
 
+// TestBacklogThatIsLateDoesNotDelayWhatIsNew replays an outage of the store during
+// which nothing starts: the lookups that waited through it come too late, those
+// that follow need not.
+func TestBacklogThatIsLateDoesNotDelayWhatIsNew(t *testing.T) {
+	f := newFleet(t, 3, 48)
+	f.mix("00", 2*time.Second, 9*time.Second, 150, 14, 2)
+	f.at(9*time.Second, func() { f.storeDown = true })
+	f.at(13*time.Second, func() { f.storeDown = false })
+	f.mix("01", 13500*time.Millisecond, 20*time.Second, 40, 2, 0)
+	f.run(90 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+	prompt, asked := 0, 0
+	for id, j := range f.jobs {
+		if id[:4] != "aa01" {
+			continue
+		}
+		asked++
+		if j.accepted && j.endedAt-j.handedIn <= 1210*time.Millisecond {
+			prompt++
+		}
+	}
+	require.GreaterOrEqual(t, float64(prompt), 0.9*float64(asked), "%d of %d", prompt, asked)
+}
+
 func TestLoadPatterns(t *testing.T) {
 	for _, p := range loadPatterns {
 		t.Run(p.name, func(t *testing.T) {
--- a/cell/order.go
+++ b/cell/order.go
@@ -51,16 +51,26 @@
 	return chain
 }
 
-// rank orders steps. It answers a full fleet: lookups come before patient work,
-// then what has least time left; teams beyond their rate wait for the others,
-// and jobs that are too late to be worth anything wait for all.
+// Ranks put whole groups of steps behind others. Within a group the queue's
+// priority decides, so a group is wider than priorities are.
+const (
+	rankLate   = 100  // cannot be complete within its objective any more
+	rankBeyond = 200  // of a team that sent more than it is owed
+	rankVoid   = 1000 // too late to be worth anything to its caller
+)
+
+// rank orders steps. It answers a fleet that is offered more than it can do:
+// lookups come before patient work, and what can still be in time comes before
+// what cannot, so that one burst does not make all that follows late as well.
 func (c *Cell) rank(s *step) int {
 	j := s.job
 	switch {
 	case c.now.Steady > j.received+lateFactor*(j.objective-j.received):
-		return 1000 + j.Queue.Priority
+		return rankVoid + j.Queue.Priority
 	case j.beyondRate:
-		return 100 + j.Queue.Priority
+		return rankBeyond + j.Queue.Priority
+	case c.now.Steady > s.latestAt:
+		return rankLate + j.Queue.Priority
 	default:
 		return j.Queue.Priority
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -259,7 +259,7 @@
 		c.note("worker answers again", slog.String("worker", w.ID))
 	}
 	w.failing = false
-	w.acked = w.ackSent
+	w.acked = max(w.acked, w.ackSent)
 	w.answered = max(w.answered, e.Received)
 	w.setClock(e.Report.Clock, e.Received)
 	if e.Report.Born > 0 && w.Born > 0 && e.Report.Born != w.Born {
@@ -516,7 +516,8 @@
 // reborn forgets what an earlier life of a worker ran.
 func (c *Cell) reborn(w *worker) {
 	c.note("worker restarted", slog.String("worker", w.ID), slog.Int("runs", len(w.runs)))
-	w.seen, w.ackable, w.acked = 0, 0, 0
+	w.seen, w.ackable, w.acked, w.ackSent = 0, 0, 0, 0
+	w.life++
 	w.observed = 0
 	clear(w.strays)
 	for _, r := range w.runs {
@@ -605,7 +606,10 @@
 func (c *Cell) look(w *worker) {
 	now := c.now.Steady
 	w.looking, w.lookedAt = true, now
-	effect := Look{Order: c.order(w), Ack: w.ackable}
+	effect := Look{Order: c.order(w)}
+	if !w.failing { // it may have restarted, and its ends count from 1 again
+		effect.Ack = w.ackable
+	}
 	if w.synced && !w.failing {
 		effect.Wait = lookWait
 		for _, r := range w.runs {
@@ -620,6 +624,6 @@
 	if length := c.leaseLength(); w.synced && length > 0 && (!w.failing || now-w.answered < silentAfter*2) {
 		effect.LeaseUntil = w.lease(now, length)
 	}
-	w.ackSent = w.ackable
+	w.ackSent = effect.Ack
 	c.emit(effect)
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -44,6 +44,7 @@
 	ackable   uint64  // highest end whose effect is durable
 	acked     uint64  // highest end acknowledged
 	ackSent   uint64  // by the look on its way
+	life      int     // counts its restarts
 	runs      map[string]*run
 	strays    map[string]uint64 // runs at work there that belong to no task, with their number
 	used      resource.Vector
