--- a/cell/admission.go
+++ b/cell/admission.go
@@ -122,6 +122,9 @@
 	if tasks > maxTasks {
 		return refuse("too many tasks", maxRetry)
 	}
+	if c.exceeds(spec) {
+		return refuse("it needs more than its team's limit", maxRetry)
+	}
 	if c.listedOnce && r.cores == 0 {
 		return refuse("the service has no workers", minRetry)
 	}
@@ -142,6 +145,24 @@
 	return r
 }
 
+// exceeds reports whether a gang of the job, or one of its tasks, is larger than
+// its team's ceiling, so that it could never run.
+func (c *Cell) exceeds(spec *docket.Job) bool {
+	ceiling := c.policy[spec.Team].Ceiling
+	over := func(limit, need int64) bool { return limit > 0 && need > limit }
+	for i := range spec.Steps {
+		st := &spec.Steps[i]
+		n := int64(1)
+		if st.Gang {
+			n = int64(st.Count)
+		}
+		if over(ceiling.MilliCPU, n*st.Need.MilliCPU) || over(ceiling.MemoryMB, n*st.Need.MemoryMB) || over(ceiling.Accelerators, n*st.Need.Accelerators) {
+			return true
+		}
+	}
+	return false
+}
+
 // expectedWait estimates for how long a job would wait behind what was accepted:
 // not at all as long as everything ahead of it fits with it, and for all the
 // work ahead when much more than the capacity is wanted at once.
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -22,6 +22,8 @@
 	// adviceSurplus is how many times the room that is needed is asked about,
 	// since answers cover only what was free when they were asked for.
 	adviceSurplus = 2.0
+	// maxNamed is the most workers that the service takes in one call.
+	maxNamed = 100
 	// firstEligible is the share of workers taken to be eligible before anything
 	// is learned.
 	firstEligible = 0.4
@@ -108,7 +110,7 @@
 	for _, o := range options {
 		enough := expected >= adviceSurplus*float64(tasks)
 		cheap := advice.PerWorker*time.Duration(len(names)) < advice.Decision/2
-		if enough && !cheap && !everyone {
+		if enough && !cheap && !everyone || len(names) == maxNamed {
 			break
 		}
 		names = append(names, o.w.ID)
@@ -131,7 +133,7 @@
 		}
 	}
 	if len(names) > 0 {
-		c.call(s, names)
+		c.call(s, names[:min(len(names), maxNamed)])
 	}
 }
 
@@ -144,7 +146,7 @@
 	for _, seat := range seats {
 		names = append(names, seat.w.ID)
 	}
-	c.call(s, names)
+	c.call(s, names[:min(len(names), maxNamed)])
 }
 
 // call sends a call for advice from the host with the shortest lane.
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipgap/cowslipgap/docket"
+	"github.com/cowslipgap/cowslipgap/resource"
 )
 
 // calm hands in a light mix.
@@ -36,6 +37,14 @@
 	}
 }
 
+func TestLargeFleetIsAskedAboutInParts(t *testing.T) {
+	f := newFleet(t, 1, 250)
+	f.calm(2*time.Second, 6*time.Second)
+	f.run(60 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+}
+
 func TestNewOwnerCountsFailedRunsInAnyOrder(t *testing.T) {
 	spec := lookup("dd00000000000001")
 	spec.Steps[0].Count = 1
@@ -170,6 +179,24 @@
 	require.Equal(t, docket.Completed, j.state)
 }
 
+// TestGangIsNotStarvedByItsTeam replays a team at its ceiling whose small tasks
+// take each part of it that becomes free.
+func TestGangIsNotStarvedByItsTeam(t *testing.T) {
+	f := newFleet(t, 1, 48)
+	f.teams["red"] = Team{Rate: 100, Ceiling: resource.Vector{MilliCPU: 100_000}}
+	f.mix("00", 2*time.Second, 30*time.Second, 0, 6, 0)
+	j := f.submit(8*time.Second, refret("cc00000000000001"))
+	f.run(90 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+	require.Less(t, j.endedAt-j.handedIn, 20*time.Second)
+	big := refret("cc00000000000002")
+	big.Steps[0].Count = 12
+	refused := f.submit(91*time.Second, big)
+	f.run(95 * time.Second)
+	require.True(t, refused.refused, "it can never run")
+}
+
 func TestRoundOfPlacementIsCheapWhenTheFleetIsFull(t *testing.T) {
 	f := newFleet(t, 1, 48)
 	for i := range 400 {
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -653,6 +653,11 @@
 	id, err := docket.ParseTaskID(e.Step + ".0")
 	require.NoError(f.t, err)
 	advice := f.jobs[id.Job].spec.Queue.Advice
+	if len(e.Workers) > 100 {
+		f.broken("ADVICE", "%d workers named", len(e.Workers))
+		f.send(c, Advised{Host: e.Host, Step: e.Step, Failure: Invalid})
+		return
+	}
 	begin := max(f.lanes[e.Host], f.now+simDelay)
 	done := begin + advice.Decision + time.Duration(len(e.Workers))*advice.PerWorker
 	f.lanes[e.Host] = done
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -34,41 +34,57 @@
 // placeGang starts all members at once, or keeps the workers that can hold them
 // soonest.
 func (c *Cell) placeGang(p *round, of *pool, s *step) {
-	if s.active > 0 || s.held() || c.teamRoom(s) < len(s.tasks) {
+	if s.active > 0 || s.held() {
 		return
 	}
+	seats, ready := c.prepareGang(p, of, s)
+	if !ready {
+		// What the team ends from now on is kept for the gang too.
+		p.keepTeam(s)
+		return
+	}
+	s.nextRun++
+	next := 0
+	for _, seat := range seats {
+		for range seat.n {
+			t := s.tasks[next]
+			t.nextRun = s.nextRun
+			c.begin(t, seat.w, s.nextRun)
+			seat.free = seat.free.Sub(s.need())
+			next++
+		}
+	}
+	c.notePlaced(s, next, 0)
+}
+
+// prepareGang returns the seats of a gang that can start now. Otherwise it asks
+// for advice or keeps workers, whichever the gang waits for.
+func (c *Cell) prepareGang(p *round, of *pool, s *step) ([]seat, bool) {
+	allowed := c.teamRoom(p, s) >= len(s.tasks)
 	if !s.advice.knowsAny() {
 		c.ask(of, s, len(s.tasks))
-		return
+		return nil, false
+	}
+	if !allowed {
+		return nil, false
 	}
 	seats, complete := c.seatGang(of, s)
 	if !complete {
 		c.planGang(p, of, s)
-		return
+		return nil, false
 	}
 	for _, seat := range seats {
 		if !s.advice.valid(seat.w, c.now.Steady) {
 			p.keep(s, seats, c.now.Steady)
 			c.renew(s, seats)
-			return
+			return nil, false
 		}
 	}
 	if !s.job.stored {
 		p.keep(s, seats, c.now.Steady)
-		return
-	}
-	s.nextRun++
-	next := 0
-	for _, seat := range seats {
-		for range seat.n {
-			t := s.tasks[next]
-			t.nextRun = s.nextRun
-			c.begin(t, seat.w, s.nextRun)
-			seat.free = seat.free.Sub(s.need())
-			next++
-		}
+		return nil, false
 	}
-	c.notePlaced(s, next, 0)
+	return seats, true
 }
 
 // seatGang divides the members over workers with room, few workers first. If
@@ -224,6 +240,13 @@
 	}
 }
 
+// keepTeam keeps what a step takes from the rest of its team's ceiling.
+func (p *round) keepTeam(s *step) {
+	for range s.tasks {
+		p.teams[s.job.Team] = p.teams[s.job.Team].Add(s.spec.Need)
+	}
+}
+
 // keptFrom reports whether a task of the given length would be in the way of a
 // gang for which the worker is kept.
 func (sl *slot) keptFrom(now Instant, length time.Duration) bool {
--- a/cell/place.go
+++ b/cell/place.go
@@ -39,10 +39,11 @@
 
 // round is one pass over what waits.
 type round struct {
-	pools   map[string]*pool // by service
-	kept    int64            // processors kept for gangs, in thousandths
-	total   int64            // processors of all usable workers
-	planned int              // gangs for which workers are kept
+	pools   map[string]*pool           // by service
+	kept    int64                      // processors kept for gangs, in thousandths
+	total   int64                      // processors of all usable workers
+	planned int                        // gangs for which workers are kept
+	teams   map[string]resource.Vector // kept from the rest of a team\'s ceiling
 }
 
 // pool is the usable workers of one service.
@@ -53,7 +54,7 @@
 
 // newRound takes stock of the workers.
 func (c *Cell) newRound() *round {
-	p := &round{pools: map[string]*pool{}}
+	p := &round{pools: map[string]*pool{}, teams: map[string]resource.Vector{}}
 	for _, w := range c.workers {
 		if !w.usable(c.now.Steady) {
 			continue
@@ -100,7 +101,7 @@
 		if s.spec.Gang {
 			c.placeGang(p, of, s)
 		} else {
-			c.placeTasks(of, s)
+			c.placeTasks(p, of, s)
 		}
 	}
 }
@@ -159,12 +160,12 @@
 }
 
 // placeTasks starts tasks of a step one by one where there is room.
-func (c *Cell) placeTasks(of *pool, s *step) {
+func (c *Cell) placeTasks(p *round, of *pool, s *step) {
 	need := s.need()
 	if !need.Fits(of.most) {
 		return // nothing has room, the usual case when the fleet is full
 	}
-	allowed := c.teamRoom(s)
+	allowed := c.teamRoom(p, s)
 	if allowed == 0 {
 		return
 	}
@@ -226,9 +227,9 @@
 }
 
 // teamRoom returns how many more tasks of the step the team's ceiling allows.
-func (c *Cell) teamRoom(s *step) int {
+func (c *Cell) teamRoom(p *round, s *step) int {
 	ceiling := c.policy[s.job.Team].Ceiling
-	used := c.team(s.job.Team).used.Add(c.hidden[s.job.Team])
+	used := c.team(s.job.Team).used.Add(c.hidden[s.job.Team]).Add(p.teams[s.job.Team])
 	n := len(s.tasks)
 	fit := func(limit, have, need int64) {
 		if limit > 0 && need > 0 {
