--- a/cell/advice.go
+++ b/cell/advice.go
@@ -121,20 +121,31 @@
 	}
 }
 
-// askMore asks about workers that a gang's earlier calls did not name.
-func (c *Cell) askMore(of *pool, s *step) {
+// askMore asks about workers that a gang's earlier calls did not name: those
+// with room now or, if room is false, all. It reports whether there were any.
+func (c *Cell) askMore(of *pool, s *step, room bool) bool {
 	if s.advice.asking {
-		return
+		return true
 	}
-	var names []string
+	var named []seat
 	for _, sl := range of.slots {
-		if _, known := s.advice.eligible[sl.w]; !known && sl.w.hasLabel(s.spec.Label) && s.room(sl.w, sl.w.Capacity) > 0 {
-			names = append(names, sl.w.ID)
+		if _, known := s.advice.eligible[sl.w]; known || !sl.w.hasLabel(s.spec.Label) {
+			continue
+		}
+		n := s.room(sl.w, sl.free)
+		if !room {
+			n = s.room(sl.w, sl.w.Capacity)
+		}
+		if n > 0 {
+			named = append(named, seat{sl, n})
 		}
 	}
-	if len(names) > 0 {
-		c.call(s, names[:min(len(names), maxNamed)])
+	if len(named) == 0 {
+		return false
 	}
+	slices.SortStableFunc(named, func(a, b seat) int { return cmp.Compare(b.n, a.n) })
+	c.renew(s, named[:min(len(named), maxNamed)])
+	return true
 }
 
 // renew asks again for tickets on the workers that a gang is to run on.
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -84,6 +84,24 @@
 	require.Zero(t, c.workers["w1"].ackable)
 }
 
+// TestStartThatReachesANewLifeIsKept replays a worker that restarted unnoticed
+// before a start reached it (soak, seed 8).
+func TestStartThatReachesANewLifeIsKept(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.at(1900*time.Millisecond, func() {
+		for _, w := range f.workers {
+			f.crash(w)
+		}
+	})
+	spec := quote("bb00000000000001")
+	spec.Queue.Advice = nil
+	f.submit(2*time.Second, spec)
+	f.run(30 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+	require.Equal(t, 14, f.starts)
+}
+
 func TestCommitStaysWithinTheStoresLimit(t *testing.T) {
 	f := newFleet(t, 1, 48)
 	// Far more ends at once than a transaction holds: each drops a row too.
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -15,6 +16,8 @@
 	// prefetch is added to the time of a call for advice, so that tickets are
 	// there when the room is.
 	prefetch = 100 * time.Millisecond
+	// waitNoteGap is the least time between two log lines on one gang's wait.
+	waitNoteGap = 2 * time.Second
 	// overrun is how much longer than planned runs are taken to last when it is
 	// decided what may use room that is kept for later.
 	overrun = 1.2
@@ -39,8 +42,10 @@
 	}
 	seats, ready := c.prepareGang(p, of, s)
 	if !ready {
-		// What the team ends from now on is kept for the gang too.
-		p.keepTeam(s)
+		if c.couldHold(of, s) {
+			// What the team ends from now on is kept for the gang too.
+			p.keepTeam(s)
+		}
 		return
 	}
 	s.nextRun++
@@ -66,6 +71,7 @@
 		return nil, false
 	}
 	if !allowed {
+		c.noteWaiting(s, "the team is at its ceiling", c.teamRoom(p, s))
 		return nil, false
 	}
 	seats, complete := c.seatGang(of, s)
@@ -87,6 +93,18 @@
 	return seats, true
 }
 
+// couldHold reports whether the workers that are known to be allowed the gang
+// would hold it if they were empty. Nothing is kept for one that cannot run.
+func (c *Cell) couldHold(of *pool, s *step) bool {
+	members := 0
+	for _, sl := range of.slots {
+		if s.advice.knows(sl.w) && sl.w.hasLabel(s.spec.Label) {
+			members += s.room(sl.w, sl.w.Capacity)
+		}
+	}
+	return members >= len(s.tasks)
+}
+
 // seatGang divides the members over workers with room, few workers first. If
 // they do not all fit, it returns the seats that there are.
 func (c *Cell) seatGang(of *pool, s *step) ([]seat, bool) {
@@ -126,9 +144,9 @@
 // tickets for them are there by then.
 func (c *Cell) planGang(p *round, of *pool, s *step) {
 	if p.planned >= maxPlanned || float64(p.kept) > maxReserved*float64(p.total) {
+		c.noteWaiting(s, "room is kept for others", p.planned)
 		return
 	}
-	p.planned++
 	type opening struct {
 		at Instant
 		sl *slot
@@ -144,10 +162,12 @@
 	}
 	if len(openings) < len(s.tasks) {
 		if s.advice.needed {
-			c.askMore(of, s)
+			c.askMore(of, s, false)
 		}
+		c.noteWaiting(s, "too few workers may hold it", len(openings))
 		return
 	}
+	p.planned++
 	slices.SortStableFunc(openings, func(a, b opening) int { return cmp.Compare(a.at, b.at) })
 	openings = openings[:len(s.tasks)]
 	at := openings[len(openings)-1].at
@@ -161,12 +181,14 @@
 		seats[i].n++
 	}
 	p.keep(s, seats, at)
+	c.noteWaiting(s, "workers are kept for it", int((at - c.now.Steady).Milliseconds()))
 	if !s.advice.needed {
 		return
 	}
 	advice := s.job.Queue.Advice
 	call := advice.Decision + time.Duration(len(seats))*advice.PerWorker + prefetch
 	if at > c.now.Steady+call {
+		c.askMore(of, s, true) // room elsewhere may serve it sooner
 		return
 	}
 	for _, one := range seats {
@@ -177,6 +199,16 @@
 	}
 }
 
+// noteWaiting logs, now and then, what a gang waits for. The number is the tasks
+// that could start, or the milliseconds until all can.
+func (c *Cell) noteWaiting(s *step, why string, n int) {
+	if c.now.Steady-s.notedAt < waitNoteGap && s.notedAt > 0 {
+		return
+	}
+	s.notedAt = c.now.Steady
+	c.note("gang waits", slog.String("step", s.name), slog.Int("members", len(s.tasks)), slog.String("why", why), slog.Int("n", n), slog.Int("rank", s.rank))
+}
+
 // openings returns when room for one, two and more members of the gang is
 // expected on a worker, from how far its runs are.
 func (c *Cell) openings(s *step, sl *slot) []Instant {
--- a/cell/job.go
+++ b/cell/job.go
@@ -57,6 +57,7 @@
 
 	advice     adviceState
 	notBefore  Instant // pause after a refusal
+	notedAt    Instant // when its wait was last logged
 	latestAt   Instant // start by then to meet the objective
 	rank       int
 	blockedFor Instant // since when it waits for room
--- a/cell/run.go
+++ b/cell/run.go
@@ -513,19 +513,15 @@
 	c.emit(Stop{Order: c.order(w), Task: entry.Task, Run: entry.Run})
 }
 
-// reborn forgets what an earlier life of a worker ran.
+// reborn notes that a worker has restarted: its ends are numbered anew. Which
+// runs are gone is left to its report, as starts may have reached the new life
+// before it was known here.
 func (c *Cell) reborn(w *worker) {
 	c.note("worker restarted", slog.String("worker", w.ID), slog.Int("runs", len(w.runs)))
 	w.seen, w.ackable, w.acked, w.ackSent = 0, 0, 0, 0
 	w.life++
 	w.observed = 0
 	clear(w.strays)
-	for _, r := range w.runs {
-		if r.state != running && r.state != stopping {
-			continue // the order may reach the new life
-		}
-		c.dropLost(r)
-	}
 }
 
 // loseWorker forgets a worker that certainly runs nothing any more.
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,381 @@
+// Package soak runs real entry hosts as separate processes against an imitated
+// platform, breaks things from outside at random, and checks what callers and
+// workers were promised.
+//
+// # Usage
+//
+//	go test ./soak                                  a short run, and the seeds that failed once
+//	go test ./soak -run Soak -args -seeds 50 -seconds 20
+//	go test ./soak -run Soak -args -first 17 -seeds 1
+package soak
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/faultproxy"
+	"github.com/cowslipgap/cowslipgap/platform/workshop"
+)
+
+var (
+	seeds   = flag.Int("seeds", 2, "how many seeds to run")
+	first   = flag.Uint64("first", 1, "the first seed")
+	seconds = flag.Int("seconds", 8, "for how long faults are injected, for each seed")
+	hosts   = flag.Int("hosts", 4, "entry hosts")
+	workers = flag.Int("workers", 8, "workers")
+)
+
+// regressions are the seeds that failed once, with the cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+const (
+	// settleFor is how long accepted jobs may take to end after the last fault:
+	// leases, a takeover and the work itself.
+	settleFor = 40 * time.Second
+	// maxTries bounds a caller's tries for one job.
+	maxTries = 12
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "cowslipgapd")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/cowslipgapd").CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v: %s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func TestSoak(t *testing.T) {
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { run(t, seed) })
+	}
+}
+
+func TestRegressions(t *testing.T) {
+	for _, r := range regressions {
+		t.Run(fmt.Sprint(r.seed), func(t *testing.T) { run(t, r.seed) })
+	}
+}
+
+// process is one entry host.
+type process struct {
+	name     string
+	settings string
+	front    string
+	store    *faultproxy.Proxy // between it and the store
+	mu       sync.Mutex        // one fault on the process at a time
+	cmd      *exec.Cmd
+	log      lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+func (p *process) start() error {
+	p.cmd = exec.Command(binary, "serve")
+	p.cmd.Env = append(os.Environ(), "COWSLIPGAP_BOOT="+p.settings)
+	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
+	return p.cmd.Start()
+}
+
+func (p *process) end(sig syscall.Signal) {
+	_ = p.cmd.Process.Signal(sig) // it may have ended by itself
+	_ = p.cmd.Wait()              // tells how it ended
+}
+
+// rig is one run.
+type rig struct {
+	t       *testing.T
+	seed    uint64
+	rng     *rand.Rand
+	shop    *workshop.Workshop
+	hosts   []*process
+	proxies []*faultproxy.Proxy // before the workers
+
+	mu       sync.Mutex
+	accepted map[string]int
+	refused  []string
+	events   []string
+}
+
+func (r *rig) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, time.Now().Format("05.000 ")+fmt.Sprintf(format, args...))
+}
+
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func newRig(t *testing.T, seed uint64) *rig {
+	r := &rig{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 2)), accepted: map[string]int{}}
+	r.shop = &workshop.Workshop{Workers: *workers, LateShare: 0.02}
+	r.shop.Wrap = func(addr string) (string, error) {
+		p := &faultproxy.Proxy{Target: addr}
+		r.proxies = append(r.proxies, p)
+		err := p.Start()
+		return p.Addr(), err
+	}
+	require.NoError(t, r.shop.Start())
+	store := r.shop.Store.Addr
+	for i := range *hosts {
+		p := &process{name: fmt.Sprintf("host-%d", i), store: &faultproxy.Proxy{Target: store}}
+		require.NoError(t, p.store.Start())
+		front := freePort(t)
+		p.front = fmt.Sprintf("127.0.0.1:%d", front)
+		p.settings = filepath.Join(t.TempDir(), p.name)
+		text := strings.ReplaceAll(r.shop.Settings(p.name, front, freePort(t), freePort(t), freePort(t)), store, p.store.Addr())
+		require.NoError(t, os.WriteFile(p.settings, []byte(text), 0o600))
+		require.NoError(t, p.start())
+		r.hosts = append(r.hosts, p)
+	}
+	t.Cleanup(r.close)
+	return r
+}
+
+func (r *rig) close() {
+	for _, p := range r.hosts {
+		p.end(syscall.SIGKILL)
+		p.store.Close()
+	}
+	for _, p := range r.proxies {
+		p.Close()
+	}
+	r.shop.Close()
+	if r.t.Failed() {
+		dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", r.seed))
+		if err != nil {
+			r.t.Log(err)
+			return
+		}
+		for _, p := range r.hosts {
+			_ = os.WriteFile(filepath.Join(dir, p.name+".log"), []byte(p.log.String()), 0o600) // the test has failed already
+		}
+		_ = os.WriteFile(filepath.Join(dir, "events.txt"), []byte(strings.Join(r.events, "\n")), 0o600)
+		r.t.Logf("seed %d: logs and events are kept in %s", r.seed, dir)
+	}
+}
+
+// run plays one seed.
+func run(t *testing.T, seed uint64) {
+	r := newRig(t, seed)
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for c := range 6 {
+		wg.Go(func() { r.call(ctx, c) })
+	}
+	time.Sleep(1500 * time.Millisecond)
+	deadline := time.Now().Add(time.Duration(*seconds) * time.Second)
+	var faults sync.WaitGroup
+	for time.Now().Before(deadline) {
+		fault := r.draw()
+		faults.Go(fault)
+		time.Sleep(time.Duration(100+r.rng.IntN(900)) * time.Millisecond)
+	}
+	faults.Wait()
+	stop()
+	wg.Wait()
+	r.check()
+}
+
+// draw picks a fault. Several may be under way at once.
+func (r *rig) draw() func() {
+	length := time.Duration(200+r.rng.IntN(4000)) * time.Millisecond
+	host := r.hosts[r.rng.IntN(len(r.hosts))]
+	worker := r.rng.IntN(*workers)
+	kind := r.rng.IntN(10)
+	trouble := workshop.Trouble(1 + r.rng.IntN(6))
+	faults := []faultproxy.Fault{{DropReplies: true}, {DropRequests: true}, {Refuse: true}, {Delay: 50 * time.Millisecond}}
+	fault := faults[r.rng.IntN(len(faults))]
+	return func() {
+		switch kind {
+		case 0, 1:
+			r.onHost(host, "killed", func() { host.end(syscall.SIGKILL); time.Sleep(length / 8) }, true)
+		case 2:
+			r.onHost(host, "stopped", func() { host.end(syscall.SIGTERM) }, true)
+		case 3:
+			r.onHost(host, "paused", func() {
+				_ = host.cmd.Process.Signal(syscall.SIGSTOP) // it runs: the lock is held
+				time.Sleep(length)
+				_ = host.cmd.Process.Signal(syscall.SIGCONT)
+			}, false)
+		case 4:
+			r.note("store: trouble %d for %v", trouble, length)
+			r.shop.Store.Fail(trouble)
+			time.Sleep(length)
+			r.shop.Store.Fail(workshop.Fine)
+			r.note("store: fine")
+		case 5:
+			r.note("store of %s: %+v for %v", host.name, fault, length)
+			host.store.Set(fault)
+			host.store.Cut()
+			time.Sleep(length)
+			host.store.Set(faultproxy.Fault{})
+			host.store.Cut()
+		case 6:
+			r.note("worker %d restarts", worker)
+			r.shop.Worker(worker).Crash()
+		case 7:
+			r.note("worker %d dark for %v", worker, 2*length)
+			r.shop.Worker(worker).Darken(true)
+			time.Sleep(2 * length)
+			r.shop.Worker(worker).Darken(false)
+		case 8:
+			r.note("path to worker %d: %+v for %v", worker, fault, length)
+			r.proxies[worker].Set(fault)
+			time.Sleep(length)
+			r.proxies[worker].Set(faultproxy.Fault{})
+			r.proxies[worker].Cut()
+		case 9:
+			r.note("history forgotten")
+			r.shop.Store.Forget()
+		}
+	}
+}
+
+func (r *rig) onHost(p *process, what string, do func(), restart bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r.note("%s %s", p.name, what)
+	do()
+	if restart {
+		if err := p.start(); err != nil {
+			r.note("%s does not start: %v", p.name, err)
+		}
+	}
+	r.note("%s runs", p.name)
+}
+
+// call hands jobs in, one after the other, over connections that it keeps.
+func (r *rig) call(ctx context.Context, caller int) {
+	client := &http.Client{Timeout: 3 * time.Second}
+	rng := rand.New(rand.NewPCG(r.seed, uint64(100+caller)))
+	for n := 0; ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("%04x%012x", caller+1, n)
+		tasks, ms := 1+rng.IntN(3), 100+rng.IntN(700)
+		queue := workshop.QueueHost
+		if n%3 == 0 {
+			queue = workshop.OtherHost
+		}
+		r.shop.Expect(id, tasks, 1000)
+		r.submit(client, rng, id, queue, tasks, ms)
+		time.Sleep(time.Duration(rng.IntN(120)) * time.Millisecond)
+	}
+}
+
+// submit hands one job in. A refusal of every try means that it never runs.
+func (r *rig) submit(client *http.Client, rng *rand.Rand, id, queue string, tasks, ms int) {
+	body := fmt.Sprintf(`{"spec":"%d","steps":[{"count":%d,"cpu":1000,"estimate_ms":%d}]}`, ms, tasks, ms)
+	onlyRefused := true
+	for range maxTries {
+		host := r.hosts[rng.IntN(len(r.hosts))]
+		status, _ := request(client, http.MethodPost, host.front, queue, id, body)
+		switch status {
+		case http.StatusOK:
+			r.mu.Lock()
+			r.accepted[id] = tasks
+			r.mu.Unlock()
+			return
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		default:
+			onlyRefused = false
+		}
+		time.Sleep(time.Duration(100+rng.IntN(200)) * time.Millisecond)
+	}
+	if onlyRefused {
+		r.mu.Lock()
+		r.refused = append(r.refused, id)
+		r.mu.Unlock()
+	}
+}
+
+// request sends one call. Status 0 means that it is not known what became of it.
+func request(client *http.Client, method, addr, queue, id, body string) (int, string) {
+	req, err := http.NewRequest(method, "http://"+addr+workshop.QueuePrefix+id, strings.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	req.Host = queue
+	req.Header.Set("Authorization", "Token "+workshop.Key)
+	req.Header.Set("X-Deadline-Ms", "3000")
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(data)
+}
+
+// check asks for every accepted job until it has completed.
+func (r *rig) check() {
+	client := &http.Client{Timeout: 3 * time.Second}
+	deadline := time.Now().Add(settleFor)
+	for id, tasks := range r.accepted {
+		state := ""
+		for i := 0; time.Now().Before(deadline); i++ {
+			status, body := request(client, http.MethodGet, r.hosts[i%len(r.hosts)].front, workshop.QueueHost, id, "")
+			if state = body; strings.Contains(body, "completed") {
+				break
+			}
+			require.NotEqual(r.t, http.StatusGone, status, "LOST: %s was accepted and is not known", id)
+			time.Sleep(30 * time.Millisecond)
+		}
+		require.Contains(r.t, state, "completed", "LOST: %s was accepted", id)
+		require.Equal(r.t, tasks, r.shop.Done(id), "MIXED: %s", id)
+	}
+	for _, id := range r.refused {
+		require.False(r.t, r.shop.Started(id), "REFUSED: %s was refused and ran", id)
+	}
+	require.Empty(r.t, r.shop.Problems())
+	r.t.Logf("seed %d: %d jobs accepted, %d refused, %d faults", r.seed, len(r.accepted), len(r.refused), len(r.events))
+}
