--- a/cell/admission.go
+++ b/cell/admission.go
@@ -88,6 +88,32 @@
 	c.touch(j)
 }
 
+// refuseUnsent refuses jobs whose rows were never sent, once the store has not
+// answered for too long. It answers an outage in a burst: what is behind a commit
+// without an answer would wait for it in vain, and has certainly not run.
+func (c *Cell) refuseUnsent() {
+	silent := c.now.Steady - c.book.confirmed
+	if silent <= storeSilence {
+		return
+	}
+	kept := c.book.dirty[:0]
+	for _, j := range c.book.dirty {
+		if j.stored || j.storing || j.progress.State != docket.Queued || len(j.cancelWaits) > 0 {
+			kept = append(kept, j)
+			continue
+		}
+		wait := spread(j.id, minRetry)
+		for _, reply := range j.acceptWaits {
+			c.emit(Answer{Reply: reply, Verdict: Refused, RetryAfter: wait, Reason: "the store does not answer"})
+		}
+		c.note("job refused", slog.String("id", j.id), slog.String("reason", "the store does not answer"), slog.Duration("commitAge", silent), slog.Duration("retryAfter", wait))
+		delete(c.jobs, j.id)
+		j.Job, j.occurrences = nil, nil
+	}
+	clear(c.book.dirty[len(kept):])
+	c.book.dirty = kept
+}
+
 // ruling is the decision on a job that is handed in, with what decided it.
 type ruling struct {
 	reason     string // why it is refused; "" if it is accepted
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -188,6 +188,7 @@
 	c.tendWorkers()
 	c.tendRuns()
 	c.tendRecovery()
+	c.refuseUnsent()
 	c.estimateLoad()
 	c.forgetEnded()
 }
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -148,6 +148,28 @@
 	require.GreaterOrEqual(t, float64(prompt), 0.9*float64(asked), "%d of %d", prompt, asked)
 }
 
+// TestOutageRefusesWhatWasNeverSent replays a store that falls silent in a burst.
+func TestOutageRefusesWhatWasNeverSent(t *testing.T) {
+	f := newFleet(t, 5, 48)
+	f.mix("00", 2*time.Second, 10*time.Second, 120, 6, 0)
+	f.at(5*time.Second, func() { f.storeDown = true })
+	f.at(9*time.Second, func() { f.storeDown = false })
+	undecided := 0
+	f.at(8*time.Second, func() {
+		for _, j := range f.jobs {
+			// Only what one commit carries may still wait for its fate.
+			if j.handedIn > 0 && !j.accepted && !j.refused {
+				undecided++
+			}
+		}
+	})
+	f.run(60 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+	require.LessOrEqual(t, undecided, maxRows)
+	require.Positive(t, f.tallies()["lookup"].refused)
+}
+
 func TestLoadPatterns(t *testing.T) {
 	for _, p := range loadPatterns {
 		t.Run(p.name, func(t *testing.T) {
--- a/station/lead.go
+++ b/station/lead.go
@@ -35,6 +35,9 @@
 	// handOverAfter is the age of an owner's last confirmed commit from which on
 	// it asks hosts that reach the store to take the cell.
 	handOverAfter = 800 * time.Millisecond
+	// handOverRefused is that age if the store refuses this host: more than a
+	// heartbeat, so that a single refusal does not move the cell.
+	handOverRefused = 300 * time.Millisecond
 	// storePrompt is the longest time that a working store takes for a read.
 	storePrompt = 150 * time.Millisecond
 	// claimStagger is the delay between candidates, so that they seldom collide.
@@ -53,6 +56,10 @@
 	reclaimDelay = 2 * time.Second
 )
 
+// ErrTurnedAway marks errors of calls that the store refused, as far as this host
+// can see. It may serve other hosts.
+var ErrTurnedAway = errors.New("station: turned away by the store")
+
 // leadership is what a station knows of the cell's ownership.
 type leadership struct {
 	mu          sync.Mutex
@@ -61,6 +68,7 @@
 	confirmedAt cell.Instant // of this host's commits
 	ownerOK     cell.Instant // when the owner last answered with fresh commits
 	storeDown   bool
+	turnedAway  bool              // the store refuses this host's commits
 	members     map[string]member // hosts that greet this one
 	known       map[string]string // addresses of all hosts ever met, by name
 	gaveUpAt    cell.Instant
@@ -105,6 +113,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.owner.Version = version
+	l.turnedAway = false
 	l.confirmedAt = max(l.confirmedAt, sent)
 	if l.storeDown {
 		l.storeDown = false
@@ -122,6 +131,14 @@
 	}
 }
 
+// commitFailed notes that a commit had no usable answer.
+func (l *leadership) commitFailed(s *Station, err error) {
+	l.storeFailed(s, err)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.turnedAway = errors.Is(err, ErrTurnedAway)
+}
+
 // storeAnswered notes that the store can be reached.
 func (l *leadership) storeAnswered(s *Station) {
 	l.mu.Lock()
@@ -214,7 +231,10 @@
 }
 
 func (k *keeper) pause() time.Duration {
-	if k.suspects {
+	k.station.lead.mu.Lock()
+	turnedAway := k.station.lead.own && k.station.lead.turnedAway
+	k.station.lead.mu.Unlock()
+	if k.suspects || turnedAway {
 		return claimStagger
 	}
 	return greetEvery
@@ -238,8 +258,12 @@
 	}
 	s.lead.mu.Lock()
 	age := s.Now() - s.lead.confirmedAt
+	limit := handOverAfter
+	if s.lead.turnedAway {
+		limit = handOverRefused
+	}
 	s.lead.mu.Unlock()
-	if age > handOverAfter {
+	if age > limit {
 		s.offer(ctx, true)
 	}
 	if k.company && s.Now()-k.heard > aloneFor && s.cutOff(ctx) {
--- a/station/perform.go
+++ b/station/perform.go
@@ -143,7 +143,7 @@
 		cancel()
 		switch {
 		case err != nil:
-			s.lead.storeFailed(s, err)
+			s.lead.commitFailed(s, err)
 			sleep(ctx, commitRetry)
 			continue
 		case stands == nil:
