--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -386,7 +386,7 @@
 			f.endWhenDone(w, name, r)
 			return
 		}
-		f.end(w, name, r, r.outcome(), 0)
+		f.end(w, name, r, r.outcome())
 	})
 }
 
@@ -423,7 +423,7 @@
 	if len(gang) < members {
 		f.after(simGangWait, func() {
 			if r.waits {
-				f.end(w, name, r, Alone, 0)
+				f.end(w, name, r, Alone)
 			}
 		})
 		return
@@ -434,7 +434,7 @@
 	}
 	for _, m := range gang {
 		m.r.waits = false
-		f.after(work, func() { f.end(m.w, m.r.task.String(), m.r, how, 0) })
+		f.after(work, func() { f.end(m.w, m.r.task.String(), m.r, how) })
 	}
 }
 
@@ -484,7 +484,7 @@
 }
 
 // end ends a run on its worker, if it is still that run.
-func (f *fleet) end(w *simWorker, name string, r *simRun, how End, _ int) {
+func (f *fleet) end(w *simWorker, name string, r *simRun, how End) {
 	if w.runs[name] != r || w.gone {
 		return
 	}
@@ -521,7 +521,7 @@
 	for _, other := range f.workers {
 		for name, m := range other.runs {
 			if m.task.Job == r.task.Job && m.task.Step == r.task.Step && m.n == r.n {
-				f.end(other, name, m, Broken, 0)
+				f.end(other, name, m, Broken)
 			}
 		}
 	}
@@ -535,7 +535,7 @@
 			return
 		}
 		for name, r := range w.runs {
-			f.end(w, name, r, Lapsed, 0)
+			f.end(w, name, r, Lapsed)
 		}
 	})
 }
@@ -556,7 +556,7 @@
 		w.token = e.Token
 		w.barred[e.Task] = max(w.barred[e.Task], e.Run)
 		if r := w.runs[e.Task]; r != nil && r.n == e.Run {
-			f.after(100*time.Millisecond, func() { f.end(w, e.Task, r, Stopped, 0) })
+			f.after(100*time.Millisecond, func() { f.end(w, e.Task, r, Stopped) })
 		}
 		answer(None)
 	}
--- a/cmd/cowslipgapd/main.go
+++ b/cmd/cowslipgapd/main.go
@@ -2,8 +2,8 @@
 //
 // # Usage
 //
-//	COWSLIPGAP_BOOT=boot.conf cowslipgapd serve
-//	COWSLIPGAP_BOOT=boot.conf cowslipgapd check
+//	cowslipgapd serve
+//	cowslipgapd check
 //	cowslipgapd explain 5c0e7a21d94b36f8 host-a.log host-b.log
 //
 // Exit status: 0 done, 1 it failed or nothing was found, 2 the command line or
