--- a/cmd/cowslipgap/script_test.go
+++ b/cmd/cowslipgap/script_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -11,6 +10,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/cowslipgap/cowslipgap/deployment"
+	"github.com/cowslipgap/cowslipgap/freeport"
 	"github.com/cowslipgap/cowslipgap/standin"
 )
 
@@ -47,14 +47,11 @@
 	env.Values[standinKey{}] = s
 	env.Setenv("PLATFORM", s.URL())
 	for i := 1; i <= 6; i++ {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := freeport.Pick()
 		if err != nil {
 			return err
 		}
-		env.Setenv(fmt.Sprint("A", i), l.Addr().String())
-		if err := l.Close(); err != nil {
-			return err
-		}
+		env.Setenv(fmt.Sprint("A", i), fmt.Sprintf("127.0.0.1:%d", port))
 	}
 	return nil
 }
--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +21,7 @@
 
 	"github.com/cowslipgap/cowslipgap/client"
 	"github.com/cowslipgap/cowslipgap/faultproxy"
+	"github.com/cowslipgap/cowslipgap/freeport"
 	"github.com/cowslipgap/cowslipgap/gateway"
 	"github.com/cowslipgap/cowslipgap/record"
 	"github.com/cowslipgap/cowslipgap/refusal"
@@ -118,10 +118,9 @@
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := freeport.Pick()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", port)
 }
 
 // newFleet starts a stand-in of Gia Đàn's and an entry host in each named zone.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,9 +14,7 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -30,6 +28,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipgap/cowslipgap/faultproxy"
+	"github.com/cowslipgap/cowslipgap/freeport"
 	"github.com/cowslipgap/cowslipgap/platform/workshop"
 )
 
@@ -151,10 +150,9 @@
 }
 
 func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := freeport.Pick()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	return port
 }
 
 func newRig(t *testing.T, seed uint64) *rig {
@@ -298,7 +296,7 @@
 
 // call hands jobs in, one after the other, over connections that it keeps.
 func (r *rig) call(ctx context.Context, caller int) {
-	client := &http.Client{Timeout: 3 * time.Second}
+	client := &http.Client{Timeout: workshop.CallerPatience}
 	rng := rand.New(rand.NewPCG(r.seed, uint64(100+caller)))
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%04x%012x", caller+1, n)
@@ -319,7 +317,7 @@
 	onlyRefused := true
 	for range maxTries {
 		host := r.hosts[rng.IntN(len(r.hosts))]
-		status, _ := request(client, http.MethodPost, host.front, queue, id, body)
+		status, _ := workshop.Call(client, http.MethodPost, host.front, queue, id, body)
 		switch status {
 		case http.StatusOK:
 			r.mu.Lock()
@@ -339,35 +337,14 @@
 	}
 }
 
-// request sends one call. Status 0 means that it is not known what became of it.
-func request(client *http.Client, method, addr, queue, id, body string) (int, string) {
-	req, err := http.NewRequest(method, "http://"+addr+workshop.QueuePrefix+id, strings.NewReader(body))
-	if err != nil {
-		return 0, ""
-	}
-	req.Host = queue
-	req.Header.Set("Authorization", "Token "+workshop.Key)
-	req.Header.Set("X-Deadline-Ms", "3000")
-	resp, err := client.Do(req)
-	if err != nil {
-		return 0, ""
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return resp.StatusCode, string(data)
-}
-
 // check asks for every accepted job until it has completed.
 func (r *rig) check() {
-	client := &http.Client{Timeout: 3 * time.Second}
+	client := &http.Client{Timeout: workshop.CallerPatience}
 	deadline := time.Now().Add(settleFor)
 	for id, tasks := range r.accepted {
 		state := ""
 		for i := 0; time.Now().Before(deadline); i++ {
-			status, body := request(client, http.MethodGet, r.hosts[i%len(r.hosts)].front, workshop.QueueHost, id, "")
+			status, body := workshop.Call(client, http.MethodGet, r.hosts[i%len(r.hosts)].front, workshop.QueueHost, id, "")
 			if state = body; strings.Contains(body, "completed") {
 				break
 			}
