Remove what the change left dead or said twice; behaviour as before

cell: one place turns callers away, one handles failures that end more than an order, one charges a run; resource.Vector.Times.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -17,8 +17,8 @@
 	// minRetry and maxRetry bound what callers are told to wait.
 	minRetry = time.Second
 	maxRetry = 15 * time.Second
-	// adviceAllowance is the part of the objective kept for calls for advice, in
-	// times of a call that names tens of workers.
+	// adviceWorkers is how many workers the call for advice names for which a part
+	// of the objective is kept.
 	adviceWorkers = 48
 	// maxTasks bounds the tasks of a job, and with it the memory it takes.
 	maxTasks = 20_000
@@ -53,10 +53,6 @@
 // than it can do: what would come too late is refused at once, with the time at
 // which there will be room, rather than accepted and done late.
 func (c *Cell) submit(e Submit) {
-	if !c.owner {
-		c.emit(Answer{Reply: e.Reply, Verdict: NotOwner})
-		return
-	}
 	if j := c.jobs[e.Job.ID]; j != nil {
 		if j.stored {
 			c.emit(Answer{Reply: e.Reply, Verdict: Accepted, State: j.shown})
@@ -182,7 +178,8 @@
 		if st.Gang {
 			n = int64(st.Count)
 		}
-		if over(ceiling.MilliCPU, n*st.Need.MilliCPU) || over(ceiling.MemoryMB, n*st.Need.MemoryMB) || over(ceiling.Accelerators, n*st.Need.Accelerators) {
+		need := st.Need.Times(n)
+		if over(ceiling.MilliCPU, need.MilliCPU) || over(ceiling.MemoryMB, need.MemoryMB) || over(ceiling.Accelerators, need.Accelerators) {
 			return true
 		}
 	}
@@ -261,10 +258,6 @@
 
 // cancel cancels a job; it is told once the store holds it.
 func (c *Cell) cancel(e Cancel) {
-	if !c.owner {
-		c.emit(Answer{Reply: e.Reply, Verdict: NotOwner})
-		return
-	}
 	j := c.jobs[e.ID]
 	if j == nil {
 		c.emit(Answer{Reply: e.Reply, Verdict: Unknown})
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -48,7 +48,6 @@
 type Config struct {
 	HoldMax     time.Duration // longest lease that a worker grants
 	StopTimeout time.Duration // longest time that a stop takes
-	GangTimeout time.Duration // for how long a member of a gang waits for the others
 	StatusFor   time.Duration // for how long an ended job's state is kept
 }
 
@@ -65,7 +64,6 @@
 	jobs       map[string]*job
 	workers    map[string]*worker
 	teams      map[string]*teamUse
-	services   map[string]Service
 	policy     map[string]Team
 	hosts      []string
 	lanes      map[string]int // calls for advice in flight, by host
@@ -78,10 +76,9 @@
 	hidden     map[string]resource.Vector // what teams may have running unseen
 	listedOnce bool                       // the workers were listed since the claim
 
-	book      ledger
-	lastTick  Instant
-	resigning bool
-	load      loadEstimate
+	book     ledger
+	lastTick Instant
+	load     loadEstimate
 }
 
 // teamUse is what a team has running, with what may begin or is being stopped.
@@ -95,14 +92,13 @@
 func New(cfg Config) *Cell {
 	c := &Cell{Config: cfg}
 	c.reset()
-	c.services = map[string]Service{}
 	c.policy = map[string]Team{}
 	return c
 }
 
 // reset forgets everything that belongs to a claim.
 func (c *Cell) reset() {
-	c.owner, c.token, c.resigning = false, 0, false
+	c.owner, c.token = false, 0
 	c.jobs = map[string]*job{}
 	c.workers = map[string]*worker{}
 	c.teams = map[string]*teamUse{}
@@ -128,24 +124,18 @@
 	c.effects = c.effects[:0]
 	switch e := event.(type) {
 	case Policy:
-		c.policy, c.services = e.Teams, e.Services
+		c.policy = e.Teams
 	case Members:
 		c.hosts = e.Hosts
 	case Claimed:
 		c.restore(e)
 	case Deposed:
 		c.depose(e.Reason)
-	case Submit:
-		c.submit(e)
-	case Cancel:
-		c.cancel(e)
-	case Query:
-		c.query(e)
-	case CountQueued:
-		c.countQueued(e)
 	default:
 		if c.owner {
 			c.updateOwned(event)
+		} else {
+			c.turnAway(event)
 		}
 	}
 	return c.effects
@@ -154,6 +144,14 @@
 // updateOwned applies an event that matters to the owner alone.
 func (c *Cell) updateOwned(event any) {
 	switch e := event.(type) {
+	case Submit:
+		c.submit(e)
+	case Cancel:
+		c.cancel(e)
+	case Query:
+		c.query(e)
+	case CountQueued:
+		c.countQueued(e)
 	case Committed:
 		c.committed(e)
 	case Listed:
@@ -171,6 +169,24 @@
 	}
 }
 
+// turnAway sends callers to the owner. Other events concern a claim that is over.
+func (c *Cell) turnAway(event any) {
+	reply := uint64(0)
+	switch e := event.(type) {
+	case Submit:
+		reply = e.Reply
+	case Cancel:
+		reply = e.Reply
+	case Query:
+		reply = e.Reply
+	case CountQueued:
+		reply = e.Reply
+	default:
+		return
+	}
+	c.emit(Answer{Reply: reply, Verdict: NotOwner})
+}
+
 // pump does what depends on time, places what waits and writes what is due.
 func (c *Cell) pump() {
 	if c.now.Steady-c.lastTick >= tickGap {
@@ -209,10 +225,6 @@
 
 // query answers with the state that the store holds.
 func (c *Cell) query(e Query) {
-	if !c.owner {
-		c.emit(Answer{Reply: e.Reply, Verdict: NotOwner})
-		return
-	}
 	j := c.jobs[e.ID]
 	if j == nil || !j.stored {
 		c.emit(Answer{Reply: e.Reply, Verdict: Unknown})
@@ -222,10 +234,6 @@
 }
 
 func (c *Cell) countQueued(e CountQueued) {
-	if !c.owner {
-		c.emit(Answer{Reply: e.Reply, Verdict: NotOwner})
-		return
-	}
 	count := 0
 	for _, j := range c.jobs {
 		if j.Job != nil && j.stored && j.progress.State == docket.Queued && j.Queue.Name == e.Queue {
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -69,7 +69,7 @@
 	b := &c.book
 	since := c.now.Steady - b.lastSent
 	due := len(b.dirty) > 0 || len(b.drops) > maxRows/2 || b.rosterOpen || c.ackable()
-	if b.inFlight != nil || c.resigning || since < commitGap || !due && since < heartbeat {
+	if b.inFlight != nil || since < commitGap || !due && since < heartbeat {
 		return
 	}
 	b.seq++
@@ -176,11 +176,11 @@
 		refs = append(refs, WorkerRef{ID: w.ID, Addr: w.Addr, Service: w.Service})
 		p.workers = append(p.workers, w)
 	}
-	return c.encoded(Roster, rosterKey, func() ([]byte, error) { return cbor.Marshal(refs) })
+	return c.encoded(Roster, RosterKey, func() ([]byte, error) { return cbor.Marshal(refs) })
 }
 
-// rosterKey is the key of the single roster row.
-const rosterKey = "workers"
+// RosterKey is the key of the single roster row.
+const RosterKey = "workers"
 
 // DecodeRoster reads the roster row.
 func DecodeRoster(value []byte) ([]WorkerRef, error) {
--- a/cell/event.go
+++ b/cell/event.go
@@ -92,10 +92,7 @@
 }
 
 // Policy is the part of the configuration that governs placement.
-type Policy struct {
-	Teams    map[string]Team
-	Services map[string]Service
-}
+type Policy struct{ Teams map[string]Team }
 
 // Team is a team's share and limit.
 type Team struct {
@@ -103,11 +100,6 @@
 	Ceiling resource.Vector // a zero dimension has no limit
 }
 
-// Service is a pool of workers.
-type Service struct {
-	Guards bool // its workers reject what does not fit
-}
-
 // Members is the set of entry hosts that can call the advice service.
 type Members struct{ Hosts []string }
 
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -181,7 +181,7 @@
 func (f *fleet) claim() {
 	f.store.version++
 	f.store.token = f.store.version
-	c := New(Config{HoldMax: simHold, StopTimeout: 200 * time.Millisecond, GangTimeout: simGangWait, StatusFor: 120 * time.Second})
+	c := New(Config{HoldMax: simHold, StopTimeout: 200 * time.Millisecond, StatusFor: 120 * time.Second})
 	previous := f.owner != nil
 	f.owner = c
 	claimed := Claimed{Token: f.store.token, Previous: previous, Workers: f.store.roster}
@@ -194,7 +194,7 @@
 			claimed.Jobs = append(claimed.Jobs, Stored{ID: id, Job: job})
 		}
 	}
-	f.send(c, Policy{Teams: f.teams, Services: map[string]Service{"s": {}}})
+	f.send(c, Policy{Teams: f.teams})
 	f.send(c, claimed)
 	f.send(c, Members{Hosts: f.hosts})
 	f.list()
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -65,13 +65,12 @@
 // prepareGang returns the seats of a gang that can start now. Otherwise it asks
 // for advice or keeps workers, whichever the gang waits for.
 func (c *Cell) prepareGang(p *round, of *pool, s *step) ([]seat, bool) {
-	allowed := c.teamRoom(p, s) >= len(s.tasks)
 	if !s.advice.knowsAny() {
 		c.ask(of, s, len(s.tasks))
 		return nil, false
 	}
-	if !allowed {
-		c.noteWaiting(s, "the team is at its ceiling", c.teamRoom(p, s))
+	if allowed := c.teamRoom(p, s); allowed < len(s.tasks) {
+		c.noteWaiting(s, "the team is at its ceiling", allowed)
 		return nil, false
 	}
 	seats, complete := c.seatGang(of, s)
@@ -265,7 +264,7 @@
 		one.keptUntil = max(until, 1)
 		one.w.keptUntil = until
 		p.kept += int64(one.n) * need.MilliCPU
-		if left := one.free.Sub(resource.Vector{MilliCPU: int64(one.n) * need.MilliCPU, MemoryMB: int64(one.n) * need.MemoryMB, Accelerators: int64(one.n) * need.Accelerators}); !left.Negative() {
+		if left := one.free.Sub(need.Times(int64(one.n))); !left.Negative() {
 			// The gang has its room already; the rest is for others.
 			one.free, one.keptUntil = left, 0
 		}
@@ -274,9 +273,7 @@
 
 // keepTeam keeps what a step takes from the rest of its team's ceiling.
 func (p *round) keepTeam(s *step) {
-	for range s.tasks {
-		p.teams[s.job.Team] = p.teams[s.job.Team].Add(s.spec.Need)
-	}
+	p.teams[s.job.Team] = p.teams[s.job.Team].Add(s.spec.Need.Times(int64(len(s.tasks))))
 }
 
 // keptFrom reports whether a task of the given length would be in the way of a
--- a/cell/job.go
+++ b/cell/job.go
@@ -16,7 +16,6 @@
 	storing     bool         // its row is on the way
 	recorded    bool         // the store has, or will have, its progress
 	dirty       bool
-	restored    bool // accepted under a previous owner
 	received    Instant
 	objective   Instant // when it should be complete
 	occurrences []*occurrence
--- a/cell/place.go
+++ b/cell/place.go
@@ -41,7 +41,7 @@
 	kept    int64                      // processors kept for gangs, in thousandths
 	total   int64                      // processors of all usable workers
 	planned int                        // gangs for which workers are kept
-	teams   map[string]resource.Vector // kept from the rest of a team\'s ceiling
+	teams   map[string]resource.Vector // kept from the rest of a team's ceiling
 }
 
 // pool is the usable workers of one service.
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -45,7 +45,7 @@
 		live++
 		progress.Team, progress.Queue = stored.Job.Team, stored.Job.Queue.Name
 		j := newJob(stored.Job, progress, firstRun)
-		j.stored, j.restored, j.recorded = true, true, stored.Progress != nil
+		j.stored, j.recorded = true, stored.Progress != nil
 		age := c.now.Wall.Sub(stored.Job.ReceivedAt)
 		j.received = c.now.Steady - min(max(0, age), time.Minute)
 		c.adopt(j)
--- a/cell/report.go
+++ b/cell/report.go
@@ -14,15 +14,10 @@
 		return
 	}
 	w.looking = false
-	switch e.Failure {
-	case None:
-	case Fenced:
-		c.fenced(w)
+	if c.overruled(w, e.Failure) {
 		return
-	case OtherLife:
-		c.loseWorker(w, "another worker answers at its address")
-		return
-	default:
+	}
+	if e.Failure != None {
 		if !w.failing {
 			c.note("worker does not answer", slog.String("worker", w.ID), slog.Int("failure", int(e.Failure)))
 		}
@@ -92,7 +87,6 @@
 	}
 	switch end.How {
 	case Done:
-		w.faults = 0
 		c.taskDone(t)
 	case Faulted:
 		c.taskFaulted(t, w, end.Run)
@@ -138,19 +132,11 @@
 		}
 	}
 	if s.done {
-		c.unopened = appendJob(c.unopened, s.job)
-		c.checkComplete(s.job)
-	}
-}
-
-// appendJob adds a job once.
-func appendJob(list []*job, j *job) []*job {
-	for _, other := range list {
-		if other == j {
-			return list
+		if !slices.Contains(c.unopened, s.job) {
+			c.unopened = append(c.unopened, s.job)
 		}
+		c.checkComplete(s.job)
 	}
-	return append(list, j)
 }
 
 // checkComplete ends a job of which nothing is left to do.
@@ -176,7 +162,6 @@
 // taskFaulted counts a failed run, and fails the job at the limit.
 func (c *Cell) taskFaulted(t *task, w *worker, n uint64) {
 	s := t.step
-	w.faults++
 	if t.avoid == nil {
 		t.avoid = map[string]bool{}
 	}
@@ -265,15 +250,8 @@
 		return nil
 	}
 	t.held = ""
-	s := t.step
 	r := &run{task: t, n: entry.Run, w: w, state: running, sent: at, confirmed: at, movedAt: at}
-	t.runs = append(t.runs, r)
-	if len(t.runs) == 1 {
-		s.active++
-	}
-	w.runs[t.name] = r
-	w.charge(r, 1)
-	c.chargeTeam(s, 1)
+	c.addRun(r)
 	return r
 }
 
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -23,7 +23,6 @@
 	for id, w := range c.workers {
 		if !present[id] && w.listed {
 			w.listed = false
-			w.goneAt = c.now.Steady
 			c.note("worker left the list", slog.String("worker", id), slog.Int("runs", len(w.runs)))
 		}
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -26,14 +26,18 @@
 // begin places a task on a worker. The start is sent once the store holds the
 // placement: a successor then knows which worker to ask about the task.
 func (c *Cell) begin(t *task, w *worker, n uint64) {
-	s := t.step
-	r := &run{task: t, n: n, w: w, sent: c.now.Steady, movedAt: c.now.Steady}
+	c.addRun(&run{task: t, n: n, w: w, sent: c.now.Steady, movedAt: c.now.Steady})
+	c.touch(t.step.job)
+}
+
+// addRun charges a run, the only one of its task, to its worker and team.
+func (c *Cell) addRun(r *run) {
+	t := r.task
 	t.runs = append(t.runs, r)
-	s.active++
-	w.runs[t.name] = r
-	w.charge(r, 1)
-	c.chargeTeam(s, 1)
-	c.touch(s.job)
+	t.step.active++
+	r.w.runs[t.name] = r
+	r.w.charge(r, 1)
+	c.chargeTeam(t.step, 1)
 }
 
 // sendStart sends the start of a run whose placement is stored.
@@ -106,7 +110,10 @@
 	if r == nil || r.n != e.Run {
 		return
 	}
-	if e.Failure != NoAnswer && e.Failure != NotSent && e.Failure != OtherLife {
+	if c.overruled(w, e.Failure) {
+		return
+	}
+	if e.Failure != NoAnswer && e.Failure != NotSent {
 		w.setClock(e.Clock, e.Received)
 		w.answered, w.failing = max(w.answered, e.Received), false
 	}
@@ -125,12 +132,6 @@
 		}
 		w.failing = true
 		return
-	case Fenced:
-		c.fenced(w)
-		return
-	case OtherLife:
-		c.loseWorker(w, "another worker answers at its address")
-		return
 	case Unhealthy:
 		w.pausedTo = c.now.Steady + unhealthyPause
 	case NotSent:
@@ -148,6 +149,20 @@
 	c.abortGang(r.task.step, r.n)
 }
 
+// overruled handles the failures of an order that end more than the order, and
+// reports whether this was one.
+func (c *Cell) overruled(w *worker, failure Failure) bool {
+	switch failure {
+	case Fenced:
+		c.fenced(w)
+	case OtherLife:
+		c.loseWorker(w, "another worker answers at its address")
+	default:
+		return false
+	}
+	return true
+}
+
 // fenced ends the claim: a worker has seen a higher token, and only a later
 // claim has one.
 func (c *Cell) fenced(w *worker) {
@@ -216,18 +231,10 @@
 	if w == nil {
 		return
 	}
-	switch e.Failure {
-	case None:
-		w.answered, w.failing = max(w.answered, e.Received), false
-	case Fenced:
-		c.fenced(w)
-		return
-	case OtherLife:
-		c.loseWorker(w, "another worker answers at its address")
-		return
-	default:
-		return // it is sent again
+	if c.overruled(w, e.Failure) || e.Failure != None {
+		return // if it still matters, it is sent again
 	}
+	w.answered, w.failing = max(w.answered, e.Received), false
 	if r := w.runs[e.Task]; r != nil && r.n == e.Run {
 		r.stopAcked = e.Received
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/resource"
@@ -51,10 +52,8 @@
 	leaseEnd  Instant // when all that runs there is certainly dead without renewal
 	pausedTo  Instant
 	keptUntil Instant // a gang needs it then, as the last round planned
-	faults    int     // failed ends in a row
 	speed     float64 // against the estimates, averaged
 	observed  int
-	goneAt    Instant // when it left the store's list
 }
 
 // clockLow returns a lower bound of the worker's clock at t.
@@ -97,23 +96,12 @@
 }
 
 func (w *worker) hasLabel(label string) bool {
-	if label == "" {
-		return true
-	}
-	for _, l := range w.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
+	return label == "" || slices.Contains(w.Labels, label)
 }
 
 // charge adds or, with a negative sign, takes back what a run uses.
 func (w *worker) charge(r *run, sign int64) {
-	need := r.task.step.spec.Need
-	if r.task.step.spec.Fills {
-		need.MilliCPU = 0
-	}
+	need := r.task.step.need()
 	if sign > 0 {
 		w.used = w.used.Add(need)
 	} else {
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -36,6 +36,11 @@
 	}
 }
 
+// Times returns n times v.
+func (v Vector) Times(n int64) Vector {
+	return Vector{Slots: n * v.Slots, MilliCPU: n * v.MilliCPU, MemoryMB: n * v.MemoryMB, Accelerators: n * v.Accelerators}
+}
+
 // Max returns the larger amount in each dimension.
 func (v Vector) Max(o Vector) Vector {
 	return Vector{
--- a/ruleset/ruleset.go
+++ b/ruleset/ruleset.go
@@ -1,6 +1,6 @@
 // Package ruleset is one version of the operators' configuration as an entry
 // host uses it: which queue a call belongs to, which team a key belongs to, and
-// what each team and service may do.
+// what each team may do.
 //
 // # Usage
 //
@@ -18,11 +18,10 @@
 // Rules is one version of the configuration. It never changes once it is in
 // force.
 type Rules struct {
-	Version  int64
-	Queues   []Queue
-	Teams    map[string]cell.Team
-	Services map[string]cell.Service
-	Keys     map[string]string // team by key
+	Version int64
+	Queues  []Queue
+	Teams   map[string]cell.Team
+	Keys    map[string]string // team by key
 }
 
 // Queue is one queue and the calls that belong to it.
@@ -57,5 +56,5 @@
 
 // Policy returns what governs placement.
 func (r *Rules) Policy() cell.Policy {
-	return cell.Policy{Teams: r.Teams, Services: r.Services}
+	return cell.Policy{Teams: r.Teams}
 }
--- a/station/caller.go
+++ b/station/caller.go
@@ -8,6 +8,7 @@
 
 	"github.com/cowslipgap/cowslipgap/cell"
 	"github.com/cowslipgap/cowslipgap/docket"
+	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
 )
 
@@ -151,7 +152,7 @@
 		if !taken && s.Now()-began > patience {
 			return unresolved(false)
 		}
-		sleep(ctx, ownerRetry)
+		pause.For(ctx, ownerRetry)
 	}
 }
 
--- a/station/lead.go
+++ b/station/lead.go
@@ -4,11 +4,13 @@
 	"context"
 	"hash/fnv"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/cowslipgap/cowslipgap/cell"
+	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
 )
 
@@ -149,17 +151,15 @@
 	}
 }
 
-// meet notes a host that greets this one, and returns whether it is new.
-func (l *leadership) meet(name, addr string, now cell.Instant) bool {
+// meet notes a host that greets this one.
+func (l *leadership) meet(name, addr string, now cell.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.members == nil {
 		l.members = map[string]member{}
 	}
-	_, present := l.members[name]
 	l.members[name] = member{addr: addr, at: now}
 	l.learn(name, addr)
-	return !present
 }
 
 func (l *leadership) learn(name, addr string) {
@@ -188,22 +188,19 @@
 }
 
 // present drops members that have gone silent and returns the names of the
-// others, and whether the set has changed.
-func (l *leadership) present(now cell.Instant) ([]string, bool) {
+// others.
+func (l *leadership) present(now cell.Instant) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	changed := false
 	var names []string
 	for name, m := range l.members {
 		if now-m.at > memberFor {
 			delete(l.members, name)
-			changed = true
 			continue
 		}
 		names = append(names, name)
 	}
-	slices.Sort(names)
-	return names, changed
+	return names
 }
 
 // keepLead greets the owner, and takes the cell when there is none.
@@ -215,7 +212,7 @@
 		} else if !s.leaving.Load() {
 			k.tendOther(ctx)
 		}
-		sleep(ctx, k.pause())
+		pause.For(ctx, k.pause())
 	}
 }
 
@@ -245,13 +242,13 @@
 func (k *keeper) tendOwn(ctx context.Context) {
 	s := k.station
 	k.suspects = false
-	names, _ := s.lead.present(s.Now())
+	names := s.lead.present(s.Now())
 	if len(names) > 0 {
 		k.heard, k.company = s.Now(), true
 	}
 	hosts := append([]string{s.Name}, names...)
 	slices.Sort(hosts)
-	if key := joinNames(hosts); key != k.hosts {
+	if key := strings.Join(hosts, ","); key != k.hosts {
 		k.hosts = key
 		s.Log.Info("entry hosts", "present", hosts)
 		s.post(ctx, cell.Members{Hosts: hosts})
@@ -273,14 +270,6 @@
 	}
 }
 
-func joinNames(names []string) string {
-	out := ""
-	for _, name := range names {
-		out += name + ","
-	}
-	return out
-}
-
 // cutOff reports whether no other host can be reached and none has refused the
 // connection: a machine that refuses is there, its process is not.
 func (s *Station) cutOff(ctx context.Context) bool {
@@ -363,7 +352,7 @@
 	if err != nil {
 		s.lead.storeFailed(s, err)
 		s.learnOwner(ctx)
-		sleep(ctx, greetEvery)
+		pause.For(ctx, greetEvery)
 		return
 	}
 	s.lead.storeAnswered(s)
@@ -455,7 +444,7 @@
 		if s.Now()-claimedAt > cell.Authority {
 			return // another host has claimed it long since, or will
 		}
-		sleep(ctx, commitRetry)
+		pause.For(ctx, commitRetry)
 	}
 	s.Counts.Claims.Add(1)
 	s.Counts.Takeover.Observe(s.Now() - claimedAt)
--- a/station/perform.go
+++ b/station/perform.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/cell"
+	"github.com/cowslipgap/cowslipgap/pause"
 )
 
 const (
@@ -144,7 +145,7 @@
 		switch {
 		case err != nil:
 			s.lead.commitFailed(s, err)
-			sleep(ctx, commitRetry)
+			pause.For(ctx, commitRetry)
 			continue
 		case stands == nil:
 		case stands.Session == s.Session && stands.Seq == commit.Seq && stands.Token == head.Token:
--- a/station/station.go
+++ b/station/station.go
@@ -26,6 +26,7 @@
 
 	"github.com/cowslipgap/cowslipgap/cell"
 	"github.com/cowslipgap/cowslipgap/docket"
+	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
 	"github.com/cowslipgap/cowslipgap/ruleset"
 )
@@ -223,7 +224,7 @@
 				s.Log.Warn("configuration cannot be read", "version", version, "error", err)
 			}
 			reachable = false
-			sleep(ctx, followRetry)
+			pause.For(ctx, followRetry)
 			continue
 		}
 		if !reachable {
@@ -255,16 +256,6 @@
 				s.Log.Debug("workers cannot be listed", "error", err)
 			}
 		}
-		sleep(ctx, listEvery)
-	}
-}
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		pause.For(ctx, listEvery)
 	}
 }
