The fault proxy goes on accepting after a failed accept

Cause: faultproxy.accept returned on any error. When the demo's process was out of descriptors for a moment, three of its twelve proxies stopped for good; the kernel still took connections for them, and calls through them got no answer. Ruled out: drpc (its goroutines wait for answers that nobody was asked for) and the restarted hosts (they have nothing in hand), from a goroutine dump with 796 calls, 49 handlers and 9 accept loops.

--- a/faultproxy/faultproxy.go
+++ b/faultproxy/faultproxy.go
@@ -15,6 +15,7 @@
 
 import (
 	"io"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
@@ -22,7 +23,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-const bufferBytes = 32 << 10
+const (
+	bufferBytes = 32 << 10
+	// acceptPause is the time until a failed accept is tried again, as in the
+	// servers of net/http at first.
+	acceptPause = 5 * time.Millisecond
+)
 
 // Fault is what the proxy does to the connections. The zero Fault lets
 // everything pass.
@@ -105,9 +111,16 @@
 func (p *Proxy) accept() {
 	for {
 		conn, err := p.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// Out of descriptors, for example. A proxy that stopped here would
+			// leave callers connected to nobody.
+			slog.Warn("faultproxy: accept failed", "addr", p.Addr(), "error", err)
+			time.Sleep(acceptPause)
+			continue
+		}
 		if p.current().Refuse {
 			reset(conn)
 			continue
