A question about a job is passed on twice at most

Cause: hosts that were restarted together took each other for the keeper of a job. A status question went to and fro, each time on a new connection: 1,820 handlers deep in the dump, 19,000 descriptors, and then none left for workers' reports, so that tasks whose end was not heard were run again. Question.Hops counts; past maxHops the caller is told to come back.

--- a/host/calls.go
+++ b/host/calls.go
@@ -20,6 +20,10 @@
 // told that the outcome is unknown.
 const acceptTimeout = 10 * time.Second
 
+// maxHops is how often a question about a job is passed on: to its zone, and
+// there to the host that keeps it.
+const maxHops = 2
+
 // submit runs a caller's request and waits for its answer.
 func (h *Host) submit(ctx context.Context, t task.Task, requestID, hash string) (storage.Outcome, string, *refusal.Refusal) {
 	a, err := h.runTask(ctx, t.ID, control.Request{Task: t, RequestID: requestID, Hash: hash})
@@ -82,27 +86,34 @@
 	return value.(control.JobAnswer), nil
 }
 
-func (h *Host) queryLocal(ctx context.Context, team, id string) (*job.Status, *refusal.Refusal) {
-	a, r := h.ask(ctx, func(token uint64) any { return control.Query{Token: token, Team: team, ID: id} })
+// queryLocal reads a job of this zone.
+func (h *Host) queryLocal(ctx context.Context, q peer.Question) (*job.Status, *refusal.Refusal) {
+	a, r := h.ask(ctx, func(token uint64) any { return control.Query{Token: token, Team: q.Team, ID: q.Job} })
 	if r != nil {
 		return nil, r
 	}
-	return h.follow(ctx, a, peer.Question{Verb: verbStatus, Team: team, Job: id})
+	return h.follow(ctx, a, q)
 }
 
-func (h *Host) cancelLocal(ctx context.Context, team, id string) (*job.Status, *refusal.Refusal) {
-	a, r := h.ask(ctx, func(token uint64) any { return control.CancelJob{Token: token, Team: team, ID: id} })
+// cancelLocal cancels a job of this zone.
+func (h *Host) cancelLocal(ctx context.Context, q peer.Question) (*job.Status, *refusal.Refusal) {
+	a, r := h.ask(ctx, func(token uint64) any { return control.CancelJob{Token: token, Team: q.Team, ID: q.Job} })
 	if r != nil {
 		return nil, r
 	}
-	return h.follow(ctx, a, peer.Question{Verb: verbCancel, Team: team, Job: id})
+	return h.follow(ctx, a, q)
 }
 
-// follow asks the host that keeps the job, if it is not this one.
+// follow passes the question on to the host that keeps the job, if it is not
+// this one. While jobs move, hosts may take each other for the keeper.
 func (h *Host) follow(ctx context.Context, a control.JobAnswer, q peer.Question) (*job.Status, *refusal.Refusal) {
 	if a.Holder == "" {
 		return a.Status, a.Refusal
 	}
+	if q.Hops >= maxHops {
+		return nil, refusal.New(refusal.NotReady, "the job moves between hosts").After(time.Second)
+	}
+	q.Hops++
 	var st job.Status
 	if r := h.askPeer(ctx, a.Holder, q, &st); r != nil {
 		return nil, r
@@ -158,12 +169,12 @@
 	if r != nil {
 		return nil, r
 	}
+	q := peer.Question{Verb: verbStatus, Team: team, Job: id}
 	var st *job.Status
 	if addr == "" {
-		st, r = h.queryLocal(ctx, team, id)
+		st, r = h.queryLocal(ctx, q)
 	} else {
-		st = &job.Status{}
-		r = h.askPeer(ctx, addr, peer.Question{Verb: verbStatus, Team: team, Job: id}, st)
+		st, r = h.follow(ctx, control.JobAnswer{Holder: addr}, q)
 	}
 	if r != nil {
 		return nil, r
@@ -176,14 +187,11 @@
 	if r != nil {
 		return nil, r
 	}
+	q := peer.Question{Verb: verbCancel, Team: team, Job: id}
 	if addr == "" {
-		return h.cancelLocal(ctx, team, id)
-	}
-	var st job.Status
-	if r := h.askPeer(ctx, addr, peer.Question{Verb: verbCancel, Team: team, Job: id}, &st); r != nil {
-		return nil, r
+		return h.cancelLocal(ctx, q)
 	}
-	return &st, nil
+	return h.follow(ctx, control.JobAnswer{Holder: addr}, q)
 }
 
 // otherZone returns the peer address of the host that keeps a job of another
--- /dev/null
+++ b/host/calls_test.go
@@ -0,0 +1,53 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/control"
+	"github.com/cowslipgap/cowslipgap/peer"
+	"github.com/cowslipgap/cowslipgap/refusal"
+)
+
+// TestQuestionIsNotPassedOnForEver replays two hosts that were restarted together
+// and take each other for the keeper of a job: they passed a status question to
+// and fro, on a new connection each time, until no descriptors were left.
+func TestQuestionIsNotPassedOnForEver(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	const secret = "a-secret-of-peers"
+	var asked atomic.Int64
+	var addrs [2]string
+	var listeners [2]net.Listener
+	for i := range listeners {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners[i], addrs[i] = listener, listener.Addr().String()
+	}
+	var hosts [2]Host
+	for i, listener := range listeners {
+		h := &hosts[i]
+		h.pool.Secret = secret
+		defer h.pool.Close()
+		other := addrs[1-i]
+		serve := func(ctx context.Context, q *peer.Question) (*peer.Reply, error) {
+			if asked.Add(1) > 20 {
+				cancel()
+			}
+			_, r := h.follow(ctx, control.JobAnswer{Holder: other}, *q)
+			data, err := json.Marshal(r)
+			return &peer.Reply{Refusal: data}, err
+		}
+		go func() { _ = peer.Serve(ctx, listener, secret, peer.Service{Ask: serve}) }() // ends with ctx
+	}
+	_, r := hosts[0].follow(ctx, control.JobAnswer{Holder: addrs[1]}, peer.Question{Verb: verbStatus, Job: "j"})
+	require.NotNil(t, r)
+	require.Equal(t, refusal.NotReady, r.Code)
+	require.Positive(t, r.RetryMillis)
+	require.LessOrEqual(t, asked.Load(), int64(maxHops))
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -88,6 +88,7 @@
 	Team   string `cbor:"3,keyasint"`
 	Job    string `cbor:"4,keyasint,omitempty"`
 	Body   []byte `cbor:"5,keyasint,omitempty"` // of a submit, JSON
+	Hops   int    `cbor:"6,keyasint,omitempty"` // how often it was passed on
 }
 
 // Reply answers a Question, in JSON.
