A job's task that was withdrawn where it waited is run again

Cause: a host withdraws what it was forwarded when the sender's connection ends, and answers 'cancelled'. Test: TestWithdrawnTaskOfAJobIsRunAgain fails before: an end is written.

--- a/control/batch.go
+++ b/control/batch.go
@@ -326,9 +326,9 @@
 	switch why.Code {
 	case refusal.NeverFits:
 		s.endTask(t, job.Refused, why.Message, nil)
-	case refusal.Cancelled:
-		s.endTask(t, job.Cancelled, why.Message, nil)
 	default:
+		// Also if it was cancelled where it waited: that host withdraws what it
+		// was sent when the sender's connection ends.
 		s.again(t, 0)
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -215,3 +215,25 @@
 	effects := r.update(control.Request{Task: small("x")})
 	require.Empty(t, take[placement.Start](effects))
 }
+
+// TestWithdrawnTaskOfAJobIsRunAgain replays a host that was killed: where its
+// forwarded tasks waited, they were cancelled with its connections. The host that
+// adopted the job was told so, and ended tasks that nobody had cancelled.
+func TestWithdrawnTaskOfAJobIsRunAgain(t *testing.T) {
+	r := newRig(t)
+	r.greet(8)
+	effects := r.update(control.SubmitJob{Token: 7, Job: job.Job{Team: "t", Class: class.Batch, Need: resource.Vector{Slots: 1}, Tasks: 1}})
+	sent := take[control.Forward](r.update(control.Journaled{Result: segment.Result{Token: take[control.Append](effects)[0].Batch.Token}}))
+	require.Len(t, sent, 1)
+	effects = r.update(control.ForwardDone{ID: sent[0].Task.ID, Session: sibling, Refusal: refusal.New(refusal.Cancelled, "the caller went away")})
+	require.Empty(t, take[control.Append](effects), "no end may be written")
+	for range 50 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.greet(8)
+		if again := take[control.Forward](r.update(control.Tick{})); len(again) > 0 {
+			require.Equal(t, sent[0].Task.ID, again[0].Task.ID)
+			return
+		}
+	}
+	require.Fail(t, "the task is not run")
+}
