Small work no longer waits for the hosts of long calls for advice

A quote's call that named 37 workers took 120 ms, so 443 quotes shared 14 hosts with wide gangs that renew their tickets all the time; the other 29 hosts were idle and 3,500 of 11,200 processors too. Ruled out: weak owners (the round kept up), ceilings, room kept for gangs (4,185 of 11,200), workers taken as unusable (350 of 350). Now a call whose base is short names only so many workers that it stays short, and long calls may use idle hosts of the rest while as many again stay idle.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -87,7 +87,8 @@
 	for _, o := range c.options(of, s, everyone) {
 		enough := expected >= adviceSurplus*float64(tasks)
 		cheap := advice.PerWorker*time.Duration(len(names)) < advice.Decision/2
-		if enough && !cheap && !everyone || len(names) == maxNamed {
+		long := advice.Decision < heavyCall && advice.Decision+time.Duration(len(names)+1)*advice.PerWorker >= heavyCall
+		if enough && !cheap && !everyone || long || len(names) == maxNamed {
 			break
 		}
 		names = append(names, o.w.ID)
@@ -182,22 +183,34 @@
 }
 
 // lane returns the host from which to call, or "" if all are taken. Long calls
-// have a third of the hosts to themselves.
+// have a third of the hosts to themselves, and may use idle ones of the rest
+// while as many again stay idle for short calls.
 func (c *Cell) lane(advice *docket.Advice, workers int) string {
-	heavy := advice.Decision+time.Duration(workers)*advice.PerWorker >= heavyCall
-	hosts := c.hosts
-	if n := len(hosts); n > 1 {
+	if n := len(c.hosts); n > 1 {
 		split := max(1, n/3)
-		if heavy {
-			hosts = hosts[:split]
-		} else {
-			hosts = hosts[split:]
+		if advice.Decision+time.Duration(workers)*advice.PerWorker < heavyCall {
+			return c.shortest(c.hosts[split:], laneDepth)
 		}
+		if host := c.shortest(c.hosts[:split], 1); host != "" {
+			return host
+		}
+		idle := 0
+		for _, host := range c.hosts[split:] {
+			if c.lanes[host] == 0 {
+				idle++
+			}
+		}
+		if idle <= split {
+			return ""
+		}
+		return c.shortest(c.hosts[split:], 1)
 	}
-	depth := laneDepth
-	if heavy {
-		depth = 1
-	}
+	return c.shortest(c.hosts, laneDepth)
+}
+
+// shortest returns the host with the fewest calls on their way, or "" if all
+// have depth of them.
+func (c *Cell) shortest(hosts []string, depth int) string {
 	best := ""
 	for _, host := range hosts {
 		if c.lanes[host] < depth && (best == "" || c.lanes[host] < c.lanes[best]) {
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -19,20 +19,23 @@
 // fleet drives cells against imitated workers, store and advice service on a
 // clock of its own, and checks from outside what must hold.
 type fleet struct {
-	t       *testing.T
-	rng     *rand.Rand
-	now     Instant
-	wall    time.Time
-	events  eventHeap
-	seq     int
-	workers map[string]*simWorker
-	owner   *Cell
-	store   simStore
-	lanes   map[string]Instant
-	jobs    map[string]*simJob
-	reply   uint64
-	replies map[uint64]func(Answer)
-	hosts   []string
+	t        *testing.T
+	rng      *rand.Rand
+	now      Instant
+	wall     time.Time
+	events   eventHeap
+	seq      int
+	workers  map[string]*simWorker
+	owner    *Cell
+	store    simStore
+	eligible uint32                   // workers allowed a step, in a hundred
+	longest  map[string]time.Duration // call for advice, by queue
+	asks     map[string]int           // calls for advice, by queue
+	lanes    map[string]Instant
+	jobs     map[string]*simJob
+	reply    uint64
+	replies  map[uint64]func(Answer)
+	hosts    []string
 
 	teams      map[string]Team
 	usedByTeam map[string]int64 // processors, as truly at work
@@ -126,11 +129,12 @@
 func newFleet(t *testing.T, seed uint64, workers int) *fleet {
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), wall: time.Unix(1_700_000_000, 0),
-		workers: map[string]*simWorker{}, lanes: map[string]Instant{}, jobs: map[string]*simJob{},
+		workers: map[string]*simWorker{}, lanes: map[string]Instant{}, asks: map[string]int{}, longest: map[string]time.Duration{}, jobs: map[string]*simJob{},
 		replies: map[uint64]func(Answer){}, hosts: []string{"a1", "a2", "b1", "b2", "c1", "c2"},
 		teams: map[string]Team{"blue": {Rate: 100}, "red": {Rate: 100}}, usedByTeam: map[string]int64{}, storeless: map[*Cell]bool{},
 	}
 	f.now = time.Second
+	f.eligible = 45
 	f.store = simStore{jobs: map[string]*docket.Job{}, progress: map[string]*docket.Progress{}, version: 10}
 	speeds := []float64{0.8, 1, 1.25}
 	for i := range workers {
@@ -650,13 +654,16 @@
 	id, err := docket.ParseTaskID(e.Step + ".0")
 	require.NoError(f.t, err)
 	advice := f.jobs[id.Job].spec.Queue.Advice
+	f.asks[f.jobs[id.Job].spec.Queue.Name]++
+	took := advice.Decision + time.Duration(len(e.Workers))*advice.PerWorker
+	f.longest[f.jobs[id.Job].spec.Queue.Name] = max(f.longest[f.jobs[id.Job].spec.Queue.Name], took)
 	if len(e.Workers) > 100 {
 		f.broken("ADVICE", "%d workers named", len(e.Workers))
 		f.send(c, Advised{Host: e.Host, Step: e.Step, Failure: Invalid})
 		return
 	}
 	begin := max(f.lanes[e.Host], f.now+simDelay)
-	done := begin + advice.Decision + time.Duration(len(e.Workers))*advice.PerWorker
+	done := begin + took
 	f.lanes[e.Host] = done
 	f.at(done+simDelay, func() {
 		tickets := map[string]string{}
@@ -664,7 +671,7 @@
 			h := fnv.New32a()
 			_, _ = h.Write([]byte(e.Step + id))
 			tickets[id] = ""
-			if h.Sum32()%100 < 45 {
+			if h.Sum32()%100 < f.eligible {
 				tickets[id] = "t"
 			}
 		}
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -170,6 +170,41 @@
 	require.Positive(t, f.tallies()["lookup"].refused)
 }
 
+// endOfBurst replays the end of a burst on a large fleet: wide gangs that wait for
+// room renew their tickets all the time, in long calls for advice, beside smaller
+// work.
+func endOfBurst(t *testing.T, workers, gangs int, length time.Duration) *fleet {
+	f := newFleet(t, 2, workers)
+	for i := range workers / 10 {
+		f.hosts = append(f.hosts, fmt.Sprintf("h%02d", i))
+	}
+	f.eligible = 28
+	f.claim()
+	f.mix("00", 2*time.Second, 2*time.Second+length, 0, 0.56*float64(workers), 0)
+	for _, j := range f.jobs {
+		j.spec.Queue.Advice = &docket.Advice{Decision: 80 * time.Millisecond, PerWorker: 1100 * time.Microsecond, Validity: 1500 * time.Millisecond}
+	}
+	for i := range gangs {
+		spec := refret(fmt.Sprintf("cc%014x", i))
+		spec.Steps[0].Count = 10 + i
+		spec.Queue.Slack = 60 // not refused for the wait
+		f.submit(3*time.Second+time.Duration(i)*6*time.Second/time.Duration(gangs), spec)
+	}
+	return f
+}
+
+// TestSmallWorkDoesNotWaitForLongCalls replays quotes whose calls for advice were
+// long enough to share the hosts of the gangs' calls, which were never free.
+func TestSmallWorkDoesNotWaitForLongCalls(t *testing.T) {
+	f := endOfBurst(t, 125, 30, 8*time.Second)
+	f.run(100 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+	t.Logf("calls for advice %v, of at most %v: %v", f.asks, f.longest, f.tallies())
+	require.Less(t, f.longest["quote"], heavyCall)
+	require.GreaterOrEqual(t, f.tallies()["quote"].share(), 0.85)
+}
+
 func TestLoadPatterns(t *testing.T) {
 	for _, p := range loadPatterns {
 		t.Run(p.name, func(t *testing.T) {
