Gangs take seats for which they hold tickets, and ask about some to spare

Cause: a wide gang took the workers with most room, whether it had tickets for them or not, and asked about exactly those. And members that were through counted as leaving at once, though they wait for the slowest. Seats with a ticket come first, a call names half as many again, and a gang's room is expected when its slowest member ends.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -18,6 +18,9 @@
 	prefetch = 100 * time.Millisecond
 	// waitNoteGap is the least time between two log lines on one gang's wait.
 	waitNoteGap = 2 * time.Second
+	// spareSeats is how many more seats a gang asks about than it has members, as
+	// a share of them.
+	spareSeats = 0.5
 	// overrun is how much longer than planned runs are taken to last when it is
 	// decided what may use room that is kept for later.
 	overrun = 1.2
@@ -73,15 +76,15 @@
 		c.noteWaiting(s, "the team is at its ceiling", allowed)
 		return nil, false
 	}
-	seats, complete := c.seatGang(of, s)
-	if !complete {
+	seats, spare := c.seatGang(of, s)
+	if members(seats) < len(s.tasks) {
 		c.planGang(p, of, s)
 		return nil, false
 	}
 	for _, seat := range seats {
 		if !s.advice.valid(seat.w, c.now.Steady) {
 			p.keep(s, seats, c.now.Steady)
-			c.renew(s, seats)
+			c.renew(s, append(seats, spare...))
 			return nil, false
 		}
 	}
@@ -104,11 +107,11 @@
 	return members >= len(s.tasks)
 }
 
-// seatGang divides the members over workers with room, few workers first. If
-// they do not all fit, it returns the seats that there are.
-func (c *Cell) seatGang(of *pool, s *step) ([]seat, bool) {
+// seatGang divides the members over workers with room, those with a ticket and
+// then few workers first. The seats hold fewer members if there is no more room;
+// otherwise it also returns some to spare.
+func (c *Cell) seatGang(of *pool, s *step) (seats, spare []seat) {
 	length := c.lesson(s.job.Queue.Name).actual(s.spec.Estimate)
-	var seats []seat
 	for _, sl := range of.slots {
 		if !s.advice.knows(sl.w) || !sl.w.hasLabel(s.spec.Label) || sl.keptFrom(c.now.Steady, length) {
 			continue
@@ -118,25 +121,60 @@
 		}
 	}
 	slices.SortStableFunc(seats, func(a, b seat) int {
-		if d := cmp.Compare(s.distance(a.w), s.distance(b.w)); d != 0 {
-			return d
-		}
-		return cmp.Compare(b.n, a.n)
+		return cmp.Or(cmp.Compare(s.distance(a.w), s.distance(b.w)), compareTrue(s.advice.valid(a.w, c.now.Steady), s.advice.valid(b.w, c.now.Steady)), cmp.Compare(b.n, a.n))
 	})
 	if s.spec.RackLocal {
 		if one := singleRack(seats, len(s.tasks)); one != nil {
 			seats = one
 		}
 	}
-	left := len(s.tasks)
+	return split(seats, len(s.tasks))
+}
+
+// split cuts off the seats that hold the members, and some to spare: what has
+// room moves about while a call for advice lasts.
+func split(seats []seat, count int) (first, spare []seat) {
+	left := count
 	for i := range seats {
+		if left <= 0 {
+			first, spare = seats[:i:i], seats[i:]
+			break
+		}
 		seats[i].n = min(seats[i].n, left)
 		left -= seats[i].n
-		if left == 0 {
-			return seats[:i+1], true
+	}
+	if first == nil {
+		return seats, nil
+	}
+	extra := float64(count) * spareSeats
+	for i, one := range spare {
+		if extra <= 0 {
+			return first, spare[:i]
 		}
+		extra -= float64(one.n)
+	}
+	return first, spare
+}
+
+// members counts the members that have seats.
+func members(seats []seat) int {
+	n := 0
+	for _, one := range seats {
+		n += one.n
+	}
+	return n
+}
+
+// compareTrue orders true before false.
+func compareTrue(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
 	}
-	return seats, false
 }
 
 // planGang keeps the workers that can hold the gang soonest, and sees to it that
@@ -168,16 +206,19 @@
 	}
 	p.planned++
 	slices.SortStableFunc(openings, func(a, b opening) int { return cmp.Compare(a.at, b.at) })
-	openings = openings[:len(s.tasks)]
-	at := openings[len(openings)-1].at
-	var seats []seat
-	for _, o := range openings {
-		i := slices.IndexFunc(seats, func(one seat) bool { return one.slot == o.sl })
-		if i < 0 {
-			seats = append(seats, seat{o.sl, 0})
-			i = len(seats) - 1
+	at := openings[len(s.tasks)-1].at
+	var seats, spare []seat
+	for i, o := range openings[:min(len(openings), len(s.tasks)+int(spareSeats*float64(len(s.tasks))))] {
+		same := func(one seat) bool { return one.slot == o.sl }
+		if k := slices.IndexFunc(seats, same); k >= 0 {
+			if i < len(s.tasks) {
+				seats[k].n++
+			}
+		} else if i < len(s.tasks) {
+			seats = append(seats, seat{o.sl, 1})
+		} else if !slices.ContainsFunc(spare, same) {
+			spare = append(spare, seat{o.sl, 1})
 		}
-		seats[i].n++
 	}
 	p.keep(s, seats, at)
 	c.noteWaiting(s, "workers are kept for it", int((at - c.now.Steady).Milliseconds()))
@@ -185,14 +226,14 @@
 		return
 	}
 	advice := s.job.Queue.Advice
-	call := advice.Decision + time.Duration(len(seats))*advice.PerWorker + prefetch
+	call := advice.Decision + time.Duration(len(seats)+len(spare))*advice.PerWorker + prefetch
 	if at > c.now.Steady+call {
 		c.askMore(of, s, true) // room elsewhere may serve it sooner
 		return
 	}
 	for _, one := range seats {
 		if !s.advice.valid(one.w, c.now.Steady) {
-			c.renew(s, seats)
+			c.renew(s, append(seats, spare...))
 			return
 		}
 	}
@@ -243,6 +284,24 @@
 	if s.spec.LongRunning {
 		return time.Hour
 	}
+	if s.spec.Gang {
+		// Those that are through wait for the others.
+		if s.leftAt != c.now.Steady {
+			s.leftAt, s.longest = c.now.Steady, 0
+			for _, t := range s.tasks {
+				for _, member := range t.runs {
+					s.longest = max(s.longest, c.left(member))
+				}
+			}
+		}
+		return s.longest
+	}
+	return c.left(r)
+}
+
+// left estimates how long a run still has work to do.
+func (c *Cell) left(r *run) time.Duration {
+	s := r.task.step
 	length := c.lesson(s.job.Queue.Name).actual(s.spec.Estimate)
 	if r.confirmed == 0 {
 		return length
--- a/cell/job.go
+++ b/cell/job.go
@@ -51,6 +51,8 @@
 	nextRun    uint64        // of a gang
 	faults     docket.Faults // of a gang
 	checkpoint string        // of a gang
+	leftAt     Instant       // when longest was worked out
+	longest    time.Duration // for which a gang's members still have work
 
 	advice    adviceState
 	notBefore Instant // pause after a refusal
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -205,6 +205,27 @@
 	require.GreaterOrEqual(t, f.tallies()["quote"].share(), 0.85)
 }
 
+// TestRoomIsUsedWhileGangsWait replays gangs whose tickets were never for the
+// workers that had room when they came.
+func TestRoomIsUsedWhileGangsWait(t *testing.T) {
+	f := endOfBurst(t, 250, 60, 2*time.Second)
+	idle := 0.0 // seconds in which the whole fleet was idle, from the end of the quotes on
+	for at := 9 * time.Second; at < 29*time.Second; at += 500 * time.Millisecond {
+		f.run(at)
+		used, total := int64(0), int64(0)
+		for _, w := range f.owner.workers {
+			used += w.Capacity.Sub(w.free()).MilliCPU
+			total += w.Capacity.MilliCPU
+		}
+		idle += 0.5 * (1 - float64(used)/float64(total))
+	}
+	f.run(100 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+	t.Logf("idle for %.1f s, %v", idle, f.tallies())
+	require.Less(t, idle, 7.8)
+}
+
 func TestLoadPatterns(t *testing.T) {
 	for _, p := range loadPatterns {
 		t.Run(p.name, func(t *testing.T) {
