Ends at workers that were taken over reach whoever waits for them

Cause: when both hosts of a zone are killed, tasks that they ran for other hosts end at their workers, and only the workers' new owner reads those ends. Now the adopter is told the ends of the session's tasks that were found at workers, and an order to resolve what an ended session had taken on is answered from them. Ruled out: overlapping runs (the ledger's history shows one end before the next start), and the run-out of descriptors (none since the hop bound). Test: TestEndsAtWorkersAreToldToTheAdopter fails before.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -237,3 +237,23 @@
 	}
 	require.Fail(t, "the task is not run")
 }
+
+// TestEndsAtWorkersAreToldToTheAdopter replays the loss of two hosts of a zone at
+// once: one had forwarded a job's tasks to the other, whose workers ran them. Their
+// ends were known to the workers' new owner only, and the tasks were run again.
+func TestEndsAtWorkersAreToldToTheAdopter(t *testing.T) {
+	r := newRig(t)
+	r.ownWorker()
+	done := storage.Outcome{Task: job.TaskID("a."+sibling+".1", 3), Attempt: 1, End: storage.EndDone}
+	r.update(placement.Reported{Worker: "w1", Sent: r.now, Report: storage.Report{Ended: []storage.Outcome{done}, Next: 1}})
+	sent := small(done.Task)
+	resolved := take[control.Answer](r.update(control.Forwarded{From: "b1-x", Task: sent, Resolve: true, Gone: true}))
+	require.Len(t, resolved, 1)
+	require.Equal(t, &done, resolved[0].Outcome, "the sender of a task is told too")
+	unknown := take[control.Answer](r.update(control.Forwarded{From: "b1-x", Task: small("y"), Resolve: true, Gone: true}))
+	require.Equal(t, refusal.Unknown, unknown[0].Refusal.Ran)
+	answers := take[control.EndedAnswer](r.update(control.QueryEnded{Token: 9, Session: sibling}))
+	require.Len(t, answers, 1)
+	require.Equal(t, []storage.Outcome{done}, answers[0].Ended)
+	require.Empty(t, take[control.EndedAnswer](r.update(control.QueryEnded{Token: 10, Session: "a3-other"}))[0].Ended)
+}
--- a/control/event.go
+++ b/control/event.go
@@ -31,6 +31,7 @@
 		From    string // session
 		Task    task.Task
 		Resolve bool
+		Gone    bool // of a Resolve: it was sent to a session that has ended
 	}
 
 	// Withdraw says that whoever waited for a task has gone away.
--- a/control/request.go
+++ b/control/request.go
@@ -107,6 +107,10 @@
 func (s *State) takeForwarded(ev Forwarded) {
 	id := ev.Task.ID
 	s.neighbor(ev.From).heard = s.now
+	if ev.Gone {
+		s.emit(s.strayAnswer(id))
+		return
+	}
 	if old, ok := s.recent[id]; ok && old.order >= ev.Task.Order {
 		s.emit(old.answer)
 		return
--- a/control/stray.go
+++ b/control/stray.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/job"
+	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/storage"
 )
 
@@ -77,18 +78,38 @@
 	}
 }
 
-// endedFor returns the outcomes of the tasks of jobs that a session forwarded
-// here, as far as they are kept.
+// endedFor returns the outcomes of the tasks of a session's jobs that were
+// forwarded here or found at workers that were taken over, as far as they are
+// kept.
 func (s *State) endedFor(session string) []storage.Outcome {
 	var list []storage.Outcome
+	accepted := func(task string) bool {
+		_, by, ok := SplitJobID(jobOf(task))
+		return ok && by == session
+	}
 	for id, old := range s.recent {
-		if _, accepted, ok := SplitJobID(jobOf(id)); ok && accepted == session && old.answer.Outcome != nil {
+		if old.answer.Outcome != nil && accepted(id) {
 			list = append(list, *old.answer.Outcome)
 		}
 	}
+	for id, kept := range s.strays {
+		if accepted(id) {
+			list = append(list, kept.outcome)
+		}
+	}
 	return list
 }
 
+// strayAnswer tells what became of a task that an earlier owner of these workers
+// was sent. Without an outcome nothing is known: it may have run.
+func (s *State) strayAnswer(id string) Answer {
+	kept, ok := s.strays[id]
+	if !ok || kept.outcome.End != storage.EndDone && kept.outcome.End != storage.EndFailed {
+		return Answer{ID: id, Refusal: refusal.New(refusal.OutcomeLost, "the session that took it on has ended")}
+	}
+	return Answer{ID: id, Outcome: &kept.outcome}
+}
+
 func jobOf(task string) string {
 	id, _, _ := job.ParseTaskID(task)
 	return id
--- a/host/service.go
+++ b/host/service.go
@@ -60,16 +60,18 @@
 		return nil, errors.Wrap(err, "decode forwarded task")
 	}
 	if o.To != h.session {
-		// The sender means a process that has ended; what it did is not known here.
-		if o.Resolve {
-			return nil, errors.Newf("session %s is not here", o.To)
+		// The sender means a process that has ended.
+		if !o.Resolve {
+			return refusalAnswer(refusal.New(refusal.NoOwner, "session %s is not here", o.To))
 		}
-		return refusalAnswer(refusal.New(refusal.NoOwner, "session %s is not here", o.To))
 	}
-	a, err := h.runTask(ctx, t.ID, control.Forwarded{From: o.Session, Task: t, Resolve: o.Resolve})
+	a, err := h.runTask(ctx, t.ID, control.Forwarded{From: o.Session, Task: t, Resolve: o.Resolve, Gone: o.To != h.session})
 	if err != nil {
 		return nil, err
 	}
+	if o.To != h.session && a.Outcome == nil {
+		return nil, errors.Newf("session %s is not here", o.To) // what it did is not known
+	}
 	if a.Refusal != nil {
 		return refusalAnswer(a.Refusal)
 	}
