--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -154,6 +154,38 @@
 	}
 }
 
+// TestBrokenVariantsAreFound removes one of the means that keep a task from
+// running twice at a time, and expects the checks of the fleet to notice.
+func TestBrokenVariantsAreFound(t *testing.T) {
+	play := func(seed uint64, v variant) []string {
+		f := newFleet(t, seed, 24)
+		f.variant = v
+		f.lateShare = 0.03
+		f.calm(16 * time.Second)
+		cut := time.Duration(4000+700*seed%3000) * time.Millisecond
+		length := time.Duration(2000+300*(seed%10)) * time.Millisecond
+		f.at(cut, func() { f.cutOwner(1500*time.Millisecond, length) })
+		f.at(cut+length+100*time.Millisecond, func() { f.kill(700 * time.Millisecond) })
+		f.at(14*time.Second, func() { f.kill(700 * time.Millisecond) })
+		f.run(40 * time.Second)
+		return f.violations
+	}
+	for v, name := range map[variant]string{unconditional: "unconditional commits", unfenced: "workers without a fence", earlyAck: "ends acknowledged early"} {
+		t.Run(name, func(t *testing.T) {
+			found := 0
+			// The stale commit is a single one, and seldom matters: seed 10 finds it.
+			for seed := uint64(0); seed < 40 && found < 1; seed++ {
+				require.Empty(t, play(seed, sound))
+				if broken := play(seed, v); len(broken) > 0 {
+					t.Logf("seed %d: %d, first %s", seed, len(broken), broken[0])
+					found++
+				}
+			}
+			require.Positive(t, found)
+		})
+	}
+}
+
 // crash restarts a worker under its id: nothing runs, and its counts begin anew.
 func (f *fleet) crash(w *simWorker) {
 	for name, r := range w.runs {
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -28,6 +28,7 @@
 	workers  map[string]*simWorker
 	owner    *Cell
 	store    simStore
+	variant  variant
 	eligible uint32                   // workers allowed a step, in a hundred
 	longest  map[string]time.Duration // call for advice, by queue
 	asks     map[string]int           // calls for advice, by queue
@@ -82,6 +83,7 @@
 	cutFrom map[*Cell]bool // owners that do not reach it
 	gone    bool
 	failing bool
+	told    uint64 // the last end in a report
 	look    func() // answers the look that waits
 }
 
@@ -116,6 +118,17 @@
 	return x
 }
 
+// variant is a way in which the imitated surroundings, and with them the cell's
+// protocol, are broken.
+type variant int
+
+const (
+	sound         variant = iota
+	unconditional         // commits take effect whoever owns the cell
+	unfenced              // workers obey owners with an older token
+	earlyAck              // ends are acknowledged before they are stored
+)
+
 const (
 	simDelay    = time.Millisecond
 	simTxn      = 4 * time.Millisecond
@@ -266,7 +279,7 @@
 			f.after(50*time.Millisecond, func() { f.commit(c, e, sent) })
 			return
 		}
-		if c.token != f.store.token || !c.owner {
+		if (c.token != f.store.token || !c.owner) && f.variant != unconditional {
 			f.send(c, Deposed{Reason: "claimed"})
 			return
 		}
@@ -351,7 +364,7 @@
 	switch {
 	case w.gone || w.dark:
 		return NoAnswer
-	case e.Token < w.token:
+	case e.Token < w.token && f.variant != unfenced:
 		return Fenced
 	case e.LeaseUntil < f.now:
 		return Expired
@@ -577,10 +590,13 @@
 	case w == nil || w.unreachable(c):
 		f.after(simNoAnswer, func() { fail(NoAnswer) })
 		return
-	case e.Token < w.token:
+	case e.Token < w.token && f.variant != unfenced:
 		fail(Fenced)
 		return
 	}
+	if f.variant == earlyAck {
+		e.Ack = max(e.Ack, w.told)
+	}
 	w.token = e.Token
 	if e.LeaseUntil > 0 {
 		w.lease = max(w.lease, min(e.LeaseUntil, f.now+simHold))
@@ -592,6 +608,7 @@
 			return
 		}
 		answered = true
+		w.told = w.n
 		report := Report{Born: w.info.Born, Clock: f.now, Ended: slices.Clone(w.ended)}
 		for name, r := range w.runs {
 			percent := 0
