A commit without an answer is sent once more beside the first

Cause: a lost answer of the store cost the whole timeout of 1 s, in which nothing was accepted, started or ended. Tried and left out: giving the first sending up at that point.

--- a/station/metrics.go
+++ b/station/metrics.go
@@ -14,7 +14,7 @@
 
 // Counts are what a station counts and times since its start.
 type Counts struct {
-	Accepted, Refused, Unanswered, Claims, Deposals, Commits, Starts, Looks, Advice atomic.Int64
+	Accepted, Refused, Unanswered, Claims, Deposals, Commits, Resent, Starts, Looks, Advice atomic.Int64
 
 	Submit   meter.Latency // from a caller's job to its answer
 	Commit   meter.Latency // of a transaction
@@ -41,7 +41,7 @@
 		c := &s.Counts
 		return map[string]any{
 			"accepted": c.Accepted.Load(), "refused": c.Refused.Load(), "unanswered": c.Unanswered.Load(),
-			"claims": c.Claims.Load(), "deposals": c.Deposals.Load(), "commits": c.Commits.Load(),
+			"claims": c.Claims.Load(), "deposals": c.Deposals.Load(), "commits": c.Commits.Load(), "commitsResent": c.Resent.Load(),
 			"starts": c.Starts.Load(), "looks": c.Looks.Load(), "adviceCalls": c.Advice.Load(),
 			"submitLatency": c.Submit.Summary(), "commitLatency": c.Commit.Summary(),
 			"takeoverLatency": c.Takeover.Summary(), "firstStartWait": c.Waited.Summary(),
--- a/station/perform.go
+++ b/station/perform.go
@@ -20,6 +20,8 @@
 	// storeTimeout bounds a call to the store. One takes 4 ms, and when the
 	// store is slow some hundred times as long.
 	storeTimeout = time.Second
+	// mostSendings is how many sendings of a commit may be without an answer.
+	mostSendings = 3
 	// commitRetry is the pause before a commit without an answer is sent again.
 	commitRetry = 50 * time.Millisecond
 	// followRetry is the pause after the rules could not be read.
@@ -129,35 +131,76 @@
 	}
 }
 
-// writeCommit writes one commit. Sending it again is safe: it takes effect once,
-// as it changes the version that it is conditional on.
+// written is what became of one sending of a commit.
+type written struct {
+	sent    cell.Instant
+	version uint64
+	stands  *HeadRow
+	err     error
+}
+
+// writeCommit writes one commit. Sending it again, also beside an earlier sending,
+// is safe: it takes effect once, as it changes the version that it is conditional
+// on.
 func (s *Station) writeCommit(ctx context.Context, commit cell.Commit) {
 	head, owned := s.lead.nextHead(commit.Seq)
 	if !owned {
 		return
 	}
 	s.Counts.Commits.Add(1)
-	sent := s.Now()
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		version, stands, err := s.Write(callCtx, head.Version, head.Head, commit.Puts, commit.Drops)
-		cancel()
-		switch {
-		case err != nil:
-			s.lead.commitFailed(s, err)
-			pause.For(ctx, commitRetry)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // sendings that are no longer waited for
+	results := make(chan written, mostSendings)
+	under := 0 // sendings without an answer
+	send := func() {
+		under++
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+			defer cancel()
+			w := written{sent: s.Now()}
+			w.version, w.stands, w.err = s.Write(callCtx, head.Version, head.Head, commit.Puts, commit.Drops)
+			results <- w
+		}()
+	}
+	began := s.Now()
+	wait := s.patience.first()
+	again := time.NewTimer(wait)
+	defer again.Stop()
+	for send(); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-again.C:
+			if under < mostSendings {
+				s.Counts.Resent.Add(1)
+				send()
+			}
+			wait = min(2*wait, storeTimeout)
+			again.Reset(wait)
 			continue
-		case stands == nil:
-		case stands.Session == s.Session && stands.Seq == commit.Seq && stands.Token == head.Token:
-			version = stands.Version // an earlier sending took effect
-		default:
-			s.deposed(ctx, head.Token, *stands)
+		case w := <-results:
+			under--
+			switch {
+			case w.err != nil:
+				if under == 0 {
+					s.lead.commitFailed(s, w.err)
+					pause.For(ctx, commitRetry)
+					send()
+				}
+				continue
+			case w.stands == nil:
+			case w.stands.Session == s.Session && w.stands.Seq == commit.Seq && w.stands.Token == head.Token:
+				w.version = w.stands.Version // another sending took effect
+			default:
+				s.deposed(ctx, head.Token, *w.stands)
+				return
+			}
+			s.patience.observe(s.Now() - w.sent)
+			s.lead.confirmed(s, w.version, began)
+			s.Counts.Commit.Observe(s.Now() - began)
+			s.post(ctx, cell.Committed{Seq: commit.Seq, Sent: began})
 			return
 		}
-		s.lead.confirmed(s, version, sent)
-		s.Counts.Commit.Observe(s.Now() - sent)
-		s.post(ctx, cell.Committed{Seq: commit.Seq, Sent: sent})
-		return
 	}
 }
 
--- a/station/station.go
+++ b/station/station.go
@@ -104,10 +104,12 @@
 	rulesAt atomic.Int64 // Instant at which the store last confirmed them
 	lead    leadership
 	commits chan commitOrder
-	nextID  atomic.Uint64
-	leaving atomic.Bool
-	summary atomic.Pointer[cell.Summary]
-	Counts  Counts
+	// patience belongs to the goroutine that writes commits.
+	patience patience
+	nextID   atomic.Uint64
+	leaving  atomic.Bool
+	summary  atomic.Pointer[cell.Summary]
+	Counts   Counts
 }
 
 // waiter is a caller's question on its way through the cell.
