--- a/station/perform.go
+++ b/station/perform.go
@@ -10,11 +10,13 @@
 )
 
 const (
-	// orderTimeout bounds a start or a stop: an answer takes a few milliseconds,
-	// and a gang's members wait for each other.
-	orderTimeout = 700 * time.Millisecond
-	// lookSlack is added to the time that a look asks the worker to wait.
-	lookSlack = 700 * time.Millisecond
+	// orderTimeout bounds a start or a stop: an answer takes a few milliseconds, and
+	// a lost packet is sent again after some 200 ms. A start that was carried out all
+	// the same is found in the worker's next report.
+	orderTimeout = 350 * time.Millisecond
+	// lookSlack is added to the time that a look asks the worker to wait, as for
+	// orders.
+	lookSlack = 350 * time.Millisecond
 	// adviceTimeout bounds a call for advice, which may wait behind others.
 	adviceTimeout = 4 * time.Second
 	// storeTimeout bounds a call to the store. One takes 4 ms, and when the
--- a/station/perform_test.go
+++ b/station/perform_test.go
@@ -96,3 +96,20 @@
 		require.Equal(t, 10, f.calls-before)
 	})
 }
+
+// TestUnansweredOrderIsGivenUpSoon replays workers that leave orders unanswered and
+// carry them out much later: meanwhile the task may not go elsewhere.
+func TestUnansweredOrderIsGivenUpSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Station{Log: slog.New(slog.DiscardHandler)}
+		s.Seams.Start = func(ctx context.Context, _ cell.Start) cell.Started {
+			<-ctx.Done()
+			return cell.Started{Failure: cell.NoAnswer}
+		}
+		s.init()
+		began := time.Now()
+		s.sendStart(t.Context(), cell.Start{Order: cell.Order{NotAfter: time.Hour}})
+		require.Equal(t, cell.NoAnswer, (<-s.events).(cell.Started).Failure)
+		require.LessOrEqual(t, time.Since(began), 400*time.Millisecond)
+	})
+}
