The cell is offered to strong hosts first, then to those that started last

The owner that left offered the cell in no order, here to a host that was stopped 4 s later, so the cell moved twice; and on deployments of unlike hosts it could go to the weakest. Test: TestCellGoesToStrongAndYoungHosts.

--- a/station/call.go
+++ b/station/call.go
@@ -34,8 +34,10 @@
 	Job     *docket.Job   `cbor:"4,keyasint,omitempty"`
 	ID      string        `cbor:"5,keyasint,omitempty"` // of a job; the queue for a count; the step for advice; the session that offers the cell
 	Workers []string      `cbor:"6,keyasint,omitempty"`
-	Relayed bool          `cbor:"7,keyasint,omitempty"` // do not pass it on
-	Left    time.Duration `cbor:"8,keyasint,omitempty"` // time until the caller stops waiting
+	Relayed bool          `cbor:"7,keyasint,omitempty"`  // do not pass it on
+	Left    time.Duration `cbor:"8,keyasint,omitempty"`  // time until the caller stops waiting
+	Cores   float64       `cbor:"9,keyasint,omitempty"`  // of a host that greets
+	Up      time.Duration `cbor:"10,keyasint,omitempty"` // since its process started
 }
 
 // reply answers a request.
@@ -78,7 +80,7 @@
 // greeted answers a greeting.
 func (s *Station) greeted(r request) reply {
 	now := s.Now()
-	s.lead.meet(r.Name, r.Addr, now)
+	s.lead.meet(r.Name, member{addr: r.Addr, at: now, cores: r.Cores, began: now - r.Up})
 	s.lead.mu.Lock()
 	defer s.lead.mu.Unlock()
 	out := reply{Owner: s.lead.own, Head: s.lead.owner, Known: map[string]string{}}
@@ -109,7 +111,7 @@
 // greet tells the owner that this host is present, and reports whether it is
 // the owner and its commits are fresh.
 func (s *Station) greet(ctx context.Context, owner HeadRow, timeout time.Duration) bool {
-	out, err := s.callPeer(ctx, owner.Addr, request{Kind: kindGreet, Name: s.Name, Addr: s.Addr}, timeout)
+	out, err := s.callPeer(ctx, owner.Addr, s.greeting(), timeout)
 	if err != nil {
 		return false
 	}
@@ -129,6 +131,11 @@
 	return false
 }
 
+// greeting tells another host about this one.
+func (s *Station) greeting() request {
+	return request{Kind: kindGreet, Name: s.Name, Addr: s.Addr, Cores: s.Cores, Up: s.Now() - s.began}
+}
+
 // learnOwner asks the other hosts who the owner is; it serves a host that the
 // store turns away.
 func (s *Station) learnOwner(ctx context.Context) {
@@ -136,7 +143,7 @@
 		if name == s.Name {
 			continue
 		}
-		out, err := s.callPeer(ctx, addr, request{Kind: kindGreet, Name: s.Name, Addr: s.Addr}, greetTimeout)
+		out, err := s.callPeer(ctx, addr, s.greeting(), greetTimeout)
 		if err != nil || out.Head.Addr == "" || out.Head.Session == s.Session {
 			continue
 		}
--- a/station/lead.go
+++ b/station/lead.go
@@ -1,6 +1,7 @@
 package station
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
 	"slices"
@@ -77,8 +78,10 @@
 }
 
 type member struct {
-	addr string
-	at   cell.Instant
+	addr  string
+	at    cell.Instant // of its last greeting
+	cores float64      // processor share; 0 if it is not known
+	began cell.Instant // when its process started
 }
 
 func (l *leadership) owns() bool {
@@ -152,14 +155,49 @@
 }
 
 // meet notes a host that greets this one.
-func (l *leadership) meet(name, addr string, now cell.Instant) {
+func (l *leadership) meet(name string, m member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.members == nil {
 		l.members = map[string]member{}
 	}
-	l.members[name] = member{addr: addr, at: now}
-	l.learn(name, addr)
+	l.members[name] = m
+	l.learn(name, m.addr)
+}
+
+// successors returns the names of the other hosts in the order in which they are
+// offered the cell: those that greet before those that do not, strong ones before
+// weak ones, then those that started last. Where hosts are replaced one after the
+// other, these are not replaced again.
+func (l *leadership) successors(self string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var names []string
+	for name := range l.known {
+		if name != self {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		first, greetsFirst := l.members[a]
+		second, greetsSecond := l.members[b]
+		if greetsFirst != greetsSecond {
+			if greetsFirst {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(weakness(first.cores), weakness(second.cores)), cmp.Compare(second.began, first.began), cmp.Compare(a, b))
+	})
+	return names
+}
+
+// weakness is by how many turns a host stands back.
+func weakness(cores float64) int {
+	if cores <= 0 {
+		return 0
+	}
+	return int(min(maxWeakTurns, max(0, (strongCores-cores)*weakTurns)))
 }
 
 func (l *leadership) learn(name, addr string) {
@@ -316,15 +354,12 @@
 // offer asks the other hosts, one after the other, to take the cell: one that is
 // vacant, or that this host owns and cannot write for.
 func (s *Station) offer(ctx context.Context, owned bool) {
-	for name, addr := range s.lead.others() {
-		if name == s.Name {
-			continue
-		}
+	for _, name := range s.lead.successors(s.Name) {
 		r := request{Kind: kindTake}
 		if owned {
 			r.ID = s.Session
 		}
-		reply, err := s.callPeer(ctx, addr, r, greetTimeout)
+		reply, err := s.callPeer(ctx, s.lead.memberAddr(name), r, greetTimeout)
 		if err == nil && reply.Owner {
 			s.Log.Info("cell handed over", "to", name, "owned", owned)
 			return
@@ -399,11 +434,7 @@
 func (s *Station) turn(version uint64) int {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(s.Name)) // never fails
-	weak := 0
-	if s.Cores > 0 {
-		weak = int(min(maxWeakTurns, max(0, (strongCores-s.Cores)*weakTurns)))
-	}
-	return weak + int((uint64(h.Sum32())+version)%candidateTurns)
+	return weakness(s.Cores) + int((uint64(h.Sum32())+version)%candidateTurns)
 }
 
 // claim takes the cell.
--- a/station/station.go
+++ b/station/station.go
@@ -98,6 +98,7 @@
 	Now func() cell.Instant
 
 	once    sync.Once
+	began   cell.Instant
 	events  chan any
 	peers   peer.Pool
 	rules   atomic.Pointer[ruleset.Rules]
@@ -127,6 +128,7 @@
 			start := time.Now()
 			s.Now = func() cell.Instant { return time.Since(start) }
 		}
+		s.began = s.Now()
 	})
 }
 
