--- a/cell/admission.go
+++ b/cell/admission.go
@@ -41,6 +41,7 @@
 	running  map[string]demand // by team
 	waiting  map[teamRank]demand
 	capacity map[string]float64 // cores, by service
+	listed   bool               // the workers had been listed when it was made
 }
 
 // teamRank is a team's work of one rank.
@@ -147,7 +148,7 @@
 	if c.exceeds(spec) {
 		return refuse("it needs more than its team's limit", maxRetry)
 	}
-	if c.listedOnce && r.cores == 0 {
+	if c.load.listed && r.cores == 0 {
 		return refuse("the service has no workers", minRetry)
 	}
 	chain := c.lesson(spec.Queue.Name).actual(longestChain(spec))
@@ -274,7 +275,7 @@
 
 // estimateLoad sums what is left of the accepted jobs.
 func (c *Cell) estimateLoad() {
-	c.load = loadEstimate{running: map[string]demand{}, waiting: map[teamRank]demand{}, capacity: map[string]float64{}}
+	c.load = loadEstimate{running: map[string]demand{}, waiting: map[teamRank]demand{}, capacity: map[string]float64{}, listed: c.listedOnce}
 	for _, w := range c.workers {
 		if w.listed && !w.Draining && !w.silent(c.now.Steady) {
 			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -102,6 +102,21 @@
 	require.Equal(t, 14, f.starts)
 }
 
+// TestNewOwnerDoesNotMissItsWorkers replays a job that is handed in between the first
+// list of workers after a claim and the next round (incident inc-1d20).
+func TestNewOwnerDoesNotMissItsWorkers(t *testing.T) {
+	c := New(Config{HoldMax: simHold, StatusFor: time.Minute})
+	clock := Clock{Steady: time.Hour, Wall: time.Unix(1, 0)}
+	w := WorkerInfo{ID: "w1", Service: "s", Capacity: resource.Vector{MilliCPU: 32000, MemoryMB: 64000}, Born: 1}
+	c.Update(clock, Claimed{Token: 9, Previous: true, Workers: []WorkerRef{{ID: "w1"}}})
+	c.Update(clock, Listed{Workers: []WorkerInfo{w}})
+	for _, effect := range c.Update(clock, Submit{Reply: 1, Job: lookup("aa00000000000001")}) {
+		if answer, ok := effect.(Answer); ok {
+			require.NotEqual(t, Refused, answer.Verdict, answer.Reason)
+		}
+	}
+}
+
 func TestCommitStaysWithinTheStoresLimit(t *testing.T) {
 	f := newFleet(t, 1, 48)
 	// Far more ends at once than a transaction holds: each drops a row too.
