The imitated worker rejects tickets of an earlier life

The platform's tickets hold during one life of a worker; the imitation took them in any. Queues without advice have no ticket; that is question 5 of docs/SYSTEM.md.

--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -359,6 +359,9 @@
 	answer(f.carryOut(w, e))
 }
 
+// ticket returns what allows starts on this life of the worker.
+func (w *simWorker) ticket() string { return strconv.FormatInt(w.info.Born, 10) }
+
 // carryOut begins a run if the worker's rules allow it.
 func (f *fleet) carryOut(w *simWorker, e Start) Failure {
 	switch {
@@ -368,6 +371,8 @@
 		return Fenced
 	case e.LeaseUntil < f.now:
 		return Expired
+	case e.Ticket != "" && e.Ticket != w.ticket():
+		return BadTicket
 	}
 	w.token = e.Token
 	if r := w.runs[e.Task]; r != nil && r.n == e.Run {
@@ -689,7 +694,7 @@
 			_, _ = h.Write([]byte(e.Step + id))
 			tickets[id] = ""
 			if h.Sum32()%100 < f.eligible {
-				tickets[id] = "t"
+				tickets[id] = f.workers[id].ticket()
 			}
 		}
 		f.send(c, Advised{Host: e.Host, Step: e.Step, Tickets: tickets, Validity: advice.Validity})
