Admission counts slow commits in what a job has to wait

A job needs three commits, and each carries 90 rows: what could never be in time took the rows of the rest. Ruled out: room (half free), advice (350 calls a second answered), a weak owner. Test: TestSlowStoreTurnsAwayWhatWouldBeLate.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -20,6 +20,12 @@
 	// adviceWorkers is how many workers the call for advice names for which a part
 	// of the objective is kept.
 	adviceWorkers = 48
+	// slowCommit is the length of a commit from which on it counts in what a job has
+	// to wait; shorter ones are within what an objective leaves.
+	slowCommit = 100 * time.Millisecond
+	// commitsOfJob is how many commits a job waits for: its acceptance, its first
+	// placement and its end.
+	commitsOfJob = 3
 	// maxTasks bounds the tasks of a job, and with it the memory it takes.
 	maxTasks = 20_000
 )
@@ -161,13 +167,27 @@
 	if r.beyond {
 		rank += rankBeyond
 	}
-	r.wait = c.expectedWait(spec, rank, r.cores)
+	r.wait = c.expectedWait(spec, rank, r.cores) + c.storeDelay()
 	if r.wait > r.slack {
 		return refuse("it would be late", r.wait-r.slack)
 	}
 	return r
 }
 
+// storeDelay estimates how much longer than usual a job waits for the store: for
+// the commits of its acceptance, its placement and its end, and for those that are
+// due before. It answers a store that is slow in a burst.
+func (c *Cell) storeDelay() time.Duration {
+	took := c.book.took
+	if c.book.inFlight != nil {
+		took = max(took, c.now.Steady-c.book.lastSent)
+	}
+	if took < slowCommit {
+		return 0
+	}
+	return took * time.Duration(commitsOfJob+len(c.book.dirty)/maxRows)
+}
+
 // exceeds reports whether a gang of the job, or one of its tasks, is larger than
 // its team's ceiling, so that it could never run.
 func (c *Cell) exceeds(spec *docket.Job) bool {
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -28,7 +28,8 @@
 	seq        uint64
 	inFlight   *pendingCommit
 	lastSent   Instant
-	confirmed  Instant // sending time of the last confirmed commit
+	confirmed  Instant       // sending time of the last confirmed commit
+	took       time.Duration // by the last confirmed commit
 	dirty      []*job
 	drops      []Row
 	rosterOpen bool // the roster has to be written
@@ -196,6 +197,7 @@
 		return
 	}
 	c.book.inFlight = nil
+	c.book.took = c.now.Steady - c.book.lastSent
 	c.book.confirmed = max(c.book.confirmed, e.Sent)
 	for _, write := range p.jobs {
 		c.jobStored(write)
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -19,24 +19,25 @@
 // fleet drives cells against imitated workers, store and advice service on a
 // clock of its own, and checks from outside what must hold.
 type fleet struct {
-	t        *testing.T
-	rng      *rand.Rand
-	now      Instant
-	wall     time.Time
-	events   eventHeap
-	seq      int
-	workers  map[string]*simWorker
-	owner    *Cell
-	store    simStore
-	variant  variant
-	eligible uint32                   // workers allowed a step, in a hundred
-	longest  map[string]time.Duration // call for advice, by queue
-	asks     map[string]int           // calls for advice, by queue
-	lanes    map[string]Instant
-	jobs     map[string]*simJob
-	reply    uint64
-	replies  map[uint64]func(Answer)
-	hosts    []string
+	t          *testing.T
+	rng        *rand.Rand
+	now        Instant
+	wall       time.Time
+	events     eventHeap
+	seq        int
+	workers    map[string]*simWorker
+	owner      *Cell
+	store      simStore
+	variant    variant
+	storeTakes time.Duration            // for a transaction, if longer than usual
+	eligible   uint32                   // workers allowed a step, in a hundred
+	longest    map[string]time.Duration // call for advice, by queue
+	asks       map[string]int           // calls for advice, by queue
+	lanes      map[string]Instant
+	jobs       map[string]*simJob
+	reply      uint64
+	replies    map[uint64]func(Answer)
+	hosts      []string
 
 	teams      map[string]Team
 	usedByTeam map[string]int64 // processors, as truly at work
@@ -274,7 +275,7 @@
 // commit takes a transaction if its owner has not been replaced. With the store
 // down it is sent again until the store answers.
 func (f *fleet) commit(c *Cell, e Commit, sent Instant) {
-	f.after(simTxn, func() {
+	f.after(max(simTxn, f.storeTakes), func() {
 		if f.storeDown || f.storeless[c] {
 			f.after(50*time.Millisecond, func() { f.commit(c, e, sent) })
 			return
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -226,6 +226,22 @@
 	require.Less(t, idle, 7.8)
 }
 
+// TestSlowStoreTurnsAwayWhatWouldBeLate replays a store that is slow in a burst: the
+// lookups are told so at once and leave its transactions to what can be in time.
+func TestSlowStoreTurnsAwayWhatWouldBeLate(t *testing.T) {
+	f := newFleet(t, 4, 48)
+	f.at(4*time.Second, func() { f.storeTakes = 500 * time.Millisecond })
+	f.at(10*time.Second, func() { f.storeTakes = 0 })
+	f.mix("00", 2*time.Second, 16*time.Second, 100, 4, 0)
+	f.run(60 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+	got := f.tallies()
+	t.Log(got)
+	require.GreaterOrEqual(t, got["quote"].share(), 0.95)
+	require.LessOrEqual(t, float64(got["lookup"].late), 0.1*float64(got["lookup"].asked))
+}
+
 func TestLoadPatterns(t *testing.T) {
 	for _, p := range loadPatterns {
 		t.Run(p.name, func(t *testing.T) {
