In an outage the store is asked at even distances

A commit had three sendings under way that timed out together, then one a second; it could miss the store's return by a second.

--- a/station/patience.go
+++ b/station/patience.go
@@ -19,7 +19,8 @@
 	usual time.Duration // length of a commit that was answered, smoothed
 }
 
-// first returns the wait before the second sending. Each later one is twice as long.
+// first returns the wait before the second sending. Each later one is twice as
+// long, so that in an outage mostSendings are under way at even distances.
 func (p *patience) first() time.Duration {
 	return min(max(patienceFactor*p.usual, minPatience), storeTimeout)
 }
--- a/station/perform.go
+++ b/station/perform.go
@@ -177,15 +177,15 @@
 				s.Counts.Resent.Add(1)
 				send()
 			}
-			wait = min(2*wait, storeTimeout)
+			wait = min(2*wait, storeTimeout/mostSendings)
 			again.Reset(wait)
 			continue
 		case w := <-results:
 			under--
 			switch {
 			case w.err != nil:
+				s.lead.commitFailed(s, w.err)
 				if under == 0 {
-					s.lead.commitFailed(s, w.err)
 					pause.For(ctx, commitRetry)
 					send()
 				}
