--- a/cell/gang.go
+++ b/cell/gang.go
@@ -184,10 +184,6 @@
 		c.noteWaiting(s, "room is kept for others", p.planned)
 		return
 	}
-	type opening struct {
-		at Instant
-		sl *slot
-	}
 	var openings []opening
 	for _, sl := range of.slots {
 		if sl.keptUntil > 0 || !s.advice.knows(sl.w) || !sl.w.hasLabel(s.spec.Label) {
@@ -207,19 +203,7 @@
 	p.planned++
 	slices.SortStableFunc(openings, func(a, b opening) int { return cmp.Compare(a.at, b.at) })
 	at := openings[len(s.tasks)-1].at
-	var seats, spare []seat
-	for i, o := range openings[:min(len(openings), len(s.tasks)+int(spareSeats*float64(len(s.tasks))))] {
-		same := func(one seat) bool { return one.slot == o.sl }
-		if k := slices.IndexFunc(seats, same); k >= 0 {
-			if i < len(s.tasks) {
-				seats[k].n++
-			}
-		} else if i < len(s.tasks) {
-			seats = append(seats, seat{o.sl, 1})
-		} else if !slices.ContainsFunc(spare, same) {
-			spare = append(spare, seat{o.sl, 1})
-		}
-	}
+	seats, spare := soonest(openings, len(s.tasks))
 	p.keep(s, seats, at)
 	c.noteWaiting(s, "workers are kept for it", int((at - c.now.Steady).Milliseconds()))
 	if !s.advice.needed {
@@ -239,6 +223,30 @@
 	}
 }
 
+// opening is a moment from which a worker has room for one more member.
+type opening struct {
+	at Instant
+	sl *slot
+}
+
+// soonest returns the seats of the first openings, in order of time, and some to
+// spare on other workers.
+func soonest(openings []opening, count int) (seats, spare []seat) {
+	for i, o := range openings[:min(len(openings), count+int(spareSeats*float64(count)))] {
+		same := func(one seat) bool { return one.slot == o.sl }
+		if k := slices.IndexFunc(seats, same); k >= 0 {
+			if i < count {
+				seats[k].n++
+			}
+		} else if i < count {
+			seats = append(seats, seat{o.sl, 1})
+		} else if !slices.ContainsFunc(spare, same) {
+			spare = append(spare, seat{o.sl, 1})
+		}
+	}
+	return seats, spare
+}
+
 // noteWaiting logs, now and then, what a gang waits for. The number is the tasks
 // that could start, or the milliseconds until all can.
 func (c *Cell) noteWaiting(s *step, why string, n int) {
--- a/station/lead.go
+++ b/station/lead.go
@@ -178,16 +178,15 @@
 			names = append(names, name)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		first, greetsFirst := l.members[a]
-		second, greetsSecond := l.members[b]
-		if greetsFirst != greetsSecond {
-			if greetsFirst {
-				return -1
-			}
-			return 1
+	turn := func(name string) int {
+		m, greets := l.members[name]
+		if !greets {
+			return maxWeakTurns + 1
 		}
-		return cmp.Or(cmp.Compare(weakness(first.cores), weakness(second.cores)), cmp.Compare(second.began, first.began), cmp.Compare(a, b))
+		return weakness(m.cores)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(turn(a), turn(b)), cmp.Compare(l.members[b].began, l.members[a].began), cmp.Compare(a, b))
 	})
 	return names
 }
--- a/station/perform.go
+++ b/station/perform.go
@@ -179,31 +179,35 @@
 			}
 			wait = min(2*wait, storeTimeout/mostSendings)
 			again.Reset(wait)
-			continue
 		case w := <-results:
 			under--
-			switch {
-			case w.err != nil:
-				s.lead.commitFailed(s, w.err)
-				if under == 0 {
-					pause.For(ctx, commitRetry)
-					send()
-				}
-				continue
-			case w.stands == nil:
-			case w.stands.Session == s.Session && w.stands.Seq == commit.Seq && w.stands.Token == head.Token:
-				w.version = w.stands.Version // another sending took effect
-			default:
-				s.deposed(ctx, head.Token, *w.stands)
+			if w.err == nil {
+				s.settle(ctx, head, began, w)
 				return
 			}
-			s.patience.observe(s.Now() - w.sent)
-			s.lead.confirmed(s, w.version, began)
-			s.Counts.Commit.Observe(s.Now() - began)
-			s.post(ctx, cell.Committed{Seq: commit.Seq, Sent: began})
+			s.lead.commitFailed(s, w.err)
+			if under == 0 {
+				pause.For(ctx, commitRetry)
+				send()
+			}
+		}
+	}
+}
+
+// settle takes the store's answer to one of a commit's sendings, the first of which
+// was made at the time given.
+func (s *Station) settle(ctx context.Context, head HeadRow, began cell.Instant, w written) {
+	if w.stands != nil {
+		if w.stands.Session != s.Session || w.stands.Seq != head.Seq || w.stands.Token != head.Token {
+			s.deposed(ctx, head.Token, *w.stands)
 			return
 		}
+		w.version = w.stands.Version // another sending took effect
 	}
+	s.patience.observe(s.Now() - w.sent)
+	s.lead.confirmed(s, w.version, began)
+	s.Counts.Commit.Observe(s.Now() - began)
+	s.post(ctx, cell.Committed{Seq: head.Seq, Sent: began})
 }
 
 // writeVacancy gives the cell up in the store.
