--- a/control/control_test.go
+++ b/control/control_test.go
@@ -60,7 +60,8 @@
 func (r *rig) update(ev any) []any { return append([]any(nil), r.s.Update(r.now, ev)...) }
 
 // greet lets the sibling report free slots.
-func (r *rig) greet(slots int64) {
+func (r *rig) greet() {
+	const slots = 8
 	room := resource.Vector{Slots: slots, MilliCPU: 100_000, MemoryMB: 100_000}
 	r.update(control.Greeted{Incoming: true, Greeting: peer.Greeting{
 		Session: sibling, Zone: "a", FreeSlots: slots, Slots: slots, Room: room, Largest: room,
@@ -86,7 +87,7 @@
 // one that came from it.
 func TestForwardsOnceAndNotBack(t *testing.T) {
 	r := newRig(t)
-	r.greet(8)
+	r.greet()
 	sent := take[control.Forward](r.update(control.Request{Task: small("x")}))
 	require.Len(t, sent, 1)
 	require.Equal(t, sibling, sent[0].Session)
@@ -106,7 +107,7 @@
 // it is asked for, never sent again, and at last said to be unknown.
 func TestLostForwardIsResolved(t *testing.T) {
 	r := newRig(t)
-	r.greet(8)
+	r.greet()
 	x := small("x")
 	x.NonIdempotent = true
 	require.Len(t, take[control.Forward](r.update(control.Request{Task: x})), 1)
@@ -221,7 +222,7 @@
 // adopted the job was told so, and ended tasks that nobody had cancelled.
 func TestWithdrawnTaskOfAJobIsRunAgain(t *testing.T) {
 	r := newRig(t)
-	r.greet(8)
+	r.greet()
 	effects := r.update(control.SubmitJob{Token: 7, Job: job.Job{Team: "t", Class: class.Batch, Need: resource.Vector{Slots: 1}, Tasks: 1}})
 	sent := take[control.Forward](r.update(control.Journaled{Result: segment.Result{Token: take[control.Append](effects)[0].Batch.Token}}))
 	require.Len(t, sent, 1)
@@ -229,7 +230,7 @@
 	require.Empty(t, take[control.Append](effects), "no end may be written")
 	for range 50 {
 		r.now = r.now.Add(100 * time.Millisecond)
-		r.greet(8)
+		r.greet()
 		if again := take[control.Forward](r.update(control.Tick{})); len(again) > 0 {
 			require.Equal(t, sent[0].Task.ID, again[0].Task.ID)
 			return
--- a/faultproxy/faultproxy_test.go
+++ b/faultproxy/faultproxy_test.go
@@ -29,7 +29,7 @@
 func TestServesAfterAcceptFails(t *testing.T) {
 	echo, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer echo.Close()
+	defer func() { _ = echo.Close() }() // the test is over
 	go func() {
 		for {
 			conn, err := echo.Accept()
@@ -49,7 +49,7 @@
 
 	conn, err := net.Dial("tcp", p.Addr())
 	require.NoError(t, err)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	_, err = conn.Write([]byte("ping"))
 	require.NoError(t, err)
 	answer := make([]byte, 4)
--- a/station/perform_test.go
+++ b/station/perform_test.go
@@ -102,7 +102,7 @@
 func TestUnansweredOrderIsGivenUpSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &Station{Log: slog.New(slog.DiscardHandler)}
-		s.Seams.Start = func(ctx context.Context, _ cell.Start) cell.Started {
+		s.Start = func(ctx context.Context, _ cell.Start) cell.Started {
 			<-ctx.Done()
 			return cell.Started{Failure: cell.NoAnswer}
 		}
