Gangs, workers and progress say each thing once; behaviour as before

Which workers suit a step, whether all seats have tickets, and how a worker begins stood two or three times each; the order of seats needs no comparison of its own; a call was cut to its limit twice. The time of the end and the queue in the progress row were written and never read: they are left out, rows of earlier versions still decode.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -79,7 +79,7 @@
 		return
 	}
 	e.Job.ReceivedAt = c.now.Wall
-	j := newJob(e.Job, docket.Progress{Queue: e.Job.Queue.Name, Team: e.Job.Team}, 0)
+	j := newJob(e.Job, docket.Progress{Team: e.Job.Team}, 0)
 	j.received = c.now.Steady
 	j.beyondRate = ruling.beyond
 	if !ruling.beyond {
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -50,6 +50,9 @@
 // knows reports whether w is known to be allowed to run the step.
 func (a *adviceState) knows(w *worker) bool { return !a.needed || a.eligible[w] }
 
+// suits reports whether w has the step's label and is known to be allowed to run it.
+func (s *step) suits(w *worker) bool { return s.advice.knows(w) && w.hasLabel(s.spec.Label) }
+
 // knowsAny reports whether the service has answered for this step.
 func (a *adviceState) knowsAny() bool { return !a.needed || len(a.eligible) > 0 }
 
@@ -156,7 +159,7 @@
 		return
 	}
 	slices.SortStableFunc(named, func(a, b seat) int { return cmp.Compare(b.n, a.n) })
-	c.renew(s, named[:min(len(named), maxNamed)])
+	c.renew(s, named)
 }
 
 // renew asks again for tickets on the workers that a gang is to run on.
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -81,12 +81,10 @@
 		c.planGang(p, of, s)
 		return nil, false
 	}
-	for _, seat := range seats {
-		if !s.advice.valid(seat.w, c.now.Steady) {
-			p.keep(s, seats, c.now.Steady)
-			c.renew(s, append(seats, spare...))
-			return nil, false
-		}
+	if !s.ticketed(seats, c.now.Steady) {
+		p.keep(s, seats, c.now.Steady)
+		c.renew(s, append(seats, spare...))
+		return nil, false
 	}
 	if !s.job.stored {
 		p.keep(s, seats, c.now.Steady)
@@ -100,7 +98,7 @@
 func (c *Cell) couldHold(of *pool, s *step) bool {
 	members := 0
 	for _, sl := range of.slots {
-		if s.advice.knows(sl.w) && sl.w.hasLabel(s.spec.Label) {
+		if s.suits(sl.w) {
 			members += s.room(sl.w, sl.w.Capacity)
 		}
 	}
@@ -113,15 +111,21 @@
 func (c *Cell) seatGang(of *pool, s *step) (seats, spare []seat) {
 	length := c.lesson(s.job.Queue.Name).actual(s.spec.Estimate)
 	for _, sl := range of.slots {
-		if !s.advice.knows(sl.w) || !sl.w.hasLabel(s.spec.Label) || sl.keptFrom(c.now.Steady, length) {
+		if !s.suits(sl.w) || sl.keptFrom(c.now.Steady, length) {
 			continue
 		}
 		if n := s.room(sl.w, sl.free); n > 0 {
 			seats = append(seats, seat{sl, n})
 		}
 	}
+	order := func(w *worker) int {
+		if s.advice.valid(w, c.now.Steady) {
+			return 2 * s.distance(w)
+		}
+		return 2*s.distance(w) + 1
+	}
 	slices.SortStableFunc(seats, func(a, b seat) int {
-		return cmp.Or(cmp.Compare(s.distance(a.w), s.distance(b.w)), compareTrue(s.advice.valid(a.w, c.now.Steady), s.advice.valid(b.w, c.now.Steady)), cmp.Compare(b.n, a.n))
+		return cmp.Or(cmp.Compare(order(a.w), order(b.w)), cmp.Compare(b.n, a.n))
 	})
 	if s.spec.RackLocal {
 		if one := singleRack(seats, len(s.tasks)); one != nil {
@@ -134,26 +138,22 @@
 // split cuts off the seats that hold the members, and some to spare: what has
 // room moves about while a call for advice lasts.
 func split(seats []seat, count int) (first, spare []seat) {
-	left := count
-	for i := range seats {
-		if left <= 0 {
-			first, spare = seats[:i:i], seats[i:]
-			break
-		}
+	i := 0
+	for left := count; i < len(seats) && left > 0; i++ {
 		seats[i].n = min(seats[i].n, left)
 		left -= seats[i].n
 	}
-	if first == nil {
-		return seats, nil
-	}
-	extra := float64(count) * spareSeats
-	for i, one := range spare {
-		if extra <= 0 {
-			return first, spare[:i]
-		}
-		extra -= float64(one.n)
+	first, spare = seats[:i:i], seats[i:]
+	j := 0
+	for extra := spareSeats * float64(count); j < len(spare) && extra > 0; j++ {
+		extra -= float64(spare[j].n)
 	}
-	return first, spare
+	return first, spare[:j]
+}
+
+// ticketed reports whether starts on all seats may carry a ticket, or need none.
+func (s *step) ticketed(seats []seat, now Instant) bool {
+	return !slices.ContainsFunc(seats, func(one seat) bool { return !s.advice.valid(one.w, now) })
 }
 
 // members counts the members that have seats.
@@ -165,18 +165,6 @@
 	return n
 }
 
-// compareTrue orders true before false.
-func compareTrue(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // planGang keeps the workers that can hold the gang soonest, and sees to it that
 // tickets for them are there by then.
 func (c *Cell) planGang(p *round, of *pool, s *step) {
@@ -186,7 +174,7 @@
 	}
 	var openings []opening
 	for _, sl := range of.slots {
-		if sl.keptUntil > 0 || !s.advice.knows(sl.w) || !sl.w.hasLabel(s.spec.Label) {
+		if sl.keptUntil > 0 || !s.suits(sl.w) {
 			continue
 		}
 		for _, at := range c.openings(s, sl) {
@@ -215,11 +203,8 @@
 		c.askMore(of, s, true) // room elsewhere may serve it sooner
 		return
 	}
-	for _, one := range seats {
-		if !s.advice.valid(one.w, c.now.Steady) {
-			c.renew(s, append(seats, spare...))
-			return
-		}
+	if !s.ticketed(seats, c.now.Steady) {
+		c.renew(s, append(seats, spare...))
 	}
 }
 
--- a/cell/place.go
+++ b/cell/place.go
@@ -251,11 +251,7 @@
 
 func (c *Cell) chargeTeam(s *step, sign int64) {
 	use := c.team(s.job.team())
-	if sign > 0 {
-		use.used = use.used.Add(s.spec.Need)
-	} else {
-		use.used = use.used.Sub(s.spec.Need)
-	}
+	use.used = use.used.Add(s.spec.Need.Times(sign))
 }
 
 // team returns the job's team, also after the job has ended.
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		live++
-		progress.Team, progress.Queue = stored.Job.Team, stored.Job.Queue.Name
+		progress.Team = stored.Job.Team
 		j := newJob(stored.Job, progress, firstRun)
 		j.stored, j.recorded = true, stored.Progress != nil
 		age := c.now.Wall.Sub(stored.Job.ReceivedAt)
@@ -51,9 +51,8 @@
 		c.adopt(j)
 	}
 	for _, ref := range e.Workers {
-		w := &worker{runs: map[string]*run{}, strays: map[string]uint64{}, onRoster: true}
-		w.ID, w.Addr, w.Service = ref.ID, ref.Addr, ref.Service
-		w.answered = c.now.Steady
+		w := newWorker(WorkerInfo{ID: ref.ID, Addr: ref.Addr, Service: ref.Service}, c.now.Steady)
+		w.onRoster = true
 		c.workers[ref.ID] = w
 	}
 	c.note("cell claimed", slog.Uint64("token", e.Token), slog.Int("jobs", live), slog.Int("ended", len(e.Jobs)-live), slog.Int("workers", len(e.Workers)))
--- a/cell/report.go
+++ b/cell/report.go
@@ -155,7 +155,6 @@
 		return
 	}
 	j.progress.State = state
-	j.progress.EndedAt = c.now.Wall
 	c.touch(j)
 }
 
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -13,7 +13,7 @@
 		present[info.ID] = true
 		w := c.workers[info.ID]
 		if w == nil {
-			w = &worker{runs: map[string]*run{}, strays: map[string]uint64{}, WorkerInfo: info, answered: c.now.Steady}
+			w = newWorker(info, c.now.Steady)
 			w.clockAt = c.now.Steady
 			c.workers[info.ID] = w
 			c.book.rosterOpen = true
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -56,6 +56,11 @@
 	observed  int
 }
 
+// newWorker returns a worker of which nothing was heard yet.
+func newWorker(info WorkerInfo, now Instant) *worker {
+	return &worker{WorkerInfo: info, runs: map[string]*run{}, strays: map[string]uint64{}, answered: now}
+}
+
 // clockLow returns a lower bound of the worker's clock at t.
 func (w *worker) clockLow(t Instant) time.Duration {
 	passed := max(0, t-w.clockAt)
@@ -101,12 +106,7 @@
 
 // charge adds or, with a negative sign, takes back what a run uses.
 func (w *worker) charge(r *run, sign int64) {
-	need := r.task.step.need()
-	if sign > 0 {
-		w.used = w.used.Add(need)
-	} else {
-		w.used = w.used.Sub(need)
-	}
+	w.used = w.used.Add(r.task.step.need().Times(sign))
 }
 
 // slowest returns the longest time, on this host's clock, that a lease of the
--- a/docket/progress.go
+++ b/docket/progress.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -12,10 +11,8 @@
 type Progress struct {
 	State State        `cbor:"1,keyasint"`
 	Steps []StepRecord `cbor:"2,keyasint,omitempty"`
-	// EndedAt is the time of day at which the state became final.
-	EndedAt time.Time `cbor:"3,keyasint,omitempty"`
-	Queue   string    `cbor:"5,keyasint,omitempty"`
-	Team    string    `cbor:"6,keyasint,omitempty"`
+	// The numbers 3 to 5 were used by earlier versions.
+	Team string `cbor:"6,keyasint,omitempty"`
 }
 
 // StepRecord is the progress of one step of one occurrence.
