--- a/host/calls.go
+++ b/host/calls.go
@@ -86,18 +86,14 @@
 	return value.(control.JobAnswer), nil
 }
 
-// queryLocal reads a job of this zone.
-func (h *Host) queryLocal(ctx context.Context, q peer.Question) (*job.Status, *refusal.Refusal) {
-	a, r := h.ask(ctx, func(token uint64) any { return control.Query{Token: token, Team: q.Team, ID: q.Job} })
-	if r != nil {
-		return nil, r
-	}
-	return h.follow(ctx, a, q)
-}
-
-// cancelLocal cancels a job of this zone.
-func (h *Host) cancelLocal(ctx context.Context, q peer.Question) (*job.Status, *refusal.Refusal) {
-	a, r := h.ask(ctx, func(token uint64) any { return control.CancelJob{Token: token, Team: q.Team, ID: q.Job} })
+// inZone answers a status question or a cancellation for a job of this zone.
+func (h *Host) inZone(ctx context.Context, q peer.Question) (*job.Status, *refusal.Refusal) {
+	a, r := h.ask(ctx, func(token uint64) any {
+		if q.Verb == verbCancel {
+			return control.CancelJob{Token: token, Team: q.Team, ID: q.Job}
+		}
+		return control.Query{Token: token, Team: q.Team, ID: q.Job}
+	})
 	if r != nil {
 		return nil, r
 	}
@@ -165,17 +161,7 @@
 	if id == "" {
 		return h.listEverywhere(ctx, team)
 	}
-	addr, r := h.otherZone(ctx, id)
-	if r != nil {
-		return nil, r
-	}
-	q := peer.Question{Verb: verbStatus, Team: team, Job: id}
-	var st *job.Status
-	if addr == "" {
-		st, r = h.queryLocal(ctx, q)
-	} else {
-		st, r = h.follow(ctx, control.JobAnswer{Holder: addr}, q)
-	}
+	st, r := h.anywhere(ctx, peer.Question{Verb: verbStatus, Team: team, Job: id})
 	if r != nil {
 		return nil, r
 	}
@@ -183,13 +169,17 @@
 }
 
 func (h *Host) cancelJob(ctx context.Context, team, id string) (*job.Status, *refusal.Refusal) {
-	addr, r := h.otherZone(ctx, id)
+	return h.anywhere(ctx, peer.Question{Verb: verbCancel, Team: team, Job: id})
+}
+
+// anywhere answers a status question or a cancellation for a job of any zone.
+func (h *Host) anywhere(ctx context.Context, q peer.Question) (*job.Status, *refusal.Refusal) {
+	addr, r := h.otherZone(ctx, q.Job)
 	if r != nil {
 		return nil, r
 	}
-	q := peer.Question{Verb: verbCancel, Team: team, Job: id}
 	if addr == "" {
-		return h.cancelLocal(ctx, q)
+		return h.inZone(ctx, q)
 	}
 	return h.follow(ctx, control.JobAnswer{Holder: addr}, q)
 }
--- a/host/service.go
+++ b/host/service.go
@@ -114,12 +114,10 @@
 	var value any
 	var r *refusal.Refusal
 	switch q.Verb {
-	case verbStatus:
-		value, r = h.queryLocal(ctx, *q)
+	case verbStatus, verbCancel:
+		value, r = h.inZone(ctx, *q)
 	case verbList:
 		value, r = h.listLocal(ctx, q.Team)
-	case verbCancel:
-		value, r = h.cancelLocal(ctx, *q)
 	case verbSubmit:
 		value, r = h.submitForPeer(ctx, q.Body)
 	case verbEnded:
--- a/station/call.go
+++ b/station/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -83,13 +84,10 @@
 	s.lead.meet(r.Name, member{addr: r.Addr, at: now, cores: r.Cores, began: now - r.Up})
 	s.lead.mu.Lock()
 	defer s.lead.mu.Unlock()
-	out := reply{Owner: s.lead.own, Head: s.lead.owner, Known: map[string]string{}}
+	out := reply{Owner: s.lead.own, Head: s.lead.owner, Known: maps.Clone(s.lead.known)}
 	if s.lead.own {
 		out.Age = now - s.lead.confirmedAt
 	}
-	for name, addr := range s.lead.known {
-		out.Known[name] = addr
-	}
 	return out
 }
 
@@ -139,10 +137,7 @@
 // learnOwner asks the other hosts who the owner is; it serves a host that the
 // store turns away.
 func (s *Station) learnOwner(ctx context.Context) {
-	for name, addr := range s.lead.others() {
-		if name == s.Name {
-			continue
-		}
+	for _, addr := range s.lead.others(s.Name) {
 		out, err := s.callPeer(ctx, addr, s.greeting(), greetTimeout)
 		if err != nil || out.Head.Addr == "" || out.Head.Session == s.Session {
 			continue
--- a/station/lead.go
+++ b/station/lead.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -170,14 +171,9 @@
 // weak ones, then those that started last. Where hosts are replaced one after the
 // other, these are not replaced again.
 func (l *leadership) successors(self string) []string {
+	names := slices.Collect(maps.Keys(l.others(self)))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var names []string
-	for name := range l.known {
-		if name != self {
-			names = append(names, name)
-		}
-	}
 	turn := func(name string) int {
 		m, greets := l.members[name]
 		if !greets {
@@ -213,14 +209,12 @@
 	return l.known[name]
 }
 
-// others returns the addresses of all hosts ever met.
-func (l *leadership) others() map[string]string {
+// others returns the addresses of all hosts ever met but this one.
+func (l *leadership) others(self string) map[string]string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list := make(map[string]string, len(l.known))
-	for name, addr := range l.known {
-		list[name] = addr
-	}
+	list := maps.Clone(l.known)
+	delete(list, self)
 	return list
 }
 
@@ -310,10 +304,7 @@
 // cutOff reports whether no other host can be reached and none has refused the
 // connection: a machine that refuses is there, its process is not.
 func (s *Station) cutOff(ctx context.Context) bool {
-	for name, addr := range s.lead.others() {
-		if name == s.Name {
-			continue
-		}
+	for _, addr := range s.lead.others(s.Name) {
 		_, err := s.callPeer(ctx, addr, request{Kind: kindProbe}, greetTimeout)
 		if err == nil || errors.Is(err, peer.ErrUnreachable) && !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err) {
 			return false
