Commits and looks go on between long rounds of placement

Cause: the owner wrote commits and read ends only in a round of placement. A round takes longer the more waits, and rounds are kept to a fifth of the time, so under a backlog of some hundred steps they were 250 ms apart. Each job waits for three commits and each free worker for a look, so less was placed, more waited, and the rounds became longer still.

Ruled out: the store (4 ms a call meanwhile) and the advice service (its answers took as much longer as the owner's own events).

Change: a flush writes and looks without a round; it is due 5 ms after the last.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -166,6 +166,8 @@
 		c.advised(e)
 	case Pump:
 		c.pump()
+	case Flush:
+		c.keepUp()
 	}
 }
 
@@ -195,6 +197,11 @@
 	}
 	c.openSteps()
 	c.place()
+	c.keepUp()
+}
+
+// keepUp reads what ends at workers and writes what is due.
+func (c *Cell) keepUp() {
 	c.lookAround()
 	c.flush()
 }
--- a/cell/event.go
+++ b/cell/event.go
@@ -196,5 +196,9 @@
 	Validity time.Duration
 }
 
-// Pump lets the cell place what waits and write what is due.
+// Pump lets the cell place what waits, and do what Flush does.
 type Pump struct{}
+
+// Flush lets the cell write what is due and look at workers, without a round of
+// placement: neither becomes slower when much waits.
+type Flush struct{}
--- a/station/station.go
+++ b/station/station.go
@@ -34,14 +34,6 @@
 const (
 	// eventQueue bounds the events that wait for the cell's goroutine.
 	eventQueue = 4096
-	// pumpGap is the least time between two rounds of placement.
-	pumpGap = 5 * time.Millisecond
-	// pumpShare bounds the time that rounds take: after one, this many times its
-	// length passes before the next, so that callers are still answered when much
-	// waits.
-	pumpShare = 4
-	// idlePump is the time between rounds of placement when nothing happens.
-	idlePump = 20 * time.Millisecond
 )
 
 // Head is the row that says who owns a cell. Every commit rewrites it on
@@ -160,7 +152,7 @@
 	waiters := map[uint64]chan cell.Answer{}
 	timer := time.NewTimer(idlePump)
 	defer timer.Stop()
-	next := s.Now() // round of placement
+	var due pace
 	for {
 		select {
 		case event := <-s.events:
@@ -176,14 +168,15 @@
 			continue
 		}
 		now := s.Now()
-		if now < next {
-			timer.Reset(next - now)
+		event := due.event(now)
+		if event == nil {
+			timer.Reset(due.next() - now)
 			continue
 		}
-		s.apply(ctx, state, waiters, cell.Pump{})
+		s.apply(ctx, state, waiters, event)
 		s.summarize(state, now)
-		next = now + max(pumpGap, pumpShare*(s.Now()-now))
-		timer.Reset(max(idlePump, next-now))
+		due.done(event, now, s.Now())
+		timer.Reset(idlePump)
 	}
 }
 
