--- /dev/null
+++ b/cell/cost_test.go
@@ -0,0 +1,124 @@
+package cell
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cowslipgap/cowslipgap/docket"
+	"github.com/cowslipgap/cowslipgap/resource"
+)
+
+// costs sums the time that a cell spends on events, by kind.
+type costs map[string]*cost
+
+type cost struct {
+	n     int
+	total time.Duration
+	worst time.Duration
+}
+
+func (c costs) add(event any, effects []any, took time.Duration) {
+	kind := fmt.Sprintf("%T", event)[len("cell."):]
+	if _, ok := event.(Submit); ok {
+		for _, effect := range effects {
+			if a, ok := effect.(Answer); ok && a.Verdict == Refused {
+				kind = "Refusal"
+			}
+		}
+	}
+	if c[kind] == nil {
+		c[kind] = &cost{}
+	}
+	c[kind].n++
+	c[kind].total += took
+	c[kind].worst = max(c[kind].worst, took)
+}
+
+// large is a fleet of the size of the grown deployment, where one owner has 350
+// workers and 43 hosts to call for advice from. The shapes of its jobs are the means
+// of that deployment.
+func large(t testing.TB) *fleet {
+	f := newFleet(t, 5, 350)
+	f.hosts = nil
+	for i := range 43 {
+		f.hosts = append(f.hosts, fmt.Sprintf("h%02d", i))
+	}
+	f.teams = map[string]Team{"blue": {Rate: 200}, "red": {Rate: 100, Ceiling: resource.Vector{MilliCPU: 9_000_000}}}
+	f.claim()
+	return f
+}
+
+// offer hands in the usual load of the grown deployment, times a factor.
+func (f *fleet) offer(prefix string, from, to Instant, factor float64) {
+	f.mix(prefix, from, to, 130*factor, 11*factor, 3.5*factor)
+	for id, j := range f.jobs {
+		if id[2:4] != prefix {
+			continue
+		}
+		switch step := &j.spec.Steps[0]; j.spec.Queue.Name {
+		case "lookup":
+			step.Count, step.Need = 3, resource.Vector{MilliCPU: 5000, MemoryMB: 9100}
+			j.spec.Queue.Advice = &docket.Advice{Decision: 7200 * time.Microsecond, PerWorker: 100 * time.Microsecond, Validity: 1500 * time.Millisecond}
+		case "quote":
+			step.Count, step.Need = 25, resource.Vector{MilliCPU: 3500, MemoryMB: 3600}
+			j.spec.Queue.Advice = &docket.Advice{Decision: 80 * time.Millisecond, PerWorker: 1100 * time.Microsecond, Validity: 1500 * time.Millisecond}
+		case "refret":
+			step.Count = 20
+			j.spec.Queue.Advice = &docket.Advice{Decision: 540 * time.Millisecond, PerWorker: 7700 * time.Microsecond, Validity: 1500 * time.Millisecond}
+		}
+		f.estimate(j)
+	}
+}
+
+// BenchmarkOwner reports the time that an owner spends on each kind of event. It
+// replays the usual load of the grown deployment, a burst of twice that, a fleet on
+// which hundreds of steps wait, and the first seconds of a successor.
+func BenchmarkOwner(b *testing.B) {
+	for _, phase := range []struct {
+		name     string
+		load     float64
+		from, to Instant // in which events are counted
+		takeover bool
+	}{
+		{"usual", 1, 4 * time.Second, 10 * time.Second, false},
+		{"burst", 2, 4 * time.Second, 10 * time.Second, false},
+		{"full", 5, 4 * time.Second, 10 * time.Second, false},
+		{"takeover", 1, 6 * time.Second, 10 * time.Second, true},
+	} {
+		b.Run(phase.name, func(b *testing.B) {
+			spent := costs{}
+			waiting, rounds, allocs := 0, 0, 0.0
+			for b.Loop() {
+				f := large(b)
+				f.offer("00", 2*time.Second, phase.to, phase.load)
+				f.run(phase.from)
+				f.timed = func(event any, effects []any, took time.Duration) {
+					spent.add(event, effects, took)
+					if event == (Pump{}) {
+						waiting += len(f.owner.waiting)
+						rounds++
+					}
+				}
+				if phase.takeover {
+					f.kill(700 * time.Millisecond)
+				}
+				f.run(phase.to)
+				f.timed = nil
+				allocs += testing.AllocsPerRun(10, func() { f.owner.Update(f.clock(), Pump{}) })
+			}
+			total := time.Duration(0)
+			for _, kind := range slices.Sorted(maps.Keys(spent)) {
+				c := spent[kind]
+				total += c.total
+				b.ReportMetric(float64(c.total.Microseconds())/float64(c.n), "us/"+kind)
+				b.Logf("%-10s %7d times, %8.1f us on average, %8d us at most", kind, c.n, float64(c.total.Microseconds())/float64(c.n), c.worst.Microseconds())
+			}
+			b.ReportMetric(float64(total.Microseconds())/1000/float64(b.N)/(phase.to-phase.from).Seconds(), "ms/s")
+			b.ReportMetric(float64(waiting)/float64(rounds), "waiting")
+			b.ReportMetric(allocs/float64(b.N), "allocs/Pump")
+		})
+	}
+}
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -19,7 +19,7 @@
 // fleet drives cells against imitated workers, store and advice service on a
 // clock of its own, and checks from outside what must hold.
 type fleet struct {
-	t          *testing.T
+	t          testing.TB
 	rng        *rand.Rand
 	now        Instant
 	wall       time.Time
@@ -45,6 +45,7 @@
 	storeDown  bool
 	storeless  map[*Cell]bool // owners that the store does not answer
 	violations []string
+	timed      func(event any, effects []any, took time.Duration) // by Update, if set
 	starts     int
 	wasted     float64 // core-seconds that were not the work of a task's last run
 }
@@ -140,7 +141,7 @@
 	simList     = 400 * time.Millisecond
 )
 
-func newFleet(t *testing.T, seed uint64, workers int) *fleet {
+func newFleet(t testing.TB, seed uint64, workers int) *fleet {
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), wall: time.Unix(1_700_000_000, 0),
 		workers: map[string]*simWorker{}, lanes: map[string]Instant{}, asks: map[string]int{}, longest: map[string]time.Duration{}, jobs: map[string]*simJob{},
@@ -246,7 +247,12 @@
 // send applies an event to a cell, which may be a deposed one, and performs the
 // effects.
 func (f *fleet) send(c *Cell, event any) {
-	for _, effect := range append([]any(nil), c.Update(f.clock(), event)...) {
+	began := time.Now()
+	effects := c.Update(f.clock(), event)
+	if f.timed != nil {
+		f.timed(event, effects, time.Since(began))
+	}
+	for _, effect := range append([]any(nil), effects...) {
 		f.perform(c, effect)
 	}
 }
@@ -710,19 +716,24 @@
 // submit hands a job in at a time; a caller that is refused does not return.
 func (f *fleet) submit(at Instant, spec *docket.Job) *simJob {
 	j := &simJob{spec: spec, actual: map[string]time.Duration{}, done: map[string]bool{}, ended: map[string]bool{}, failed: map[string]int{}}
-	for n := range spec.Steps {
-		for i := range spec.Steps[n].Count {
-			for k := range spec.Occurrences() {
-				id := docket.TaskID{Job: spec.ID, Occurrence: k, Step: n, Index: i}
-				j.actual[id.String()] = time.Duration(float64(spec.Steps[n].Estimate) * (0.85 + 0.3*f.rng.Float64()))
-			}
-		}
-	}
+	f.estimate(j)
 	f.jobs[spec.ID] = j
 	f.at(at, func() { f.handIn(j) })
 	return j
 }
 
+// estimate draws how long each task of a job takes.
+func (f *fleet) estimate(j *simJob) {
+	for n := range j.spec.Steps {
+		for i := range j.spec.Steps[n].Count {
+			for k := range j.spec.Occurrences() {
+				id := docket.TaskID{Job: j.spec.ID, Occurrence: k, Step: n, Index: i}
+				j.actual[id.String()] = time.Duration(float64(j.spec.Steps[n].Estimate) * (0.85 + 0.3*f.rng.Float64()))
+			}
+		}
+	}
+}
+
 func (f *fleet) handIn(j *simJob) {
 	if j.handedIn == 0 {
 		j.handedIn = f.now
