Workers are kept in order, so that rounds need not sort them

Every round of placement walked the map of workers, allocated a slot for each, sorted them by ID and built a map to end the keeping of workers: most of a round when little waits. The workers are now also on a roll in that order, which the other loops over all of them use too; slots are one allocation.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -296,7 +296,7 @@
 // estimateLoad sums what is left of the accepted jobs.
 func (c *Cell) estimateLoad() {
 	c.load = loadEstimate{running: map[string]demand{}, waiting: map[teamRank]demand{}, capacity: map[string]float64{}, listed: c.listedOnce}
-	for _, w := range c.workers {
+	for _, w := range c.roll {
 		if w.listed && !w.Draining && !w.silent(c.now.Steady) {
 			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000
 		}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -63,6 +63,7 @@
 
 	jobs       map[string]*job
 	workers    map[string]*worker
+	roll       []*worker // the same, in order of their IDs
 	teams      map[string]*teamUse
 	policy     map[string]Team
 	hosts      []string
@@ -100,7 +101,7 @@
 func (c *Cell) reset() {
 	c.owner, c.token = false, 0
 	c.jobs = map[string]*job{}
-	c.workers = map[string]*worker{}
+	c.workers, c.roll = map[string]*worker{}, nil
 	c.teams = map[string]*teamUse{}
 	c.lanes = map[string]int{}
 	c.waiting, c.unopened = nil, nil
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/cowslipgap/cowslipgap/docket"
 	"github.com/cowslipgap/cowslipgap/resource"
@@ -291,3 +294,30 @@
 		f.owner.effects = f.owner.effects[:0]
 	}
 }
+
+// rollIDs returns the IDs of the workers on the roll, in its order.
+func (c *Cell) rollIDs() []string {
+	var ids []string
+	for _, w := range c.roll {
+		if c.workers[w.ID] == w {
+			ids = append(ids, w.ID)
+		}
+	}
+	return ids
+}
+
+func TestRollHoldsTheWorkersInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(Config{})
+		for _, n := range rapid.SliceOfN(rapid.IntRange(0, 9), 0, 40).Draw(t, "workers") {
+			w := newWorker(WorkerInfo{ID: string(rune('a' + n))}, 0)
+			if known := c.workers[w.ID]; known != nil && rapid.Bool().Draw(t, "strike") {
+				c.strike(known)
+			} else {
+				c.enlist(w)
+			}
+			require.Len(t, c.roll, len(c.workers))
+			require.Equal(t, slices.Sorted(maps.Keys(c.workers)), c.rollIDs())
+		}
+	})
+}
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -96,7 +96,7 @@
 	}
 	if len(b.dirty) == 0 {
 		p.acks = map[*worker]lifeAck{}
-		for _, w := range c.workers {
+		for _, w := range c.roll {
 			if w.seen > w.ackable {
 				p.acks[w] = lifeAck{w.life, w.seen}
 			}
@@ -109,7 +109,7 @@
 // ackable reports whether ends were read that change no job and wait only for
 // their acknowledgement.
 func (c *Cell) ackable() bool {
-	for _, w := range c.workers {
+	for _, w := range c.roll {
 		if w.seen > w.ackable {
 			return true
 		}
--- a/cell/cost_test.go
+++ b/cell/cost_test.go
@@ -95,7 +95,7 @@
 				f := large(b)
 				f.offer("00", 2*time.Second, phase.to, phase.load)
 				f.run(phase.from)
-				f.timed = func(event any, effects []any, took time.Duration) {
+				f.timed = func(_ *Cell, event any, effects []any, took time.Duration) {
 					spent.add(event, effects, took)
 					if event == (Pump{}) {
 						waiting += len(f.owner.waiting)
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -45,7 +46,7 @@
 	storeDown  bool
 	storeless  map[*Cell]bool // owners that the store does not answer
 	violations []string
-	timed      func(event any, effects []any, took time.Duration) // by Update, if set
+	timed      func(c *Cell, event any, effects []any, took time.Duration) // by Update, if set
 	starts     int
 	wasted     float64 // core-seconds that were not the work of a task's last run
 }
@@ -250,7 +251,7 @@
 	began := time.Now()
 	effects := c.Update(f.clock(), event)
 	if f.timed != nil {
-		f.timed(event, effects, time.Since(began))
+		f.timed(c, event, effects, time.Since(began))
 	}
 	for _, effect := range append([]any(nil), effects...) {
 		f.perform(c, effect)
@@ -807,6 +808,7 @@
 func (f *fleet) requireSound() {
 	f.t.Helper()
 	require.Empty(f.t, f.violations)
+	require.Equal(f.t, slices.Sorted(maps.Keys(f.owner.workers)), f.owner.rollIDs())
 }
 
 // requireAllEnded checks that every accepted job has ended.
--- a/cell/place.go
+++ b/cell/place.go
@@ -1,9 +1,7 @@
 package cell
 
 import (
-	"cmp"
 	"log/slog"
-	"slices"
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/resource"
@@ -53,8 +51,10 @@
 // newRound takes stock of the workers.
 func (c *Cell) newRound() *round {
 	p := &round{pools: map[string]*pool{}, teams: map[string]resource.Vector{}}
-	for _, w := range c.workers {
+	slots := make([]slot, 0, len(c.roll))
+	for _, w := range c.roll {
 		if !w.usable(c.now.Steady) {
+			w.keptUntil = 0
 			continue
 		}
 		of := p.pools[w.Service]
@@ -63,13 +63,11 @@
 			p.pools[w.Service] = of
 		}
 		free := w.free()
-		of.slots = append(of.slots, &slot{w: w, free: free})
+		slots = append(slots, slot{w: w, free: free})
+		of.slots = append(of.slots, &slots[len(slots)-1])
 		of.most = of.most.Max(free)
 		p.total += w.Capacity.MilliCPU
 	}
-	for _, of := range p.pools {
-		slices.SortFunc(of.slots, func(a, b *slot) int { return cmp.Compare(a.w.ID, b.w.ID) })
-	}
 	return p
 }
 
@@ -90,7 +88,7 @@
 	c.sortWaiting()
 	c.hidden = c.hiddenUse()
 	p := c.newRound()
-	defer p.forget(c.workers)
+	defer p.forget()
 	for _, s := range c.waiting {
 		of := p.pools[s.job.Queue.Service]
 		if of == nil || !c.mayStart(s) {
@@ -105,16 +103,12 @@
 }
 
 // forget ends the keeping of workers that this round did not keep again.
-func (p *round) forget(workers map[string]*worker) {
-	kept := map[*worker]bool{}
+func (p *round) forget() {
 	for _, of := range p.pools {
 		for _, sl := range of.slots {
-			kept[sl.w] = sl.keptUntil > 0
-		}
-	}
-	for _, w := range workers {
-		if !kept[w] {
-			w.keptUntil = 0
+			if sl.keptUntil == 0 {
+				sl.w.keptUntil = 0
+			}
 		}
 	}
 }
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -53,7 +53,7 @@
 	for _, ref := range e.Workers {
 		w := newWorker(WorkerInfo{ID: ref.ID, Addr: ref.Addr, Service: ref.Service}, c.now.Steady)
 		w.onRoster = true
-		c.workers[ref.ID] = w
+		c.enlist(w)
 	}
 	c.note("cell claimed", slog.Uint64("token", e.Token), slog.Int("jobs", live), slog.Int("ended", len(e.Jobs)-live), slog.Int("workers", len(e.Workers)))
 }
@@ -86,7 +86,7 @@
 		return
 	}
 	if c.now.Steady < c.recoverBy {
-		for _, w := range c.workers {
+		for _, w := range c.roll {
 			if w.onRoster && !w.synced {
 				return
 			}
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -15,7 +15,7 @@
 		if w == nil {
 			w = newWorker(info, c.now.Steady)
 			w.clockAt = c.now.Steady
-			c.workers[info.ID] = w
+			c.enlist(w)
 			c.book.rosterOpen = true
 		}
 		c.updateWorker(w, info)
@@ -56,7 +56,7 @@
 			}
 		}
 		if !w.listed && len(w.runs) == 0 && expired && (w.failing || w.synced) {
-			delete(c.workers, id)
+			c.strike(w)
 			c.book.rosterOpen = true
 		}
 	}
--- a/cell/watch.go
+++ b/cell/watch.go
@@ -22,14 +22,14 @@
 		c.dropLost(r)
 	}
 	c.release(w.ID)
-	delete(c.workers, w.ID)
+	c.strike(w)
 	c.book.rosterOpen = true
 }
 
 // tendRuns sends stops again and notices runs that stand still.
 func (c *Cell) tendRuns() {
 	now := c.now.Steady
-	for _, w := range c.workers {
+	for _, w := range c.roll {
 		for _, r := range w.runs {
 			switch {
 			case r.state == stopping, r.state == unsettled && r.stopSent > 0:
@@ -74,7 +74,7 @@
 // lookAround sends the looks that are due.
 func (c *Cell) lookAround() {
 	now := c.now.Steady
-	for _, w := range c.workers {
+	for _, w := range c.roll {
 		if w.looking || !w.busy() {
 			continue
 		}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -61,6 +62,30 @@
 	return &worker{WorkerInfo: info, runs: map[string]*run{}, strays: map[string]uint64{}, answered: now}
 }
 
+// enlist makes a worker known.
+func (c *Cell) enlist(w *worker) {
+	at, known := c.onRoll(w.ID)
+	if known {
+		c.roll[at] = w
+	} else {
+		c.roll = slices.Insert(c.roll, at, w)
+	}
+	c.workers[w.ID] = w
+}
+
+// strike forgets a worker.
+func (c *Cell) strike(w *worker) {
+	if at, known := c.onRoll(w.ID); known {
+		c.roll = slices.Delete(c.roll, at, at+1)
+	}
+	delete(c.workers, w.ID)
+}
+
+// onRoll returns where a worker is, or would be, in the order of IDs.
+func (c *Cell) onRoll(id string) (int, bool) {
+	return slices.BinarySearchFunc(c.roll, id, func(w *worker, id string) int { return cmp.Compare(w.ID, id) })
+}
+
 // clockLow returns a lower bound of the worker's clock at t.
 func (w *worker) clockLow(t Instant) time.Duration {
 	passed := max(0, t-w.clockAt)
