Gangs that wait share a round's figures and stop at the first answer

In a burst most of a round went into gangs that cannot start: each worked out and sorted the expected ends on all workers, looked every worker up among its eligible ones before it was known to have room, and summed all capacity to learn that it would fit. Expected ends are now worked out once a round for a worker and again after a run begins there, room is asked before eligibility, and the sum stops once the gang fits.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -58,7 +58,7 @@
 			t := s.tasks[next]
 			t.nextRun = s.nextRun
 			c.begin(t, seat.w, s.nextRun)
-			seat.free = seat.free.Sub(s.need())
+			seat.take(s.need())
 			next++
 		}
 	}
@@ -101,8 +101,11 @@
 		if s.suits(sl.w) {
 			members += s.room(sl.w, sl.w.Capacity)
 		}
+		if members >= len(s.tasks) {
+			return true
+		}
 	}
-	return members >= len(s.tasks)
+	return false
 }
 
 // seatGang divides the members over workers with room, those with a ticket and
@@ -111,10 +114,7 @@
 func (c *Cell) seatGang(of *pool, s *step) (seats, spare []seat) {
 	length := c.lesson(s.job.Queue.Name).actual(s.spec.Estimate)
 	for _, sl := range of.slots {
-		if !s.suits(sl.w) || sl.keptFrom(c.now.Steady, length) {
-			continue
-		}
-		if n := s.room(sl.w, sl.free); n > 0 {
+		if n := s.room(sl.w, sl.free); n > 0 && !sl.keptFrom(c.now.Steady, length) && s.suits(sl.w) {
 			seats = append(seats, seat{sl, n})
 		}
 	}
@@ -174,11 +174,8 @@
 	}
 	var openings []opening
 	for _, sl := range of.slots {
-		if sl.keptUntil > 0 || !s.suits(sl.w) {
-			continue
-		}
-		for _, at := range c.openings(s, sl) {
-			openings = append(openings, opening{at, sl})
+		if sl.keptUntil == 0 && s.suits(sl.w) {
+			openings = c.openings(openings, s, sl)
 		}
 	}
 	if len(openings) < len(s.tasks) {
@@ -189,7 +186,12 @@
 		return
 	}
 	p.planned++
-	slices.SortStableFunc(openings, func(a, b opening) int { return cmp.Compare(a.at, b.at) })
+	slices.SortFunc(openings, func(a, b opening) int {
+		if d := cmp.Compare(a.at, b.at); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.sl.w.ID, b.sl.w.ID)
+	})
 	at := openings[len(s.tasks)-1].at
 	seats, spare := soonest(openings, len(s.tasks))
 	p.keep(s, seats, at)
@@ -242,30 +244,40 @@
 	c.note("gang waits", slog.String("step", s.name), slog.Int("members", len(s.tasks)), slog.String("why", why), slog.Int("n", n), slog.Int("rank", s.rank))
 }
 
-// openings returns when room for one, two and more members of the gang is
+// openings adds to a list when room for one, two and more members of the gang is
 // expected on a worker, from how far its runs are.
-func (c *Cell) openings(s *step, sl *slot) []Instant {
-	type release struct {
-		at   Instant
-		need resource.Vector
-	}
-	releases := make([]release, 0, len(sl.w.runs))
-	for _, r := range sl.w.runs {
-		releases = append(releases, release{c.now.Steady + c.remaining(r), r.task.step.need()})
-	}
-	slices.SortFunc(releases, func(a, b release) int { return cmp.Compare(a.at, b.at) })
-	var at []Instant
-	free := sl.free
-	for n := s.room(sl.w, free); len(at) < n; {
-		at = append(at, c.now.Steady)
-	}
-	for _, one := range releases {
+func (c *Cell) openings(list []opening, s *step, sl *slot) []opening {
+	free, known := sl.free, 0
+	open := func(at Instant) {
+		for n := s.room(sl.w, free); known < n; known++ {
+			list = append(list, opening{at, sl})
+		}
+	}
+	open(c.now.Steady)
+	for _, one := range c.releases(sl) {
 		free = free.Add(one.need)
-		for n := s.room(sl.w, free); len(at) < n; {
-			at = append(at, one.at)
+		open(one.at)
+	}
+	return list
+}
+
+// release is room that a run leaves at its expected end.
+type release struct {
+	at   Instant
+	need resource.Vector
+}
+
+// releases returns the expected ends on a worker in order. They are worked out once
+// a round, for all gangs.
+func (c *Cell) releases(sl *slot) []release {
+	if sl.releases == nil {
+		sl.releases = make([]release, 0, len(sl.w.runs))
+		for _, r := range sl.w.runs {
+			sl.releases = append(sl.releases, release{c.now.Steady + c.remaining(r), r.task.step.need()})
 		}
+		slices.SortFunc(sl.releases, func(a, b release) int { return cmp.Compare(a.at, b.at) })
 	}
-	return at
+	return sl.releases
 }
 
 // remaining estimates how long a run still takes.
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -284,3 +285,46 @@
 		})
 	}
 }
+
+// TestReleasesAreOfWhatRuns places what waits on a large fleet in a burst, with all
+// releases worked out before, and compares them with what runs afterwards.
+func TestReleasesAreOfWhatRuns(t *testing.T) {
+	f := endOfBurst(t, 125, 30, 6*time.Second)
+	begun := 0
+	for at := 3 * time.Second; at < 9*time.Second; at += 33 * time.Millisecond {
+		f.run(at)
+		c := f.owner
+		c.now = f.clock()
+		p := c.newRound()
+		for _, of := range p.pools {
+			for _, sl := range of.slots {
+				begun -= len(c.releases(sl))
+			}
+			for _, s := range slices.Clone(c.waiting) {
+				if !c.mayStart(s) {
+					continue
+				}
+				if s.spec.Gang {
+					c.placeGang(p, of, s)
+				} else {
+					c.placeTasks(p, of, s)
+				}
+			}
+			for _, sl := range of.slots {
+				known := slices.Clone(c.releases(sl))
+				sl.releases = nil
+				require.ElementsMatch(t, c.releases(sl), known)
+				begun += len(known)
+			}
+		}
+		p.forget()
+		for _, effect := range c.effects {
+			f.perform(c, effect)
+		}
+		c.effects = nil
+	}
+	require.Positive(t, begun)
+	f.run(100 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -31,6 +31,13 @@
 	free resource.Vector // room that nothing earlier in the order has
 	// keptUntil is when a gang earlier in the order needs the worker; 0 if none.
 	keptUntil Instant
+	releases  []release // nil: not worked out for what runs there now
+}
+
+// take notes that a run began there.
+func (sl *slot) take(need resource.Vector) {
+	sl.free = sl.free.Sub(need)
+	sl.releases = nil
 }
 
 // round is one pass over what waits.
@@ -184,7 +191,7 @@
 		t.nextRun++
 		c.begin(t, sl.w, t.nextRun)
 		placed++
-		sl.free = sl.free.Sub(need)
+		sl.take(need)
 	}
 	c.notePlaced(s, placed, left)
 	if left > 0 && s.advice.needed {
