A worker is not looked at while its ends wait to be stored

A worker answers a look at once as long as it lists an end. After a report with ends the next look went out within 5 ms, before these were stored and could be acknowledged: it read the same ends again, and what ended next was read 50 ms later. With a slow store every busy worker was asked 20 times a second. The owner now waits for the commit, for 100 ms at most, since looks renew leases too.

Starts, offers and refusals are decided as before; ends are read at other moments.

--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -328,3 +328,45 @@
 	f.requireSound()
 	f.requireAllEnded()
 }
+
+// TestLooksTellSomethingNew counts reports that list only ends that were read before:
+// a worker answers at once as long as it lists any. There are none where the store is
+// prompt; where it is slow, some are needed to renew leases.
+func TestLooksTellSomethingNew(t *testing.T) {
+	for _, takes := range []time.Duration{simTxn, 400 * time.Millisecond} {
+		t.Run(takes.String(), func(t *testing.T) {
+			f := newFleet(t, 6, 48)
+			f.storeTakes = takes
+			f.mix("00", 2*time.Second, 10*time.Second, 40, 6, 1)
+			f.run(3 * time.Second)
+			type last struct {
+				n  uint64
+				at Instant
+			}
+			seen := map[string]last{}
+			reports, stale, hasty := 0, 0, 0
+			f.timed = func(_ *Cell, event any, _ []any, _ time.Duration) {
+				e, ok := event.(Looked)
+				if !ok || len(e.Report.Ended) == 0 {
+					return
+				}
+				reports++
+				before, n := seen[e.Worker], e.Report.Ended[len(e.Report.Ended)-1].N
+				if n == before.n {
+					stale++
+					if f.now-before.at < ackGap {
+						hasty++
+					}
+				}
+				seen[e.Worker] = last{n, f.now}
+			}
+			f.run(10 * time.Second)
+			t.Logf("%d reports with ends, %d of them with nothing new, %d too soon", reports, stale, hasty)
+			require.Positive(t, reports)
+			require.Zero(t, hasty)
+			if takes == simTxn {
+				require.Zero(t, stale)
+			}
+		})
+	}
+}
--- a/cell/report.go
+++ b/cell/report.go
@@ -30,6 +30,7 @@
 	w.failing = false
 	w.acked = max(w.acked, w.ackSent)
 	w.answered = max(w.answered, e.Received)
+	w.reported = e.Received
 	w.setClock(e.Report.Clock, e.Received)
 	if e.Report.Born > 0 && w.Born > 0 && e.Report.Born != w.Born {
 		if e.Report.Born < w.Born {
--- a/cell/watch.go
+++ b/cell/watch.go
@@ -82,7 +82,7 @@
 		if w.failing {
 			gap = lookRetry
 		}
-		if now-w.lookedAt < gap && w.lookedAt > 0 {
+		if now-w.lookedAt < gap && w.lookedAt > 0 || w.seen > w.ackable && now-w.reported < ackGap {
 			continue
 		}
 		c.look(w)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -15,6 +15,10 @@
 	// lookGap is the least time between two looks at a worker, so that ends
 	// that come close together are read at once.
 	lookGap = 50 * time.Millisecond
+	// ackGap is for how long after a report with ends that are not stored yet a worker
+	// is not looked at: until they can be acknowledged it would list them again at
+	// once. A commit takes a tenth of this.
+	ackGap = 100 * time.Millisecond
 	// lookRetry is the pause after a look without an answer.
 	lookRetry = 200 * time.Millisecond
 	// lookWait is for how long a look waits for an end. It renews leases, so it
@@ -40,6 +44,7 @@
 	looking   bool
 	lookedAt  Instant // when the last look was sent
 	answered  Instant // when it last answered
+	reported  Instant // when its last report came
 	failing   bool    // the last look had no answer
 	clockAt   Instant // when Clock was read
 	seen      uint64  // highest end processed
