--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -284,3 +285,88 @@
 		})
 	}
 }
+
+// TestReleasesAreOfWhatRuns places what waits on a large fleet in a burst, with all
+// releases worked out before, and compares them with what runs afterwards.
+func TestReleasesAreOfWhatRuns(t *testing.T) {
+	f := endOfBurst(t, 125, 30, 6*time.Second)
+	begun := 0
+	for at := 3 * time.Second; at < 9*time.Second; at += 33 * time.Millisecond {
+		f.run(at)
+		c := f.owner
+		c.now = f.clock()
+		p := c.newRound()
+		for _, of := range p.pools {
+			for _, sl := range of.slots {
+				begun -= len(c.releases(sl))
+			}
+			for _, s := range slices.Clone(c.waiting) {
+				if !c.mayStart(s) {
+					continue
+				}
+				if s.spec.Gang {
+					c.placeGang(p, of, s)
+				} else {
+					c.placeTasks(p, of, s)
+				}
+			}
+			for _, sl := range of.slots {
+				known := slices.Clone(c.releases(sl))
+				sl.releases = nil
+				require.ElementsMatch(t, c.releases(sl), known)
+				begun += len(known)
+			}
+		}
+		p.forget()
+		for _, effect := range c.effects {
+			f.perform(c, effect)
+		}
+		c.effects = nil
+	}
+	require.Positive(t, begun)
+	f.run(100 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+}
+
+// TestLooksTellSomethingNew counts reports that list only ends that were read before:
+// a worker answers at once as long as it lists any. There are none where the store is
+// prompt; where it is slow, some are needed to renew leases.
+func TestLooksTellSomethingNew(t *testing.T) {
+	for _, takes := range []time.Duration{simTxn, 400 * time.Millisecond} {
+		t.Run(takes.String(), func(t *testing.T) {
+			f := newFleet(t, 6, 48)
+			f.storeTakes = takes
+			f.mix("00", 2*time.Second, 10*time.Second, 40, 6, 1)
+			f.run(3 * time.Second)
+			type last struct {
+				n  uint64
+				at Instant
+			}
+			seen := map[string]last{}
+			reports, stale, hasty := 0, 0, 0
+			f.timed = func(_ *Cell, event any, _ []any, _ time.Duration) {
+				e, ok := event.(Looked)
+				if !ok || len(e.Report.Ended) == 0 {
+					return
+				}
+				reports++
+				before, n := seen[e.Worker], e.Report.Ended[len(e.Report.Ended)-1].N
+				if n == before.n {
+					stale++
+					if f.now-before.at < ackGap {
+						hasty++
+					}
+				}
+				seen[e.Worker] = last{n, f.now}
+			}
+			f.run(10 * time.Second)
+			t.Logf("%d reports with ends, %d of them with nothing new, %d too soon", reports, stale, hasty)
+			require.Positive(t, reports)
+			require.Zero(t, hasty)
+			if takes == simTxn {
+				require.Zero(t, stale)
+			}
+		})
+	}
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -1,9 +1,7 @@
 package cell
 
 import (
-	"cmp"
 	"log/slog"
-	"slices"
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/resource"
@@ -33,6 +31,13 @@
 	free resource.Vector // room that nothing earlier in the order has
 	// keptUntil is when a gang earlier in the order needs the worker; 0 if none.
 	keptUntil Instant
+	releases  []release // nil: not worked out for what runs there now
+}
+
+// take notes that a run began there.
+func (sl *slot) take(need resource.Vector) {
+	sl.free = sl.free.Sub(need)
+	sl.releases = nil
 }
 
 // round is one pass over what waits.
@@ -53,8 +58,10 @@
 // newRound takes stock of the workers.
 func (c *Cell) newRound() *round {
 	p := &round{pools: map[string]*pool{}, teams: map[string]resource.Vector{}}
-	for _, w := range c.workers {
+	slots := make([]slot, 0, len(c.roll))
+	for _, w := range c.roll {
 		if !w.usable(c.now.Steady) {
+			w.keptUntil = 0
 			continue
 		}
 		of := p.pools[w.Service]
@@ -63,13 +70,11 @@
 			p.pools[w.Service] = of
 		}
 		free := w.free()
-		of.slots = append(of.slots, &slot{w: w, free: free})
+		slots = append(slots, slot{w: w, free: free})
+		of.slots = append(of.slots, &slots[len(slots)-1])
 		of.most = of.most.Max(free)
 		p.total += w.Capacity.MilliCPU
 	}
-	for _, of := range p.pools {
-		slices.SortFunc(of.slots, func(a, b *slot) int { return cmp.Compare(a.w.ID, b.w.ID) })
-	}
 	return p
 }
 
@@ -90,7 +95,7 @@
 	c.sortWaiting()
 	c.hidden = c.hiddenUse()
 	p := c.newRound()
-	defer p.forget(c.workers)
+	defer p.forget()
 	for _, s := range c.waiting {
 		of := p.pools[s.job.Queue.Service]
 		if of == nil || !c.mayStart(s) {
@@ -105,16 +110,12 @@
 }
 
 // forget ends the keeping of workers that this round did not keep again.
-func (p *round) forget(workers map[string]*worker) {
-	kept := map[*worker]bool{}
+func (p *round) forget() {
 	for _, of := range p.pools {
 		for _, sl := range of.slots {
-			kept[sl.w] = sl.keptUntil > 0
-		}
-	}
-	for _, w := range workers {
-		if !kept[w] {
-			w.keptUntil = 0
+			if sl.keptUntil == 0 {
+				sl.w.keptUntil = 0
+			}
 		}
 	}
 }
@@ -190,7 +191,7 @@
 		t.nextRun++
 		c.begin(t, sl.w, t.nextRun)
 		placed++
-		sl.free = sl.free.Sub(need)
+		sl.take(need)
 	}
 	c.notePlaced(s, placed, left)
 	if left > 0 && s.advice.needed {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -14,6 +15,10 @@
 	// lookGap is the least time between two looks at a worker, so that ends
 	// that come close together are read at once.
 	lookGap = 50 * time.Millisecond
+	// ackGap is for how long after a report with ends that are not stored yet a worker
+	// is not looked at: until they can be acknowledged it would list them again at
+	// once. A commit takes a tenth of this.
+	ackGap = 100 * time.Millisecond
 	// lookRetry is the pause after a look without an answer.
 	lookRetry = 200 * time.Millisecond
 	// lookWait is for how long a look waits for an end. It renews leases, so it
@@ -39,6 +44,7 @@
 	looking   bool
 	lookedAt  Instant // when the last look was sent
 	answered  Instant // when it last answered
+	reported  Instant // when its last report came
 	failing   bool    // the last look had no answer
 	clockAt   Instant // when Clock was read
 	seen      uint64  // highest end processed
@@ -61,6 +67,30 @@
 	return &worker{WorkerInfo: info, runs: map[string]*run{}, strays: map[string]uint64{}, answered: now}
 }
 
+// enlist makes a worker known.
+func (c *Cell) enlist(w *worker) {
+	at, known := c.onRoll(w.ID)
+	if known {
+		c.roll[at] = w
+	} else {
+		c.roll = slices.Insert(c.roll, at, w)
+	}
+	c.workers[w.ID] = w
+}
+
+// strike forgets a worker.
+func (c *Cell) strike(w *worker) {
+	if at, known := c.onRoll(w.ID); known {
+		c.roll = slices.Delete(c.roll, at, at+1)
+	}
+	delete(c.workers, w.ID)
+}
+
+// onRoll returns where a worker is, or would be, in the order of IDs.
+func (c *Cell) onRoll(id string) (int, bool) {
+	return slices.BinarySearchFunc(c.roll, id, func(w *worker, id string) int { return cmp.Compare(w.ID, id) })
+}
+
 // clockLow returns a lower bound of the worker's clock at t.
 func (w *worker) clockLow(t Instant) time.Duration {
 	passed := max(0, t-w.clockAt)
