A test for late gangs that stood in line for advice when the load was over

Cause, of the LOST at 73.8 s with gangs of four accepted at 10.5 s and 14.0 s: an owner's death loses what it knew of eligible workers, so each gang that waits needs a call of 0.8 s, and one of 0.5 s for tickets if there was no room when the first was answered. At a third of the hosts made these calls, two of six, and the tickets were for other workers than the gang then took. Nothing was wrong with the gangs themselves: the line was longer than the 11 s that the users allow.

--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -64,6 +64,7 @@
 	handedIn Instant
 	accepted bool
 	refused  bool
+	begunAt  Instant // when its first task began
 	endedAt  Instant
 	state    docket.State
 	done     map[string]bool // tasks whose end was acknowledged
@@ -393,6 +394,9 @@
 	w.lease = max(w.lease, min(e.LeaseUntil, f.now+simHold))
 	f.usedByTeam[j.spec.Team] += r.need.MilliCPU
 	f.starts++
+	if j.begunAt == 0 {
+		j.begunAt = f.now
+	}
 	f.expireLater(w)
 	if step.Gang {
 		f.joinGang(w, r, step.Count)
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipgap/cowslipgap/docket"
+	"github.com/cowslipgap/cowslipgap/resource"
 )
 
 // tally is how the jobs of a kind fared.
@@ -249,6 +250,90 @@
 	require.Less(t, idle, f.longest["refret"])
 }
 
+// afterLoad is when every accepted job must be at work or done, after the end of the
+// traffic: the users ask 14 s after it, and for a job that had nothing running for 3 s.
+const afterLoad = 14*time.Second - 3*time.Second
+
+// gangLoad is a load of gangs of four beside small work.
+type gangLoad struct {
+	need     resource.Vector // of each member
+	estimate time.Duration
+	burst    int     // gangs within 10 s, before the first trouble
+	rate     float64 // gangs a second from then on
+	lookups  float64 // a second, and so on
+	quotes   float64
+}
+
+// heavyGangs ask for more than the fleet has.
+var heavyGangs = gangLoad{resource.Vector{MilliCPU: 11000, MemoryMB: 16736}, 3900 * time.Millisecond, 50, 3, 52, 8}
+
+// lateGangs replays a load through a burst of lookups, the death of all owners, an
+// outage of the store, and a zone that is cut off. It returns when the load ends.
+func lateGangs(t *testing.T, seed uint64, load gangLoad) (*fleet, Instant) {
+	const trouble, end = 14 * time.Second, 34 * time.Second
+	f := newFleet(t, seed, 48)
+	f.eligible = 22
+	f.claim()
+	f.mix("00", 2*time.Second, end, load.lookups, load.quotes, 0)
+	f.mix("01", 5*time.Second, 12*time.Second, 60, 0, 0)
+	hand := func(kind string, from, to Instant, count int) {
+		for i := range count {
+			spec := refret(fmt.Sprintf("%s%014x", kind, i))
+			spec.Steps[0].Count, spec.Steps[0].Need, spec.Steps[0].Estimate = 4, load.need, load.estimate
+			f.submit(from+time.Duration(f.rng.Int64N(int64(to-from))), spec)
+		}
+	}
+	hand("cc", trouble-10*time.Second, trouble, load.burst)
+	hand("dd", trouble, end, int(load.rate*(end-trouble).Seconds()))
+	f.at(trouble, func() { f.kill(700 * time.Millisecond) })
+	f.at(18*time.Second, func() { f.storeDown = true })
+	f.at(22*time.Second, func() { f.storeDown = false })
+	f.at(27*time.Second, func() { f.cutOwner(time.Second, 3*time.Second) })
+	f.at(31*time.Second, func() { f.kill(700 * time.Millisecond) })
+	return f, end
+}
+
+// idleJobs returns the accepted jobs that are not done and have nothing running.
+func (f *fleet) idleJobs() []string {
+	running := map[string]bool{}
+	for _, w := range f.workers {
+		for _, r := range w.runs {
+			running[r.task.Job] = true
+		}
+	}
+	var idle []string
+	for id, j := range f.jobs {
+		if j.accepted && j.endedAt == 0 && !running[id] {
+			idle = append(idle, id)
+		}
+	}
+	return idle
+}
+
+// requireStarted checks that what was accepted is at work in time after a load.
+func (f *fleet) requireStarted(end Instant) {
+	f.t.Helper()
+	f.run(end)
+	late := len(f.idleJobs())
+	f.run(end + afterLoad)
+	idle := f.idleJobs()
+	f.run(end + time.Minute)
+	last := Instant(0)
+	for _, j := range f.jobs {
+		last = max(last, j.begunAt)
+	}
+	f.t.Logf("%d jobs wait at the end of the load, %d after %v, the last starts after %v: %v", late, len(idle), afterLoad, last-end, f.tallies()["refret"])
+	f.requireSound()
+	f.requireAllEnded()
+	require.Empty(f.t, idle)
+}
+
+// TestLateGangsAllStartOnceTheLoadEnds replays late gangs that stood in line for advice when the load was over.
+func TestLateGangsAllStartOnceTheLoadEnds(t *testing.T) {
+	f, end := lateGangs(t, 1, heavyGangs)
+	f.requireStarted(end)
+}
+
 // TestSlowStoreTurnsAwayWhatWouldBeLate replays a store that is slow in a burst: the
 // lookups are told so at once and leave its transactions to what can be in time.
 func TestSlowStoreTurnsAwayWhatWouldBeLate(t *testing.T) {
