Red: more gangs than there is advice for wait with room when the load is over

Gangs of four small members, 8 a second, on a fleet with room. One call for advice names all 48 workers and takes 0.81 s; four of six hosts make such calls at most, 4.9 gangs a second.

--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -264,8 +264,12 @@
 	quotes   float64
 }
 
-// heavyGangs ask for more than the fleet has.
-var heavyGangs = gangLoad{resource.Vector{MilliCPU: 11000, MemoryMB: 16736}, 3900 * time.Millisecond, 50, 3, 52, 8}
+// heavyGangs ask for more than the fleet has, lightGangs only for more advice than
+// the hosts can get.
+var (
+	heavyGangs = gangLoad{resource.Vector{MilliCPU: 11000, MemoryMB: 16736}, 3900 * time.Millisecond, 50, 3, 52, 8}
+	lightGangs = gangLoad{resource.Vector{MilliCPU: 5000, MemoryMB: 7600}, 2500 * time.Millisecond, 60, 8, 40, 6}
+)
 
 // lateGangs replays a load through a burst of lookups, the death of all owners, an
 // outage of the store, and a zone that is cut off. It returns when the load ends.
@@ -334,6 +338,12 @@
 	f.requireStarted(end)
 }
 
+// TestLightGangsAllStartOnceTheLoadEnds replays more gangs than the hosts can get advice for, on a fleet with room.
+func TestLightGangsAllStartOnceTheLoadEnds(t *testing.T) {
+	f, end := lateGangs(t, 1, lightGangs)
+	f.requireStarted(end)
+}
+
 // TestSlowStoreTurnsAwayWhatWouldBeLate replays a store that is slow in a burst: the
 // lookups are told so at once and leave its transactions to what can be in time.
 func TestSlowStoreTurnsAwayWhatWouldBeLate(t *testing.T) {
