No short call for advice stands behind a long one

Cause: long calls may use idle hosts of those that make short ones, and a host takes a second call while one is on its way. A short call was thus put behind a gang's call of 0.8 s while other hosts would have answered in 50 ms.

Evidence: TestShortCallsDoNotStandBehindLongOnes, 40 lookups, 6 quotes and 4 gangs a second on 48 workers and 6 hosts. The longest time that a lookup's call stood in its lane was 807 ms, a quote's 812 ms.

Change: a host in the middle of a long call is taken. Advice.Length is the one place that says how long a call is.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -160,7 +160,7 @@
 	chain := c.lesson(spec.Queue.Name).actual(longestChain(spec))
 	r.slack = time.Duration((spec.Queue.Slack-1)*float64(chain)) + spec.Queue.Target
 	if spec.Queue.Advice != nil {
-		r.slack -= spec.Queue.Advice.Decision + adviceWorkers*spec.Queue.Advice.PerWorker
+		r.slack -= spec.Queue.Advice.Length(adviceWorkers)
 	}
 	r.beyond = !c.withinRate(spec.Team)
 	rank := spec.Queue.Priority
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -90,7 +90,7 @@
 	for _, o := range c.options(of, s, everyone) {
 		enough := expected >= adviceSurplus*float64(tasks)
 		cheap := advice.PerWorker*time.Duration(len(names)) < advice.Decision/2
-		long := advice.Decision < heavyCall && advice.Decision+time.Duration(len(names)+1)*advice.PerWorker >= heavyCall
+		long := advice.Decision < heavyCall && advice.Length(len(names)+1) >= heavyCall
 		if enough && !cheap && !everyone || long || len(names) == maxNamed {
 			break
 		}
@@ -180,43 +180,52 @@
 	if host == "" {
 		return
 	}
-	c.lanes[host]++
+	c.occupy(host, s, s.job.Queue.Advice.Length(len(names)))
 	s.advice.asking, s.advice.askedAt = true, c.now.Steady
 	c.emit(Ask{Host: host, Step: s.name, Workers: names})
 }
 
-// lane returns the host from which to call, or "" if all are taken. Long calls
-// have a third of the hosts to themselves, and may use idle ones of the rest
-// while as many again stay idle for short calls.
+// lane returns the host from which to call, or "" if all are taken. A third of the
+// hosts make long calls only. The others make them while as many again stay idle for
+// short calls, none of which waits behind a long one.
 func (c *Cell) lane(advice *docket.Advice, workers int) string {
-	if n := len(c.hosts); n > 1 {
-		split := max(1, n/3)
-		if advice.Decision+time.Duration(workers)*advice.PerWorker < heavyCall {
-			return c.shortest(c.hosts[split:], laneDepth)
-		}
-		if host := c.shortest(c.hosts[:split], 1); host != "" {
-			return host
-		}
-		idle := 0
-		for _, host := range c.hosts[split:] {
-			if c.lanes[host] == 0 {
-				idle++
-			}
-		}
-		if idle <= split {
-			return ""
+	if len(c.hosts) < 2 {
+		return c.shortest(c.hosts, laneDepth)
+	}
+	split := max(1, len(c.hosts)/3)
+	own, others := c.hosts[:split], c.hosts[split:]
+	if advice.Length(workers) < heavyCall {
+		return c.shortest(others, laneDepth)
+	}
+	if host := c.shortest(own, 1); host != "" {
+		return host
+	}
+	idle := 0
+	for _, host := range others {
+		if c.lanes[host] == 0 {
+			idle++
 		}
-		return c.shortest(c.hosts[split:], 1)
 	}
-	return c.shortest(c.hosts, laneDepth)
+	if idle <= split {
+		return ""
+	}
+	return c.shortest(others, 1)
+}
+
+// occupy notes a call that is made from a host.
+func (c *Cell) occupy(host string, s *step, length time.Duration) {
+	c.lanes[host]++
+	if length >= heavyCall {
+		c.longCalls[host] = s.name
+	}
 }
 
-// shortest returns the host with the fewest calls on their way, or "" if all
-// have depth of them.
+// shortest returns the host with the fewest calls on their way, none of them long, or
+// "" if all have depth of them.
 func (c *Cell) shortest(hosts []string, depth int) string {
 	best := ""
 	for _, host := range hosts {
-		if c.lanes[host] < depth && (best == "" || c.lanes[host] < c.lanes[best]) {
+		if c.lanes[host] < depth && c.longCalls[host] == "" && (best == "" || c.lanes[host] < c.lanes[best]) {
 			best = host
 		}
 	}
@@ -226,6 +235,9 @@
 // advised takes the service's answer.
 func (c *Cell) advised(e Advised) {
 	c.lanes[e.Host] = max(0, c.lanes[e.Host]-1)
+	if c.longCalls[e.Host] == e.Step {
+		delete(c.longCalls, e.Host)
+	}
 	t := c.task(e.Step + ".0")
 	if t == nil {
 		return
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -66,9 +66,10 @@
 	teams      map[string]*teamUse
 	policy     map[string]Team
 	hosts      []string
-	lanes      map[string]int // calls for advice in flight, by host
-	waiting    []*step        // ready steps with tasks that have no run
-	unopened   []*job         // jobs with steps that are not ready yet
+	lanes      map[string]int    // calls for advice in flight, by host
+	longCalls  map[string]string // the step of a long one, by host
+	waiting    []*step           // ready steps with tasks that have no run
+	unopened   []*job            // jobs with steps that are not ready yet
 	learned    map[string]*lesson
 	recovered  bool
 	recoverBy  Instant
@@ -102,7 +103,7 @@
 	c.jobs = map[string]*job{}
 	c.workers = map[string]*worker{}
 	c.teams = map[string]*teamUse{}
-	c.lanes = map[string]int{}
+	c.lanes, c.longCalls = map[string]int{}, map[string]string{}
 	c.waiting, c.unopened = nil, nil
 	if c.learned == nil {
 		c.learned = map[string]*lesson{}
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -33,6 +33,7 @@
 	eligible   uint32                   // workers allowed a step, in a hundred
 	longest    map[string]time.Duration // call for advice, by queue
 	asks       map[string]int           // calls for advice, by queue
+	stood      map[string]time.Duration // longest wait of a call for its lane, by queue
 	lanes      map[string]Instant
 	jobs       map[string]*simJob
 	reply      uint64
@@ -144,7 +145,7 @@
 func newFleet(t *testing.T, seed uint64, workers int) *fleet {
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), wall: time.Unix(1_700_000_000, 0),
-		workers: map[string]*simWorker{}, lanes: map[string]Instant{}, asks: map[string]int{}, longest: map[string]time.Duration{}, jobs: map[string]*simJob{},
+		workers: map[string]*simWorker{}, lanes: map[string]Instant{}, asks: map[string]int{}, stood: map[string]time.Duration{}, longest: map[string]time.Duration{}, jobs: map[string]*simJob{},
 		replies: map[uint64]func(Answer){}, hosts: []string{"a1", "a2", "b1", "b2", "c1", "c2"},
 		teams: map[string]Team{"blue": {Rate: 100}, "red": {Rate: 100}}, usedByTeam: map[string]int64{}, storeless: map[*Cell]bool{},
 	}
@@ -690,6 +691,8 @@
 		return
 	}
 	begin := max(f.lanes[e.Host], f.now+simDelay)
+	queue := f.jobs[id.Job].spec.Queue.Name
+	f.stood[queue] = max(f.stood[queue], begin-f.now)
 	done := begin + took
 	f.lanes[e.Host] = done
 	f.at(done+simDelay, func() {
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -198,7 +198,7 @@
 		return
 	}
 	advice := s.job.Queue.Advice
-	call := advice.Decision + time.Duration(len(seats)+len(spare))*advice.PerWorker + prefetch
+	call := advice.Length(len(seats)+len(spare)) + prefetch
 	if at > c.now.Steady+call {
 		c.askMore(of, s, true) // room elsewhere may serve it sooner
 		return
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -206,6 +206,19 @@
 	require.GreaterOrEqual(t, f.tallies()["quote"].share(), 0.85)
 }
 
+// TestShortCallsDoNotStandBehindLongOnes replays lookups whose calls were made from hosts
+// that were in the middle of a gang's call.
+func TestShortCallsDoNotStandBehindLongOnes(t *testing.T) {
+	f := newFleet(t, 2, 48)
+	f.mix("00", 2*time.Second, 22*time.Second, 40, 6, 4)
+	f.run(60 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+	t.Logf("calls waited for their lane at most %v, %v", f.stood, f.tallies())
+	require.Less(t, f.stood["lookup"], heavyCall)
+	require.Less(t, f.stood["quote"], heavyCall)
+}
+
 // idleFor returns for how long at most a waiting gang had room for twice its members
 // on workers that may run it, while under half of the fleet was in use.
 func (f *fleet) idleFor(from, to Instant) time.Duration {
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -49,6 +49,11 @@
 	Validity  time.Duration `cbor:"3,keyasint"` // of a ticket
 }
 
+// Length returns how long a call that names a number of workers takes.
+func (a *Advice) Length(workers int) time.Duration {
+	return a.Decision + time.Duration(workers)*a.PerWorker
+}
+
 // Queue is the part of a queue's configuration that governs its jobs.
 type Queue struct {
 	Name        string        `cbor:"1,keyasint"`
