A new owner keeps its claim while it loads the cell

Cause: between the claim and the first commit nobody writes the head, and other hosts claim a cell whose head stands for 500 ms to 1.5 s. Loading reads every job and every end of the last two minutes, 500 rows a call, so it takes the longer the more there was, the slower the store is and the narrower the host's link. A claim that loads longer than that is always lost, also to hosts that load no faster: where only weak hosts are left, the cell has no owner any more. A loading had 3 s in all.

Ruled out: damage by commits. Those of an earlier claim fail, being conditional.

Change: the new owner rewrites the head every 250 ms until the cell is loaded. It ends when a loading fails, so that hosts that can load may claim. Each page has a second, a loading as long as a claim is worth anything.

Tests: a loading of 4 s leaves the head unchanged for 3.8 s before, under 500 ms after, also where a call takes 100 ms; lost answers, weak hosts and claims by third hosts are covered.

--- a/station/lead.go
+++ b/station/lead.go
@@ -55,6 +55,13 @@
 	strongCores  = 0.8
 	weakTurns    = 20
 	maxWeakTurns = 12
+	// holdEvery is the time between two writings of the head by a new owner that
+	// loads the cell. With a call to the store it is less than unchangedFor, also
+	// where the store is some tens of times slower than usual.
+	holdEvery = 250 * time.Millisecond
+	// loadTimeout bounds one loading of the cell, each page of which has a bound of
+	// its own: longer, and the claim would not be worth holding.
+	loadTimeout = cell.Authority
 	// reclaimDelay keeps a host that gave the cell up from taking it back before
 	// others had their chance.
 	reclaimDelay = 2 * time.Second
@@ -430,6 +437,7 @@
 // claim takes the cell.
 func (s *Station) claim(ctx context.Context, head HeadRow) {
 	mine := Head{Session: s.Session, Name: s.Name, Addr: s.Addr}
+	sent := s.Now()
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	version, stands, err := s.Write(callCtx, head.Version, mine, nil, nil)
 	cancel()
@@ -444,43 +452,98 @@
 		s.lead.setOwner(*stands)
 		return
 	}
-	s.takeOver(ctx, mine, version, head.Version > 0)
+	mine.Token = version
+	s.takeOver(ctx, &held{HeadRow: HeadRow{Head: mine, Version: version}, sent: sent}, head.Version > 0)
 }
 
-// takeOver begins to act as the owner.
-func (s *Station) takeOver(ctx context.Context, mine Head, version uint64, previous bool) {
-	mine.Token = version
+// held is the head as a new owner last wrote it.
+type held struct {
+	HeadRow
+	sent cell.Instant // when the writing was sent that confirms the ownership
+}
+
+// takeOver begins to act as the owner, once the cell is loaded.
+func (s *Station) takeOver(ctx context.Context, h *held, previous bool) {
 	claimedAt := s.Now()
 	var jobs []cell.Stored
 	var workers []cell.WorkerRef
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, 3*storeTimeout)
+	holding, stop := context.WithCancel(ctx)
+	defer stop()
+	loading, abandon := context.WithCancel(ctx)
+	defer abandon()
+	kept := make(chan bool, 1)
+	go func() {
+		ok := s.holdHead(ctx, holding, h)
+		if !ok {
+			abandon()
+		}
+		kept <- ok
+	}()
+	for loading.Err() == nil {
+		callCtx, cancel := context.WithTimeout(loading, loadTimeout)
 		var err error
 		jobs, workers, err = s.Load(callCtx)
 		cancel()
-		if err == nil {
+		if err == nil || loading.Err() != nil {
 			break
 		}
+		stop() // another host may be better off
 		s.lead.storeFailed(s, err)
 		if s.Now()-claimedAt > cell.Authority {
 			return // another host has claimed it long since, or will
 		}
-		pause.For(ctx, commitRetry)
+		pause.For(loading, commitRetry)
+	}
+	stop()
+	if !<-kept {
+		return
 	}
 	s.Counts.Claims.Add(1)
 	s.Counts.Takeover.Observe(s.Now() - claimedAt)
 	s.lead.mu.Lock()
-	s.lead.owner, s.lead.own = HeadRow{Head: mine, Version: version}, true
-	s.lead.confirmedAt = claimedAt
+	s.lead.owner, s.lead.own = h.HeadRow, true
+	s.lead.confirmedAt = h.sent
 	s.lead.members = nil
 	s.lead.mu.Unlock()
-	s.post(ctx, cell.Claimed{Token: version, Previous: previous, Jobs: jobs, Workers: workers})
+	s.post(ctx, cell.Claimed{Token: h.Token, Previous: previous, Jobs: jobs, Workers: workers})
 	if rules := s.Rules(); rules != nil {
 		s.post(ctx, rules.Policy())
 	}
 	s.post(ctx, cell.Members{Hosts: []string{s.Name}})
 }
 
+// holdHead rewrites the head until holding ends, as other hosts claim a cell whose
+// head stands still, and loading takes the longer the more jobs there are. It
+// returns once the version that stands is known, and reports whether the claim does.
+// A weak host stands back here too: it begins when stronger ones have had their turn.
+func (s *Station) holdHead(ctx, holding context.Context, h *held) bool {
+	wait := holdEvery + time.Duration(weakness(s.Cores))*claimStagger
+	for known := true; ctx.Err() == nil && s.Now()-h.sent <= cell.Authority; {
+		if known && !pause.For(holding, wait) {
+			return ctx.Err() == nil
+		}
+		wait = holdEvery
+		sent := s.Now()
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		version, stands, err := s.Write(callCtx, h.Version, h.Head, nil, nil)
+		cancel()
+		known = err == nil
+		switch {
+		case err != nil:
+			s.lead.storeFailed(s, err)
+			pause.For(ctx, commitRetry)
+		case stands == nil:
+			h.Version, h.sent = version, sent
+		case stands.Session == s.Session && stands.Token == h.Token:
+			h.Version = stands.Version // an earlier sending took effect
+		default:
+			s.lead.setOwner(*stands)
+			return false
+		}
+	}
+	return false
+}
+
 // deposed notes that the claim with the given token is over. A later claim of
 // this host stands.
 func (s *Station) deposed(ctx context.Context, token uint64, head HeadRow) {
--- /dev/null
+++ b/station/takeover_test.go
@@ -0,0 +1,154 @@
+package station
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/cell"
+)
+
+// successor returns a station that claims a cell which takes the given time to
+// load, from an owner that is gone.
+func successor(f *fakeStore, loading time.Duration) *Station {
+	s := &Station{Session: "me", Name: "me", Log: slog.New(slog.DiscardHandler)}
+	s.Write = f.write
+	s.Load = func(ctx context.Context) ([]cell.Stored, []cell.WorkerRef, error) {
+		select {
+		case <-time.After(loading):
+			return nil, nil, nil
+		case <-ctx.Done():
+			return nil, nil, ctx.Err()
+		}
+	}
+	s.init()
+	f.head = HeadRow{Head: Head{Session: "gone", Token: 5}, Version: 7}
+	return s
+}
+
+// TestHeadMovesWhileTheCellIsLoaded replays takeovers of a cell with many jobs, or
+// from a slow store: the head stood still meanwhile, and a third host claimed.
+func TestHeadMovesWhileTheCellIsLoaded(t *testing.T) {
+	for name, f := range map[string]*fakeStore{
+		"usual":         {takes: 4 * time.Millisecond},
+		"slow":          {takes: 100 * time.Millisecond},
+		"loses answers": {takes: 4 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := successor(f, 4*time.Second)
+				go s.claim(t.Context(), f.head)
+				time.Sleep(200 * time.Millisecond)
+				if name == "loses answers" {
+					f.mu.Lock()
+					f.lost = 1
+					f.mu.Unlock()
+				}
+				version, since, longest := uint64(0), time.Now(), time.Duration(0)
+				for !s.lead.owns() {
+					f.mu.Lock()
+					if f.head.Version != version {
+						version, since = f.head.Version, time.Now()
+					}
+					f.mu.Unlock()
+					longest = max(longest, time.Since(since))
+					time.Sleep(time.Millisecond)
+				}
+				if name == "loses answers" {
+					require.Less(t, longest, storeTimeout+unchangedFor)
+				} else {
+					require.Less(t, longest, unchangedFor)
+				}
+				claimed := (<-s.events).(cell.Claimed)
+				require.Equal(t, uint64(8), claimed.Token)
+				require.IsType(t, cell.Members{}, <-s.events)
+				commitOnce(t, s, 1)
+				require.Equal(t, uint64(1), f.head.Seq)
+			})
+		})
+	}
+}
+
+// TestWeakHostLetsStrongOnesClaim lets a host with a fifth of a core, which loads for
+// long, keep its claim against hosts as weak, but not against strong ones.
+func TestWeakHostLetsStrongOnesClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{takes: 4 * time.Millisecond}
+		s := successor(f, 4*time.Second)
+		s.Cores = 0.2
+		go s.claim(t.Context(), f.head)
+		time.Sleep(unchangedFor + candidateTurns*claimStagger)
+		f.mu.Lock()
+		require.Equal(t, uint64(8), f.head.Version, "a strong host may claim")
+		f.mu.Unlock()
+		time.Sleep(maxWeakTurns*claimStagger - candidateTurns*claimStagger)
+		f.mu.Lock()
+		require.Equal(t, uint64(9), f.head.Version, "a weak one may not")
+		f.mu.Unlock()
+		require.IsType(t, cell.Claimed{}, <-s.events)
+	})
+}
+
+// TestAnswerLostAtTheEndOfLoading lets the last writing of a new owner take effect
+// unseen: its first commit must not take that for another owner's.
+func TestAnswerLostAtTheEndOfLoading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{takes: 4 * time.Millisecond}
+		s := successor(f, 300*time.Millisecond)
+		go s.claim(t.Context(), f.head)
+		time.Sleep(200 * time.Millisecond)
+		f.mu.Lock()
+		f.lost = 1
+		f.mu.Unlock()
+		require.IsType(t, cell.Claimed{}, <-s.events)
+		require.IsType(t, cell.Members{}, <-s.events)
+		commitOnce(t, s, 1)
+		require.True(t, s.lead.owns())
+	})
+}
+
+// TestClaimedWhileLoading lets a third host claim the cell during a takeover.
+func TestClaimedWhileLoading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{takes: 4 * time.Millisecond}
+		s := successor(f, 5*time.Second)
+		began := time.Now()
+		done := make(chan bool)
+		go func() {
+			s.claim(t.Context(), f.head)
+			close(done)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		f.mu.Lock()
+		f.head = HeadRow{Head: Head{Session: "third", Name: "third"}, Version: f.head.Version + 1}
+		f.mu.Unlock()
+		<-done
+		require.Less(t, time.Since(began), 2*holdEvery, "the loading is given up")
+		require.False(t, s.lead.owns())
+		require.Empty(t, s.events)
+		owner, _ := s.lead.current()
+		require.Equal(t, "third", owner.Name)
+	})
+}
+
+// TestOthersMayClaimWhenLoadingFails lets a new owner reach the store for writing
+// only: it must not keep hosts from the cell that could load it.
+func TestOthersMayClaimWhenLoadingFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{takes: 4 * time.Millisecond}
+		s := successor(f, time.Hour)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.claim(ctx, f.head)
+		time.Sleep(loadTimeout + 2*holdEvery)
+		f.mu.Lock()
+		version := f.head.Version
+		f.mu.Unlock()
+		time.Sleep(2 * unchangedFor)
+		require.Equal(t, version, f.head.Version)
+	})
+}
