A claim's authority counts from its writing, not from its loading

Promise broken: leases never outlive the last confirmed commit by more than Authority, for which a successor waits before it starts a silent worker's tasks elsewhere. A new owner counted from the moment at which the cell was loaded. Loading may take seconds, in which a third host may claim the cell; the second one, cut off from the store by then, went on renewing leases at workers that the third could not reach, up to as much longer as loading had taken: two runs of a task at a time.

Change: Claimed carries when the last writing was sent. The first commit is due from then too, so that a claim that is over is noticed the sooner.

The test fails without it: 15 s of authority after the claim instead of 9 s.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -52,7 +52,7 @@
 		c := New(Config{HoldMax: simHold, StatusFor: time.Minute})
 		clock := Clock{Steady: time.Hour, Wall: time.Unix(1, 0)}
 		refs := []WorkerRef{{ID: "w1"}, {ID: "w2"}, {ID: "w3"}}
-		c.Update(clock, Claimed{Token: 9, Previous: true, Workers: refs, Jobs: []Stored{{ID: spec.ID, Job: spec, Progress: &docket.Progress{}}}})
+		c.Update(clock, Claimed{Token: 9, Sent: clock.Steady, Previous: true, Workers: refs, Jobs: []Stored{{ID: spec.ID, Job: spec, Progress: &docket.Progress{}}}})
 		for _, n := range order {
 			c.Update(clock, Looked{Worker: fmt.Sprintf("w%d", n), Received: clock.Steady, Report: Report{
 				Ended: []EndedTask{{N: 1, Task: spec.ID + ".0.0.0", Run: n, How: Faulted}},
@@ -68,7 +68,7 @@
 	at := func(ms int) Clock {
 		return Clock{Steady: time.Hour + time.Duration(ms)*time.Millisecond, Wall: time.Unix(1, 0)}
 	}
-	c.Update(at(0), Claimed{Token: 9, Previous: true, Workers: []WorkerRef{{ID: "w1"}}, Jobs: []Stored{{ID: spec.ID, Job: spec}}})
+	c.Update(at(0), Claimed{Token: 9, Sent: at(0).Steady, Previous: true, Workers: []WorkerRef{{ID: "w1"}}, Jobs: []Stored{{ID: spec.ID, Job: spec}}})
 	look := func(ms int, born int64, ends ...EndedTask) {
 		c.Update(at(ms), Looked{Worker: "w1", Received: at(ms).Steady, Report: Report{Born: born, Ended: ends}})
 	}
@@ -108,7 +108,7 @@
 	c := New(Config{HoldMax: simHold, StatusFor: time.Minute})
 	clock := Clock{Steady: time.Hour, Wall: time.Unix(1, 0)}
 	w := WorkerInfo{ID: "w1", Service: "s", Capacity: resource.Vector{MilliCPU: 32000, MemoryMB: 64000}, Born: 1}
-	c.Update(clock, Claimed{Token: 9, Previous: true, Workers: []WorkerRef{{ID: "w1"}}})
+	c.Update(clock, Claimed{Token: 9, Sent: clock.Steady, Previous: true, Workers: []WorkerRef{{ID: "w1"}}})
 	c.Update(clock, Listed{Workers: []WorkerInfo{w}})
 	for _, effect := range c.Update(clock, Submit{Reply: 1, Job: lookup("aa00000000000001")}) {
 		if answer, ok := effect.(Answer); ok {
@@ -117,6 +117,34 @@
 	}
 }
 
+// TestLeasesEndWithTheAuthorityOfTheClaim lets a new owner take long to load the
+// cell. Another may have claimed it since, and waits for leases only as long as
+// the claim that was seen in the store allows.
+func TestLeasesEndWithTheAuthorityOfTheClaim(t *testing.T) {
+	const claimed, loaded = time.Hour, time.Hour + 6*time.Second
+	c := New(Config{HoldMax: simHold, StatusFor: time.Minute})
+	at := func(steady Instant) Clock { return Clock{Steady: steady, Wall: time.Unix(1, 0)} }
+	c.Update(at(loaded), Claimed{Token: 9, Sent: claimed, Previous: true, Workers: []WorkerRef{{ID: "w1"}}})
+	clock := 100 * time.Second // of the worker
+	c.Update(at(loaded), Looked{Worker: "w1", Received: loaded, Report: Report{
+		Clock: clock, Running: []RunningTask{{Task: "aa00000000000001.0.0.0", Run: 1}},
+	}})
+	looks := 0
+	for now := loaded; now < loaded+8*time.Second; now += 100 * time.Millisecond {
+		for _, effect := range c.Update(at(now), Flush{}) {
+			look, ok := effect.(Look)
+			if !ok {
+				continue
+			}
+			looks++
+			require.LessOrEqual(t, look.NotAfter, claimed+Authority)
+			require.LessOrEqual(t, look.LeaseUntil, clock+claimed+Authority-loaded)
+			c.Update(at(now), Looked{Worker: "w1", Received: now, Failure: NoAnswer})
+		}
+	}
+	require.NotZero(t, looks)
+}
+
 func TestCommitStaysWithinTheStoresLimit(t *testing.T) {
 	f := newFleet(t, 1, 48)
 	// Far more ends at once than a transaction holds: each drops a row too.
--- a/cell/event.go
+++ b/cell/event.go
@@ -19,6 +19,9 @@
 // Claimed says that this host now owns the cell.
 type Claimed struct {
 	Token uint64 // fencing token of the claim
+	// Sent is when the writing was sent that last confirmed the ownership. Loading
+	// what the store holds takes a while after it.
+	Sent Instant
 	// Previous is whether a predecessor may have left work on workers.
 	Previous bool
 	Jobs     []Stored
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -202,7 +202,7 @@
 	c := New(Config{HoldMax: simHold, StopTimeout: 200 * time.Millisecond, StatusFor: 120 * time.Second})
 	previous := f.owner != nil
 	f.owner = c
-	claimed := Claimed{Token: f.store.token, Previous: previous, Workers: f.store.roster}
+	claimed := Claimed{Token: f.store.token, Sent: f.now, Previous: previous, Workers: f.store.roster}
 	for id, p := range f.store.progress {
 		copied := *p
 		claimed.Jobs = append(claimed.Jobs, Stored{ID: id, Job: f.store.jobs[id], Progress: &copied})
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -18,8 +18,8 @@
 func (c *Cell) restore(e Claimed) {
 	c.reset()
 	c.owner, c.token = true, e.Token
-	c.book.confirmed = c.now.Steady
-	c.book.lastSent = c.now.Steady
+	c.book.confirmed = e.Sent
+	c.book.lastSent = e.Sent
 	c.recoverBy = c.now.Steady
 	if e.Previous {
 		c.recoverBy += slowest(Authority)
--- a/station/lead.go
+++ b/station/lead.go
@@ -505,7 +505,7 @@
 	s.lead.confirmedAt = h.sent
 	s.lead.members = nil
 	s.lead.mu.Unlock()
-	s.post(ctx, cell.Claimed{Token: h.Token, Previous: previous, Jobs: jobs, Workers: workers})
+	s.post(ctx, cell.Claimed{Token: h.Token, Sent: h.sent, Previous: previous, Jobs: jobs, Workers: workers})
 	if rules := s.Rules(); rules != nil {
 		s.post(ctx, rules.Policy())
 	}
--- a/station/takeover_test.go
+++ b/station/takeover_test.go
@@ -65,6 +65,7 @@
 				}
 				claimed := (<-s.events).(cell.Claimed)
 				require.Equal(t, uint64(8), claimed.Token)
+				require.Less(t, s.Now()-claimed.Sent, longest+holdEvery)
 				require.IsType(t, cell.Members{}, <-s.events)
 				commitOnce(t, s, 1)
 				require.Equal(t, uint64(1), f.head.Seq)
