A full queue of events does not hold up commits

Cause: the cell's goroutine applied up to 4096 queued events before it looked whether a commit or look was due; the queue fills when the goroutine or the host has stood still.

Change: events are applied in a row until the next flush or round is due. Rounds keep their share of the time, which the pace sees to.

--- a/station/pace_test.go
+++ b/station/pace_test.go
@@ -1,6 +1,7 @@
 package station
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
@@ -31,3 +32,21 @@
 	require.LessOrEqual(t, rounds, int(time.Second/(pumpShare*round)))
 	require.LessOrEqual(t, longest, 2*pumpGap)
 }
+
+// A queue that is full must not hold up commits and looks either.
+func TestLongQueueDoesNotDelayCommits(t *testing.T) {
+	const event = 20 * time.Microsecond // a job that is refused, with its log line
+	now := cell.Instant(0)
+	s := &Station{Log: slog.New(slog.DiscardHandler), Now: func() cell.Instant {
+		now += event / 2 // it is read for each event and after it
+		return now
+	}}
+	s.init()
+	for range eventQueue {
+		s.events <- cell.Query{ID: "aa00000000000001"}
+	}
+	began := now
+	s.drainEvents(t.Context(), cell.New(cell.Config{}), nil, began+pumpGap)
+	require.LessOrEqual(t, now-began, 2*pumpGap)
+	require.Less(t, len(s.events), eventQueue)
+}
--- a/station/station.go
+++ b/station/station.go
@@ -157,7 +157,7 @@
 		select {
 		case event := <-s.events:
 			s.apply(ctx, state, waiters, event)
-			s.drainEvents(ctx, state, waiters)
+			s.drainEvents(ctx, state, waiters, due.next())
 		case <-timer.C:
 		case <-ctx.Done():
 			return
@@ -180,9 +180,10 @@
 	}
 }
 
-// drainEvents applies what has queued up, so that placement runs once for all.
-func (s *Station) drainEvents(ctx context.Context, state *cell.Cell, waiters map[uint64]chan cell.Answer) {
-	for range eventQueue {
+// drainEvents applies what has queued up, so that placement runs once for all, but
+// not beyond the given time: the next flush must not wait for a long queue.
+func (s *Station) drainEvents(ctx context.Context, state *cell.Cell, waiters map[uint64]chan cell.Answer, until cell.Instant) {
+	for s.Now() < until {
 		select {
 		case event := <-s.events:
 			s.apply(ctx, state, waiters, event)
