A round in which the host stood still is not paid for

Cause: after a round of placement, four times its length passes before the next. The length is read from a clock that goes on while the host is suspended or its quota is used up, so a freeze of 0.8 s in a round stopped placement, stops that are sent again, refusals in an outage and the end of recovery for another 2.4 s. Rounds take up to a quarter of a loaded owner's time, so that one freeze in four hits one. A longer freeze costs the cell, unless no other host can take it.

Change: the pause is half a second at most.

The test fails without it: 9 s after a round of 3 s.

--- a/station/pace.go
+++ b/station/pace.go
@@ -14,6 +14,9 @@
 	// length passes before the next, so that callers are still answered when much
 	// waits.
 	pumpShare = 4
+	// maxPause bounds that time: a round also looks long if the host stood still in
+	// it, and what only rounds do, as sending stops again, must not wait for seconds.
+	maxPause = 500 * time.Millisecond
 	// idlePump is the time between rounds of placement when nothing happens.
 	idlePump = 20 * time.Millisecond
 )
@@ -44,7 +47,7 @@
 // done notes that an event has been applied. A round flushes too.
 func (p *pace) done(event any, began, ended cell.Instant) {
 	if _, round := event.(cell.Pump); round {
-		p.round = began + max(pumpGap, pumpShare*(ended-began))
+		p.round = began + max(pumpGap, min(pumpShare*(ended-began), ended-began+maxPause))
 	}
 	p.flush = ended + pumpGap
 }
--- a/station/pace_test.go
+++ b/station/pace_test.go
@@ -33,6 +33,14 @@
 	require.LessOrEqual(t, longest, 2*pumpGap)
 }
 
+// A host that was suspended in a round must place again soon.
+func TestSuspendedRoundIsNotPaidFor(t *testing.T) {
+	var due pace
+	ended := 3 * time.Second
+	due.done(cell.Pump{}, 0, ended)
+	require.LessOrEqual(t, due.round-ended, time.Second)
+}
+
 // A queue that is full must not hold up commits and looks either.
 func TestLongQueueDoesNotDelayCommits(t *testing.T) {
 	const event = 20 * time.Microsecond // a job that is refused, with its log line
