An owner that can write again keeps its cell

Cause: an owner that the store turns away offers its cell to one host after the other, some hundred a second. When the store serves again, it serves all at once, and the host that is asked then takes the cell at its first reading of the head, before the owner's next try, 50 ms later at most. A takeover loads everything and waits for all workers.

Evidence: a-1 is turned away (503) from 18.04 s on; the outage ends at 22.2 s; a-1 is deposed at 22.243 s by b-9, which had been turned away itself.

Change: the host that is asked reads the head again 100 ms later, and takes the cell only if it stands. Where only the owner is turned away, that is 100 ms more.

The test fails without it.

--- a/station/call.go
+++ b/station/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/cowslipgap/cowslipgap/cell"
 	"github.com/cowslipgap/cowslipgap/docket"
+	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
 )
 
@@ -97,15 +98,26 @@
 	if s.leaving.Load() || s.Rules() == nil || s.lead.owns() {
 		return reply{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, storePrompt)
-	head, err := s.ReadHead(ctx)
-	cancel()
+	head, err := s.promptHead(ctx)
+	if err == nil && session != "" && head.Session == session && pause.For(ctx, ownerChance) {
+		version := head.Version
+		if head, err = s.promptHead(ctx); head.Version != version {
+			return reply{} // the owner can write again
+		}
+	}
 	if err == nil && (head.Vacant || session != "" && head.Session == session) {
 		s.claim(context.WithoutCancel(ctx), head)
 	}
 	return reply{Owner: s.lead.owns()}
 }
 
+// promptHead reads the head, if the store works as usual.
+func (s *Station) promptHead(ctx context.Context) (HeadRow, error) {
+	ctx, cancel := context.WithTimeout(ctx, storePrompt)
+	defer cancel()
+	return s.ReadHead(ctx)
+}
+
 // greet tells the owner that this host is present, and reports whether it is
 // the owner and its commits are fresh.
 func (s *Station) greet(ctx context.Context, owner HeadRow, timeout time.Duration) bool {
--- a/station/lead.go
+++ b/station/lead.go
@@ -43,6 +43,10 @@
 	// handOverRefused is that age if the store refuses this host: more than a
 	// heartbeat, so that a single refusal does not move the cell.
 	handOverRefused = 300 * time.Millisecond
+	// ownerChance is for how long an owner that offers its cell may still show that
+	// it can write again: a store that turned all hosts away serves them all at one
+	// moment, and the owner tries every commitRetry.
+	ownerChance = 100 * time.Millisecond
 	// storePrompt is the longest time that a working store takes for a read.
 	storePrompt = 150 * time.Millisecond
 	// claimStagger is the delay between candidates, so that they seldom collide.
--- a/station/takeover_test.go
+++ b/station/takeover_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipgap/cowslipgap/cell"
+	"github.com/cowslipgap/cowslipgap/ruleset"
 )
 
 // successor returns a station that claims a cell which takes the given time to
@@ -153,3 +154,32 @@
 		require.Equal(t, version, f.head.Version)
 	})
 }
+
+// TestCellIsNotTakenFromAnOwnerThatWritesAgain replays the end of an outage of the
+// store: the first host that was offered the cell then took it, though its owner
+// could write again at the same moment.
+func TestCellIsNotTakenFromAnOwnerThatWritesAgain(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakeStore{takes: 4 * time.Millisecond}
+			s := successor(f, time.Millisecond)
+			s.rules.Store(&ruleset.Rules{})
+			s.ReadHead = func(context.Context) (HeadRow, error) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return f.head, nil
+			}
+			if again {
+				time.AfterFunc(commitRetry, func() {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					f.head.Version++
+				})
+			}
+			began := time.Now()
+			out := s.asked(t.Context(), "gone")
+			require.Equal(t, !again, out.Owner)
+			require.Less(t, time.Since(began), greetTimeout)
+		})
+	}
+}
