An owner whose commits stand still does not deny jobs

Promise broken: GET and DELETE answer 410 only for a job that does not exist. A host answers both from memory as long as it takes itself for the owner. Its successor may have accepted the job meanwhile: a caller that cancels it is told that it is gone, and it runs; one that asks takes it for lost. The time is that until the former owner's next commit fails: as long as the store or the way to it is down, and with a takeover that loads slowly from the start.

Change: such an answer counts only within 300 ms of a confirmed commit, before which nobody takes a cell; otherwise the call waits for the next commit, and a state is read from the store as for any owner that does not answer.

--- a/station/caller.go
+++ b/station/caller.go
@@ -224,6 +224,8 @@
 		out := Outcome{Verdict: a.Verdict, State: a.State, Count: a.Count, RetryAfter: a.RetryAfter, Reason: a.Reason}
 		out.Unanswered = a.Verdict == cell.Lost
 		switch {
+		case a.Verdict == cell.Unknown && !s.lead.sure(s.Now()):
+			return Outcome{}, notTaken // another owner may have accepted the job
 		case r.Relayed:
 			return out, answered
 		case out.Unanswered:
--- a/station/lead.go
+++ b/station/lead.go
@@ -115,6 +115,14 @@
 	return l.own && now-l.confirmedAt > limit
 }
 
+// sure reports whether this host certainly owns the cell: none is taken sooner after
+// a commit.
+func (l *leadership) sure(now cell.Instant) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.own && now-l.confirmedAt <= handOverRefused
+}
+
 // nextHead returns the head that the next commit writes, with the version that
 // it is conditional on.
 func (l *leadership) nextHead(seq uint64) (HeadRow, bool) {
