--- a/station/lead.go
+++ b/station/lead.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,6 +43,10 @@
 	// handOverRefused is that age if the store refuses this host: more than a
 	// heartbeat, so that a single refusal does not move the cell.
 	handOverRefused = 300 * time.Millisecond
+	// ownerChance is for how long an owner that offers its cell may still show that
+	// it can write again: a store that turned all hosts away serves them all at one
+	// moment, and the owner tries every commitRetry.
+	ownerChance = 100 * time.Millisecond
 	// storePrompt is the longest time that a working store takes for a read.
 	storePrompt = 150 * time.Millisecond
 	// claimStagger is the delay between candidates, so that they seldom collide.
@@ -55,6 +60,13 @@
 	strongCores  = 0.8
 	weakTurns    = 20
 	maxWeakTurns = 12
+	// holdEvery is the time between two writings of the head by a new owner that
+	// loads the cell. With a call to the store it is less than unchangedFor, also
+	// where the store is some tens of times slower than usual.
+	holdEvery = 250 * time.Millisecond
+	// loadTimeout bounds one loading of the cell, each page of which has a bound of
+	// its own: longer, and the claim would not be worth holding.
+	loadTimeout = cell.Authority
 	// reclaimDelay keeps a host that gave the cell up from taking it back before
 	// others had their chance.
 	reclaimDelay = 2 * time.Second
@@ -91,6 +103,26 @@
 	return l.own
 }
 
+// stalled reports whether this host owns the cell, but its commits have not been
+// confirmed for so long that others should take it.
+func (l *leadership) stalled(now cell.Instant) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := handOverAfter
+	if l.turnedAway {
+		limit = handOverRefused
+	}
+	return l.own && now-l.confirmedAt > limit
+}
+
+// sure reports whether this host certainly owns the cell: none is taken sooner after
+// a commit.
+func (l *leadership) sure(now cell.Instant) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.own && now-l.confirmedAt <= handOverRefused
+}
+
 // nextHead returns the head that the next commit writes, with the version that
 // it is conditional on.
 func (l *leadership) nextHead(seq uint64) (HeadRow, bool) {
@@ -256,6 +288,7 @@
 	hosts    string       // the members last told to the cell
 	heard    cell.Instant // when another host last greeted this owner
 	company  bool         // another host has greeted it
+	offering atomic.Bool  // the cell is being offered
 }
 
 func (k *keeper) pause() time.Duration {
@@ -284,15 +317,8 @@
 		s.Log.Info("entry hosts", "present", hosts)
 		s.post(ctx, cell.Members{Hosts: hosts})
 	}
-	s.lead.mu.Lock()
-	age := s.Now() - s.lead.confirmedAt
-	limit := handOverAfter
-	if s.lead.turnedAway {
-		limit = handOverRefused
-	}
-	s.lead.mu.Unlock()
-	if age > limit {
-		s.offer(ctx, true)
+	if s.lead.stalled(s.Now()) {
+		k.offer(ctx)
 	}
 	if k.company && s.Now()-k.heard > aloneFor && s.cutOff(ctx) {
 		s.Log.Warn("no other entry host can be reached", "silent", s.Now()-k.heard)
@@ -301,12 +327,32 @@
 	}
 }
 
+// offer has the cell offered to the others, which takes the longer the more of them
+// are silent. The members must be kept meanwhile.
+func (k *keeper) offer(ctx context.Context) {
+	if !k.offering.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer k.offering.Store(false)
+		k.station.offer(ctx, true)
+	}()
+}
+
 // cutOff reports whether no other host can be reached and none has refused the
 // connection: a machine that refuses is there, its process is not.
 func (s *Station) cutOff(ctx context.Context) bool {
-	for _, addr := range s.lead.others(s.Name) {
-		_, err := s.callPeer(ctx, addr, request{Kind: kindProbe}, greetTimeout)
-		if err == nil || errors.Is(err, peer.ErrUnreachable) && !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err) {
+	others := s.lead.others(s.Name)
+	silent := make(chan bool, len(others))
+	for _, addr := range others {
+		go func() {
+			_, err := s.callPeer(ctx, addr, request{Kind: kindProbe}, greetTimeout)
+			there := err == nil || errors.Is(err, peer.ErrUnreachable) && !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err)
+			silent <- !there
+		}()
+	}
+	for range others {
+		if !<-silent {
 			return false
 		}
 	}
@@ -345,6 +391,9 @@
 // vacant, or that this host owns and cannot write for.
 func (s *Station) offer(ctx context.Context, owned bool) {
 	for _, name := range s.lead.successors(s.Name) {
+		if owned && !s.lead.stalled(s.Now()) {
+			return // the store answers again, or another host owns the cell
+		}
 		r := request{Kind: kindTake}
 		if owned {
 			r.ID = s.Session
@@ -430,6 +479,7 @@
 // claim takes the cell.
 func (s *Station) claim(ctx context.Context, head HeadRow) {
 	mine := Head{Session: s.Session, Name: s.Name, Addr: s.Addr}
+	sent := s.Now()
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	version, stands, err := s.Write(callCtx, head.Version, mine, nil, nil)
 	cancel()
@@ -444,43 +494,98 @@
 		s.lead.setOwner(*stands)
 		return
 	}
-	s.takeOver(ctx, mine, version, head.Version > 0)
+	mine.Token = version
+	s.takeOver(ctx, &held{HeadRow: HeadRow{Head: mine, Version: version}, sent: sent}, head.Version > 0)
 }
 
-// takeOver begins to act as the owner.
-func (s *Station) takeOver(ctx context.Context, mine Head, version uint64, previous bool) {
-	mine.Token = version
+// held is the head as a new owner last wrote it.
+type held struct {
+	HeadRow
+	sent cell.Instant // when the writing was sent that confirms the ownership
+}
+
+// takeOver begins to act as the owner, once the cell is loaded.
+func (s *Station) takeOver(ctx context.Context, h *held, previous bool) {
 	claimedAt := s.Now()
 	var jobs []cell.Stored
 	var workers []cell.WorkerRef
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, 3*storeTimeout)
+	holding, stop := context.WithCancel(ctx)
+	defer stop()
+	loading, abandon := context.WithCancel(ctx)
+	defer abandon()
+	kept := make(chan bool, 1)
+	go func() {
+		ok := s.holdHead(ctx, holding, h)
+		if !ok {
+			abandon()
+		}
+		kept <- ok
+	}()
+	for loading.Err() == nil {
+		callCtx, cancel := context.WithTimeout(loading, loadTimeout)
 		var err error
 		jobs, workers, err = s.Load(callCtx)
 		cancel()
-		if err == nil {
+		if err == nil || loading.Err() != nil {
 			break
 		}
+		stop() // another host may be better off
 		s.lead.storeFailed(s, err)
 		if s.Now()-claimedAt > cell.Authority {
 			return // another host has claimed it long since, or will
 		}
-		pause.For(ctx, commitRetry)
+		pause.For(loading, commitRetry)
+	}
+	stop()
+	if !<-kept {
+		return
 	}
 	s.Counts.Claims.Add(1)
 	s.Counts.Takeover.Observe(s.Now() - claimedAt)
 	s.lead.mu.Lock()
-	s.lead.owner, s.lead.own = HeadRow{Head: mine, Version: version}, true
-	s.lead.confirmedAt = claimedAt
+	s.lead.owner, s.lead.own = h.HeadRow, true
+	s.lead.confirmedAt = h.sent
 	s.lead.members = nil
 	s.lead.mu.Unlock()
-	s.post(ctx, cell.Claimed{Token: version, Previous: previous, Jobs: jobs, Workers: workers})
+	s.post(ctx, cell.Claimed{Token: h.Token, Sent: h.sent, Previous: previous, Jobs: jobs, Workers: workers})
 	if rules := s.Rules(); rules != nil {
 		s.post(ctx, rules.Policy())
 	}
 	s.post(ctx, cell.Members{Hosts: []string{s.Name}})
 }
 
+// holdHead rewrites the head until holding ends, as other hosts claim a cell whose
+// head stands still, and loading takes the longer the more jobs there are. It
+// returns once the version that stands is known, and reports whether the claim does.
+// A weak host stands back here too: it begins when stronger ones have had their turn.
+func (s *Station) holdHead(ctx, holding context.Context, h *held) bool {
+	wait := holdEvery + time.Duration(weakness(s.Cores))*claimStagger
+	for known := true; ctx.Err() == nil && s.Now()-h.sent <= cell.Authority; {
+		if known && !pause.For(holding, wait) {
+			return ctx.Err() == nil
+		}
+		wait = holdEvery
+		sent := s.Now()
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		version, stands, err := s.Write(callCtx, h.Version, h.Head, nil, nil)
+		cancel()
+		known = err == nil
+		switch {
+		case err != nil:
+			s.lead.storeFailed(s, err)
+			pause.For(ctx, commitRetry)
+		case stands == nil:
+			h.Version, h.sent = version, sent
+		case stands.Session == s.Session && stands.Token == h.Token:
+			h.Version = stands.Version // an earlier sending took effect
+		default:
+			s.lead.setOwner(*stands)
+			return false
+		}
+	}
+	return false
+}
+
 // deposed notes that the claim with the given token is over. A later claim of
 // this host stands.
 func (s *Station) deposed(ctx context.Context, token uint64, head HeadRow) {
