Runs on silent workers are no load of the others

Cause: the estimate of the load counted the runs on workers that do not answer, but not the capacity of these workers. It was right again when their leases ran out.

Change: such runs count in neither.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -331,6 +331,8 @@
 	for _, t := range s.tasks {
 		switch {
 		case t.done:
+		case len(t.runs) > 0 && t.runs[0].w.silent(c.now.Steady):
+			// What it may be using is no part of the capacity either.
 		case len(t.runs) > 0:
 			running.add(demand{work: seconds * cores * (1 - t.runs[0].share()), cores: cores})
 		case s.ready || j.received == c.now.Steady:
