What has its tickets asks for no more while it waits for the store

A step of a job that is not stored yet asked for advice again on every answer, each time on other workers, until it had tickets on all of them; with a silent or slow store that is most of what the owner does, at some 0.15 ms of processor time a call. It now asks for what its valid tickets leave uncovered.

--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -370,3 +370,30 @@
 		})
 	}
 }
+
+// TestTicketsAreNotAskedForTwice replays an outage of the store: steps that have
+// tickets for all their tasks wait for it, and ask for no others meanwhile.
+func TestTicketsAreNotAskedForTwice(t *testing.T) {
+	f := newFleet(t, 6, 48)
+	f.eligible = 100
+	f.mix("00", 2*time.Second, 5*time.Second, 40, 3, 0)
+	f.run(4 * time.Second)
+	f.storeDown = true
+	asked := map[string]int{}
+	f.timed = func(_ *Cell, _ any, effects []any, _ time.Duration) {
+		for _, effect := range effects {
+			if ask, ok := effect.(Ask); ok {
+				asked[ask.Step]++
+			}
+		}
+	}
+	f.run(5300 * time.Millisecond) // tickets are valid for longer
+	require.NotEmpty(t, asked)
+	for step, n := range asked {
+		require.Equal(t, 1, n, step)
+	}
+	f.storeDown = false
+	f.run(60 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -170,13 +170,20 @@
 	}
 	length := c.lesson(s.job.Queue.Name).actual(s.spec.Estimate)
 	var candidates []*slot
-	if s.job.stored {
-		for _, sl := range of.slots {
-			if need.Fits(sl.free) && !sl.keptFrom(c.now.Steady, length) && s.advice.allows(sl.w, c.now.Steady) && sl.w.hasLabel(s.spec.Label) {
-				candidates = append(candidates, sl)
-			}
+	room := 0
+	for _, sl := range of.slots {
+		if need.Fits(sl.free) && !sl.keptFrom(c.now.Steady, length) && s.advice.allows(sl.w, c.now.Steady) && sl.w.hasLabel(s.spec.Label) {
+			candidates = append(candidates, sl)
+			room += s.room(sl.w, sl.free)
 		}
 	}
+	if !s.job.stored {
+		// Only advice can be had meanwhile. What has tickets waits for the store.
+		if left := min(allowed, s.waiting()); room < left {
+			c.ask(of, s, left)
+		}
+		return
+	}
 	left, placed := 0, 0
 	for _, t := range s.tasks {
 		if t.done || len(t.runs) > 0 || t.held != "" || allowed == 0 {
