Long calls leave as many hosts to short ones as those have needed of late

Cause: beside the third of the hosts that is theirs, long calls used idle hosts only while another third stayed idle, also when hardly any short call was made. Of 6 hosts 4 made long calls while gangs stood in line with room.

Change: the lanes that short calls took in the last second are averaged, and that many hosts without a long call, at least one, are left to them. As they take more, the next long call has to wait; a host is theirs again after at most one long call.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,9 @@
 	// heavyCall is the expected time of a call for advice from which on it has
 	// lanes of its own, so that short calls do not wait behind it.
 	heavyCall = 100 * time.Millisecond
+	// shortWindow is the time over which the lanes that short calls take are averaged:
+	// about as long as a long call, after which a host is theirs again.
+	shortWindow = time.Second
 	// laneDepth is how many calls may be on their way from one host: the service
 	// takes one at a time, a second hides the way there and back.
 	laneDepth = 2
@@ -186,8 +190,8 @@
 }
 
 // lane returns the host from which to call, or "" if all are taken. A third of the
-// hosts make long calls only. The others make them while as many again stay idle for
-// short calls, none of which waits behind a long one.
+// hosts make long calls only. The others make them while enough are left for short
+// calls, none of which waits behind a long one.
 func (c *Cell) lane(advice *docket.Advice, workers int) string {
 	if len(c.hosts) < 2 {
 		return c.shortest(c.hosts, laneDepth)
@@ -200,24 +204,32 @@
 	if host := c.shortest(own, 1); host != "" {
 		return host
 	}
-	idle := 0
+	left := -1 // without the one to be chosen
 	for _, host := range others {
-		if c.lanes[host] == 0 {
-			idle++
+		if c.longCalls[host] == "" {
+			left++
 		}
 	}
-	if idle <= split {
+	if float64(left) < max(1, c.shortLanes()) {
 		return ""
 	}
 	return c.shortest(others, 1)
 }
 
+// shortLanes returns how many lanes short calls have taken of late.
+func (c *Cell) shortLanes() float64 {
+	return c.shortUse * math.Exp(-float64(c.now.Steady-c.shortAt)/float64(shortWindow))
+}
+
 // occupy notes a call that is made from a host.
 func (c *Cell) occupy(host string, s *step, length time.Duration) {
 	c.lanes[host]++
 	if length >= heavyCall {
 		c.longCalls[host] = s.name
+		return
 	}
+	c.shortUse = c.shortLanes() + float64(length)/float64(shortWindow)
+	c.shortAt = c.now.Steady
 }
 
 // shortest returns the host with the fewest calls on their way, none of them long, or
