A host without advice is logged once and asked at a pace

Cause: a call for advice without an answer was logged and sent again for each step after 100 ms. One cut-off owner wrote 905 lines "no advice" in 2.4 s, which pushed all else out of its log of 200 kB; a host that fails at once also draws the calls of all steps, as its lane is always free.

Change: a host's first failed call is logged, "advice does not answer", and its first answer to a later call, "advice answers again" with the number of calls that failed. A failed host pauses for 100 ms, doubled up to 1 s with each failure; another host may be asked meanwhile. `explain` shows both lines for every request.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -31,10 +31,19 @@
 	// firstEligible is the share of workers taken to be eligible before anything
 	// is learned.
 	firstEligible = 0.4
-	// adviceRetry is the pause after a call for advice without an answer.
-	adviceRetry = 100 * time.Millisecond
+	// adviceRetry is the pause after a call for advice without an answer, for its step
+	// and, doubled with each more up to maxAdviceRetry, for its host.
+	adviceRetry    = 100 * time.Millisecond
+	maxAdviceRetry = time.Second
 )
 
+// silence is what is known of a host whose last call for advice had no answer.
+type silence struct {
+	since  Instant
+	until  Instant // no call before
+	failed int
+}
+
 // ticket lets tasks of a step start on a worker.
 type ticket struct {
 	text  string
@@ -212,7 +221,7 @@
 	}
 	left := -1 // without the one to be chosen
 	for _, host := range others {
-		if c.longCalls[host] == "" {
+		if c.longCalls[host] == "" && !c.paused(host) {
 			left++
 		}
 	}
@@ -239,23 +248,52 @@
 }
 
 // shortest returns the host with the fewest calls on their way, none of them long, or
-// "" if all have depth of them.
+// "" if all have depth of them or are paused.
 func (c *Cell) shortest(hosts []string, depth int) string {
 	best := ""
 	for _, host := range hosts {
-		if c.lanes[host] < depth && c.longCalls[host] == "" && (best == "" || c.lanes[host] < c.lanes[best]) {
+		if c.lanes[host] < depth && c.longCalls[host] == "" && !c.paused(host) && (best == "" || c.lanes[host] < c.lanes[best]) {
 			best = host
 		}
 	}
 	return best
 }
 
+// paused reports whether a host makes no call for now, as its last one had no answer.
+func (c *Cell) paused(host string) bool {
+	silent := c.silent[host]
+	return silent != nil && c.now.Steady < silent.until
+}
+
+// unanswered notes that a call from a host had no answer.
+func (c *Cell) unanswered(host string, failure Failure) {
+	silent := c.silent[host]
+	if silent == nil {
+		silent = &silence{since: c.now.Steady}
+		c.silent[host] = silent
+		c.note("advice does not answer", slog.String("host", host), slog.Int("failure", int(failure)))
+	}
+	silent.until = c.now.Steady + min(maxAdviceRetry, adviceRetry<<min(silent.failed, 4))
+	silent.failed++
+}
+
+// answered notes that a call made from a host at a time had an answer.
+func (c *Cell) answered(host string, asked Instant) {
+	if silent := c.silent[host]; silent != nil && asked > silent.since {
+		delete(c.silent, host)
+		c.note("advice answers again", slog.String("host", host), slog.Int("failed", silent.failed), slog.Duration("after", c.now.Steady-silent.since))
+	}
+}
+
 // advised takes the service's answer.
 func (c *Cell) advised(e Advised) {
 	c.lanes[e.Host] = max(0, c.lanes[e.Host]-1)
 	if c.longCalls[e.Host] == e.Step {
 		delete(c.longCalls, e.Host)
 	}
+	if e.Failure != None {
+		c.unanswered(e.Host, e.Failure)
+	}
 	t := c.task(e.Step + ".0")
 	if t == nil {
 		return
@@ -264,9 +302,9 @@
 	s.advice.asking = false
 	if e.Failure != None {
 		s.notBefore = c.now.Steady + adviceRetry
-		c.note("no advice", slog.String("step", e.Step), slog.String("host", e.Host), slog.Int("failure", int(e.Failure)))
 		return
 	}
+	c.answered(e.Host, s.advice.askedAt)
 	if s.advice.eligible == nil {
 		s.advice.eligible = map[*worker]bool{}
 		s.advice.tickets = map[*worker]ticket{}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -66,12 +66,13 @@
 	teams      map[string]*teamUse
 	policy     map[string]Team
 	hosts      []string
-	lanes      map[string]int    // calls for advice in flight, by host
-	longCalls  map[string]string // the step of a long one, by host
-	shortUse   float64           // lanes that short ones took, averaged
-	shortAt    Instant           // when shortUse was worked out
-	waiting    []*step           // ready steps with tasks that have no run
-	unopened   []*job            // jobs with steps that are not ready yet
+	lanes      map[string]int      // calls for advice in flight, by host
+	longCalls  map[string]string   // the step of a long one, by host
+	silent     map[string]*silence // hosts whose last one had no answer
+	shortUse   float64             // lanes that short ones took, averaged
+	shortAt    Instant             // when shortUse was worked out
+	waiting    []*step             // ready steps with tasks that have no run
+	unopened   []*job              // jobs with steps that are not ready yet
 	learned    map[string]*lesson
 	recovered  bool
 	recoverBy  Instant
@@ -105,7 +106,7 @@
 	c.jobs = map[string]*job{}
 	c.workers = map[string]*worker{}
 	c.teams = map[string]*teamUse{}
-	c.lanes, c.longCalls, c.shortUse = map[string]int{}, map[string]string{}, 0
+	c.lanes, c.longCalls, c.silent, c.shortUse = map[string]int{}, map[string]string{}, map[string]*silence{}, 0
 	c.waiting, c.unopened = nil, nil
 	if c.learned == nil {
 		c.learned = map[string]*lesson{}
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -35,6 +35,9 @@
 	asks       map[string]int           // calls for advice, by queue
 	stood      map[string]time.Duration // longest wait of a call for its lane, by queue
 	lanes      map[string]Instant
+	mute       bool           // no call for advice gets through
+	unanswered int            // calls for advice
+	notes      map[string]int // log lines, by text and host
 	jobs       map[string]*simJob
 	reply      uint64
 	replies    map[uint64]func(Answer)
@@ -145,7 +148,7 @@
 func newFleet(t *testing.T, seed uint64, workers int) *fleet {
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), wall: time.Unix(1_700_000_000, 0),
-		workers: map[string]*simWorker{}, lanes: map[string]Instant{}, asks: map[string]int{}, stood: map[string]time.Duration{}, longest: map[string]time.Duration{}, jobs: map[string]*simJob{},
+		workers: map[string]*simWorker{}, lanes: map[string]Instant{}, asks: map[string]int{}, notes: map[string]int{}, stood: map[string]time.Duration{}, longest: map[string]time.Duration{}, jobs: map[string]*simJob{},
 		replies: map[uint64]func(Answer){}, hosts: []string{"a1", "a2", "b1", "b2", "c1", "c2"},
 		teams: map[string]Team{"blue": {Rate: 100}, "red": {Rate: 100}}, usedByTeam: map[string]int64{}, storeless: map[*Cell]bool{},
 	}
@@ -271,6 +274,12 @@
 		f.after(simDelay, func() { f.look(c, e, sent) })
 	case Ask:
 		f.ask(c, e)
+	case Note:
+		for _, a := range e.Attrs {
+			if a.Key == "host" {
+				f.notes[e.Text+" "+a.Value.String()]++
+			}
+		}
 	}
 }
 
@@ -683,6 +692,11 @@
 	require.NoError(f.t, err)
 	advice := f.jobs[id.Job].spec.Queue.Advice
 	f.asks[f.jobs[id.Job].spec.Queue.Name]++
+	if f.mute {
+		f.unanswered++
+		f.after(simDelay, func() { f.send(c, Advised{Host: e.Host, Step: e.Step, Failure: NoAnswer}) })
+		return
+	}
 	took := advice.Decision + time.Duration(len(e.Workers))*advice.PerWorker
 	f.longest[f.jobs[id.Job].spec.Queue.Name] = max(f.longest[f.jobs[id.Job].spec.Queue.Name], took)
 	if len(e.Workers) > 100 {
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -219,6 +219,27 @@
 	require.Less(t, f.stood["quote"], heavyCall)
 }
 
+// TestHostWithoutAdviceIsAskedSeldomAndLoggedOnce replays an owner that is cut off from
+// all that could call for it, with much waiting.
+func TestHostWithoutAdviceIsAskedSeldomAndLoggedOnce(t *testing.T) {
+	const cut = 3 * time.Second
+	f := newFleet(t, 2, 48)
+	f.mix("00", 2*time.Second, 12*time.Second, 80, 6, 4)
+	f.at(6*time.Second, func() { f.mute = true })
+	f.at(6*time.Second+cut, func() { f.mute = false })
+	f.run(80 * time.Second)
+	f.requireSound()
+	f.requireAllEnded()
+	t.Logf("%d calls without an answer, %v", f.unanswered, f.notes)
+	require.Positive(t, f.unanswered)
+	require.LessOrEqual(t, f.unanswered, len(f.hosts)*int(cut/adviceRetry))
+	for _, host := range f.hosts {
+		require.LessOrEqual(t, f.notes["advice does not answer "+host], 1)
+		require.Equal(t, f.notes["advice does not answer "+host], f.notes["advice answers again "+host])
+	}
+	require.Positive(t, f.notes["advice does not answer "+f.hosts[0]])
+}
+
 // idleFor returns for how long at most a waiting gang had room for twice its members
 // on workers that may run it, while under half of the fleet was in use.
 func (f *fleet) idleFor(from, to Instant) time.Duration {
--- a/inquiry/inquiry.go
+++ b/inquiry/inquiry.go
@@ -44,7 +44,8 @@
 // concernsAll are messages that explain requests that they do not name.
 var concernsAll = map[string]bool{
 	"cell claimed": true, "cell lost": true, "cell handed over": true, "recovery complete": true,
-	"store does not answer": true, "store answers again": true, "configuration in force": true,
+	"store does not answer": true, "store answers again": true,
+	"advice does not answer": true, "advice answers again": true, "configuration in force": true,
 	"started": true, "stopping": true, "stopped": true, "log lines dropped": true,
 }
 
