The log says of each gang that waits what it waits for

Cause: a gang that had not been asked about, that stood in line for a host, that waited for tickets, for the store or for an earlier owner's workers left no line. In the record of the late gangs all 31 lines "gang waits" in the owner's log say "workers are kept for it"; lines on calls there are none.

Test: TestLogSaysWhyAGangWaits, seven replays, one for each reason; five had no line before.

Change: five more reasons, with a number each.

--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -37,7 +37,7 @@
 	lanes      map[string]Instant
 	mute       bool           // no call for advice gets through
 	unanswered int            // calls for advice
-	notes      map[string]int // log lines, by text and host
+	notes      map[string]int // log lines, by text and host or reason
 	jobs       map[string]*simJob
 	reply      uint64
 	replies    map[uint64]func(Answer)
@@ -276,7 +276,7 @@
 		f.ask(c, e)
 	case Note:
 		for _, a := range e.Attrs {
-			if a.Key == "host" {
+			if a.Key == "host" || a.Key == "why" {
 				f.notes[e.Text+" "+a.Value.String()]++
 			}
 		}
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -16,7 +16,8 @@
 	// prefetch is added to the time of a call for advice, so that tickets are
 	// there when the room is.
 	prefetch = 100 * time.Millisecond
-	// waitNoteGap is the least time between two log lines on one gang's wait.
+	// waitNoteGap is how long a gang waits until its first log line. The gaps between
+	// later ones double, so that many gangs do not fill the log.
 	waitNoteGap = 2 * time.Second
 	// spareSeats is how many more seats a gang asks about than it has members, as
 	// a share of them.
@@ -40,7 +41,11 @@
 // placeGang starts all members at once, or keeps the workers that can hold them
 // soonest.
 func (c *Cell) placeGang(p *round, of *pool, s *step) {
-	if s.active > 0 || s.held() {
+	if s.active > 0 {
+		return
+	}
+	if s.held() {
+		c.noteWaiting(s, "an earlier owner may run it", 0)
 		return
 	}
 	seats, ready := c.prepareGang(p, of, s)
@@ -70,6 +75,7 @@
 func (c *Cell) prepareGang(p *round, of *pool, s *step) ([]seat, bool) {
 	if !s.advice.knowsAny() {
 		c.ask(of, s, len(s.tasks))
+		c.noteAsking(s, "it waits for advice")
 		return nil, false
 	}
 	if allowed := c.teamRoom(p, s); allowed < len(s.tasks) {
@@ -84,10 +90,12 @@
 	if !s.ticketed(seats, c.now.Steady) {
 		p.keep(s, seats, c.now.Steady)
 		c.renew(s, append(seats, spare...))
+		c.noteAsking(s, "it waits for tickets")
 		return nil, false
 	}
 	if !s.job.stored {
 		p.keep(s, seats, c.now.Steady)
+		c.noteWaiting(s, "its acceptance is not stored", 0)
 		return nil, false
 	}
 	return seats, true
@@ -232,13 +240,27 @@
 	return seats, spare
 }
 
-// noteWaiting logs, now and then, what a gang waits for. The number is the tasks
-// that could start, or the milliseconds until all can.
+// noteAsking logs a wait for the advice service, or for a host to call it from. The
+// number is the milliseconds since the call, or the long calls on their way.
+func (c *Cell) noteAsking(s *step, why string) {
+	if s.advice.asking {
+		c.noteWaiting(s, why, int((c.now.Steady - s.advice.askedAt).Milliseconds()))
+	} else {
+		c.noteWaiting(s, "no host is free for its call", len(c.longCalls))
+	}
+}
+
+// noteWaiting logs, now and then, what a gang waits for. What the number counts
+// depends on the reason.
 func (c *Cell) noteWaiting(s *step, why string, n int) {
-	if c.now.Steady-s.notedAt < waitNoteGap && s.notedAt > 0 {
+	if s.noteGap == 0 {
+		s.noteGap, s.noteDue = waitNoteGap, c.now.Steady+waitNoteGap
+	}
+	if c.now.Steady < s.noteDue {
 		return
 	}
-	s.notedAt = c.now.Steady
+	s.noteGap *= 2
+	s.noteDue = c.now.Steady + s.noteGap
 	c.note("gang waits", slog.String("step", s.name), slog.Int("members", len(s.tasks)), slog.String("why", why), slog.Int("n", n), slog.Int("rank", s.rank))
 }
 
--- a/cell/job.go
+++ b/cell/job.go
@@ -56,7 +56,8 @@
 
 	advice    adviceState
 	notBefore Instant // pause after a refusal
-	notedAt   Instant // when its wait was last logged
+	noteDue   Instant // when its wait is logged again
+	noteGap   time.Duration
 	latestAt  Instant // start by then to meet the objective
 	rank      int
 }
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/bits"
+	"strings"
 	"testing"
 	"time"
 
@@ -240,6 +242,76 @@
 	require.Positive(t, f.notes["advice does not answer "+f.hosts[0]])
 }
 
+// gangReasons are ways in which a gang has to wait, with what the log has to say.
+var gangReasons = []struct {
+	why    string
+	replay func(f *fleet, gang func(at Instant) *docket.Job)
+}{
+	{"it waits for advice", func(_ *fleet, gang func(Instant) *docket.Job) { gang(2 * time.Second) }},
+	{"no host is free for its call", func(f *fleet, gang func(Instant) *docket.Job) {
+		for range 2 * len(f.hosts) {
+			gang(2 * time.Second)
+		}
+	}},
+	{"it waits for tickets", func(_ *fleet, gang func(Instant) *docket.Job) {
+		gang(2 * time.Second).Queue.Advice.Validity = ticketMargin
+	}},
+	{"its acceptance is not stored", func(f *fleet, gang func(Instant) *docket.Job) {
+		f.at(1900*time.Millisecond, func() { f.storeTakes = 20 * time.Second })
+		gang(2 * time.Second).Queue.Advice.Validity = time.Minute
+	}},
+	{"the team is at its ceiling", func(f *fleet, gang func(Instant) *docket.Job) {
+		f.teams["red"] = Team{Rate: 100, Ceiling: resource.Vector{MilliCPU: 80_000}}
+		f.claim()
+		gang(2 * time.Second).Queue.Advice = nil
+		gang(2 * time.Second).Queue.Advice = nil
+	}},
+	{"workers are kept for it", func(f *fleet, gang func(Instant) *docket.Job) {
+		for range 40 {
+			spec := gang(2 * time.Second)
+			spec.Queue.Advice = nil
+			spec.Queue.Slack = 60
+		}
+	}},
+	{"an earlier owner may run it", func(f *fleet, gang func(Instant) *docket.Job) {
+		gang(2 * time.Second).Queue.Advice = nil
+		f.at(4*time.Second, func() {
+			for _, w := range f.workers {
+				w.dark = len(w.runs) > 0
+			}
+			f.kill(time.Second)
+		})
+	}},
+}
+
+func TestLogSaysWhyAGangWaits(t *testing.T) {
+	const length = 16 * time.Second
+	for _, one := range gangReasons {
+		t.Run(one.why, func(t *testing.T) {
+			f := newFleet(t, 3, 48)
+			gangs := 0
+			one.replay(f, func(at Instant) *docket.Job {
+				spec := refret(fmt.Sprintf("cc%014x", gangs))
+				spec.Queue.Advice.Decision = 3500 * time.Millisecond
+				gangs++
+				f.submit(at, spec)
+				return spec
+			})
+			f.run(length)
+			t.Log(f.notes)
+			require.Positive(t, f.notes["gang waits "+one.why])
+			lines := 0
+			for text, n := range f.notes {
+				if strings.HasPrefix(text, "gang waits") {
+					lines += n
+				}
+			}
+			// The gaps between the lines on a gang double.
+			require.LessOrEqual(t, lines, 2*gangs*bits.Len(uint(length/waitNoteGap)))
+		})
+	}
+}
+
 // idleFor returns for how long at most a waiting gang had room for twice its members
 // on workers that may run it, while under half of the fleet was in use.
 func (f *fleet) idleFor(from, to Instant) time.Duration {
