Housekeeping walks live jobs, and forgets ended ones from the oldest on

Every 50 ms all jobs were walked twice, once to estimate the load and once for those whose state need not be told any more. Live and ended jobs are now held apart, the latter in order of their ends.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -111,7 +111,7 @@
 		}
 		c.note("job refused", slog.String("id", j.id), slog.String("reason", "the store does not answer"), slog.Duration("commitAge", silent), slog.Duration("retryAfter", wait))
 		delete(c.jobs, j.id)
-		j.Job, j.occurrences = nil, nil
+		c.retire(j)
 	}
 	clear(c.book.dirty[len(kept):])
 	c.book.dirty = kept
@@ -301,8 +301,8 @@
 			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000
 		}
 	}
-	for _, j := range c.jobs {
-		if j.Job != nil && !j.progress.State.Final() {
+	for _, j := range c.live {
+		if !j.progress.State.Final() {
 			c.addLoad(j)
 		}
 	}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -62,6 +62,8 @@
 	token   uint64
 
 	jobs       map[string]*job
+	live       map[string]*job // those that have not ended
+	ended      []*job          // the others, in order of their ends
 	workers    map[string]*worker
 	roll       []*worker // the same, in order of their IDs
 	teams      map[string]*teamUse
@@ -100,7 +102,7 @@
 // reset forgets everything that belongs to a claim.
 func (c *Cell) reset() {
 	c.owner, c.token = false, 0
-	c.jobs = map[string]*job{}
+	c.jobs, c.live, c.ended = map[string]*job{}, map[string]*job{}, nil
 	c.workers, c.roll = map[string]*worker{}, nil
 	c.teams = map[string]*teamUse{}
 	c.lanes = map[string]int{}
@@ -236,8 +238,8 @@
 
 func (c *Cell) countQueued(e CountQueued) {
 	count := 0
-	for _, j := range c.jobs {
-		if j.Job != nil && j.stored && j.progress.State == docket.Queued && j.Queue.Name == e.Queue {
+	for _, j := range c.live {
+		if j.stored && j.progress.State == docket.Queued && j.Queue.Name == e.Queue {
 			count++
 		}
 	}
@@ -246,11 +248,11 @@
 
 // forgetEnded drops jobs whose state need not be told any more.
 func (c *Cell) forgetEnded() {
-	for id, j := range c.jobs {
-		if j.Job == nil && j.stored && !j.dirty && c.now.Steady-j.endedAt > c.StatusFor {
-			c.book.drops = append(c.book.drops, Row{Table: Progress, Key: id})
-			delete(c.jobs, id)
-		}
+	for len(c.ended) > 0 && c.now.Steady-c.ended[0].endedAt > c.StatusFor && !c.ended[0].dirty {
+		id := c.ended[0].id
+		c.book.drops = append(c.book.drops, Row{Table: Progress, Key: id})
+		delete(c.jobs, id)
+		c.ended[0], c.ended = nil, c.ended[1:]
 	}
 }
 
@@ -269,14 +271,7 @@
 
 // Summary returns the present summary.
 func (c *Cell) Summary() Summary {
-	sum := Summary{Owner: c.owner, Token: c.token, Waiting: len(c.waiting), Workers: len(c.workers)}
-	for _, j := range c.jobs {
-		if j.Job != nil {
-			sum.Live++
-		} else {
-			sum.Ended++
-		}
-	}
+	sum := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers)}
 	for _, w := range c.workers {
 		sum.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -321,3 +321,22 @@
 		}
 	})
 }
+
+func TestEndedJobsAreForgottenInTime(t *testing.T) {
+	f := newFleet(t, 3, 12)
+	f.calm(8 * time.Second)
+	f.run(60 * time.Second)
+	f.requireAllEnded()
+	require.Len(t, f.owner.ended, len(f.jobs))
+	require.Len(t, f.store.progress, len(f.jobs))
+	last := time.Duration(0)
+	for _, j := range f.owner.ended {
+		last = max(last, j.endedAt)
+	}
+	f.run(last + f.owner.StatusFor - time.Second)
+	require.NotEmpty(t, f.owner.jobs)
+	f.run(last + f.owner.StatusFor + time.Second)
+	require.Empty(t, f.owner.jobs)
+	require.Empty(t, f.store.progress)
+	f.requireSound()
+}
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -233,7 +233,14 @@
 	}
 	if write.state.Final() && j.Job != nil {
 		c.stopAll(j)
-		j.Job, j.occurrences = nil, nil
+		c.retire(j)
 		j.endedAt = c.now.Steady
+		c.ended = append(c.ended, j)
 	}
 }
+
+// retire forgets all of a job but its state.
+func (c *Cell) retire(j *job) {
+	j.Job, j.occurrences = nil, nil
+	delete(c.live, j.id)
+}
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"hash/fnv"
@@ -236,9 +237,28 @@
 		}
 		return 1
 	})
+	f.checkJobs(f.owner)
 	f.send(f.owner, Listed{Workers: infos})
 }
 
+// checkJobs checks that a cell's jobs are either live or ended, and these in order.
+func (f *fleet) checkJobs(c *Cell) {
+	for id, j := range c.jobs {
+		if j.Job == nil != (c.live[id] != j) {
+			f.broken("JOBS", "%s ended: %v, live: %v", id, j.Job == nil, c.live[id] == j)
+		}
+	}
+	byEnd := func(a, b *job) int { return cmp.Compare(a.endedAt, b.endedAt) }
+	if len(c.live)+len(c.ended) != len(c.jobs) || !slices.IsSortedFunc(c.ended, byEnd) {
+		f.broken("JOBS", "%d live and %d ended of %d", len(c.live), len(c.ended), len(c.jobs))
+	}
+	for _, j := range c.ended {
+		if j.Job != nil || c.jobs[j.id] != j {
+			f.broken("JOBS", "%s has not ended or is not known", j.id)
+		}
+	}
+}
+
 func (f *fleet) update(event any) {
 	if f.owner != nil {
 		f.send(f.owner, event)
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -32,7 +32,9 @@
 			progress = *stored.Progress
 		}
 		if progress.State.Final() {
-			c.jobs[stored.ID] = &job{id: stored.ID, progress: progress, shown: progress.State, stored: true, recorded: true, deleted: true, endedAt: c.now.Steady}
+			j := &job{id: stored.ID, progress: progress, shown: progress.State, stored: true, recorded: true, deleted: true, endedAt: c.now.Steady}
+			c.jobs[j.id] = j
+			c.ended = append(c.ended, j)
 			if stored.Job != nil {
 				c.book.drops = append(c.book.drops, Row{Table: Jobs, Key: stored.ID})
 			}
@@ -60,7 +62,7 @@
 
 // adopt takes a job into the working state.
 func (c *Cell) adopt(j *job) {
-	c.jobs[j.id] = j
+	c.jobs[j.id], c.live[j.id] = j, j
 	c.unopened = append(c.unopened, j)
 	c.setObjective(j)
 	for _, o := range j.occurrences {
