A host that leaves keeps no cell that it was taking

Callers would see: no owner for about a second when a process ends that was told to stop. The cell is handed over before that, unless the host was in the middle of a takeover: it became the owner after that, served the cell while it left, and was gone without giving it up, so that others waited for the head to stand still.

Change: an owner that is leaving gives the cell up whenever it notices that it has it.

The test fails without it: the head isn't vacant 0.3 s after the takeover, nor later.

--- a/station/lead.go
+++ b/station/lead.go
@@ -270,9 +270,12 @@
 func (s *Station) keepLead(ctx context.Context) {
 	k := keeper{station: s}
 	for ctx.Err() == nil {
-		if s.lead.owns() {
+		switch own := s.lead.owns(); {
+		case own && s.leaving.Load():
+			s.resign(ctx) // it was taking the cell when it was told to leave
+		case own:
 			k.tendOwn(ctx)
-		} else if !s.leaving.Load() {
+		case !s.leaving.Load():
 			k.tendOther(ctx)
 		}
 		pause.For(ctx, k.pause())
--- a/station/takeover_test.go
+++ b/station/takeover_test.go
@@ -183,3 +183,25 @@
 		})
 	}
 }
+
+// TestHostThatLeavesKeepsNoCell stops a host in the middle of a takeover. It owned the
+// cell until its process ended, and the others waited for the head to stand still.
+func TestHostThatLeavesKeepsNoCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{takes: 4 * time.Millisecond}
+		const loading = 600 * time.Millisecond
+		s := successor(f, loading)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.claim(ctx, f.head)
+		time.Sleep(loading / 2)
+		s.Leave(ctx)
+		go s.writeCommits(ctx)
+		go s.keepLead(ctx)
+		time.Sleep(loading/2 + greetEvery + 10*f.takes)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.True(t, f.head.Vacant)
+		require.False(t, s.lead.owns())
+	})
+}
