A host claims the cell once at a time

Promise broken: accepted work is neither lost nor doubled. A host that is offered the cell claims it while its own keeper may do the same, as it does when a head is vacant or has stood still. The second writing finds the first one's head, of this session and without a token, and took it for an earlier sending of its own. The cell was loaded twice: what had been accepted since the second loading began was forgotten, commits were counted from 1 again and run numbers came again. A claim with a head that was read before a takeover made the host cease to commit, though its cell took itself for owned.

Change: a claim does not begin while another is under way or the cell is owned here.

The test fails without it: 3 takeovers for one head, now 1.

--- a/station/lead.go
+++ b/station/lead.go
@@ -81,6 +81,7 @@
 	mu          sync.Mutex
 	owner       HeadRow // the last known owner; Version is kept while owned here
 	own         bool
+	claiming    bool
 	confirmedAt cell.Instant // of this host's commits
 	ownerOK     cell.Instant // when the owner last answered with fresh commits
 	storeDown   bool
@@ -140,6 +141,24 @@
 	l.owner, l.own = head, false
 }
 
+// beginClaim reports whether a claim may begin: this host neither owns the cell nor
+// claims it already. A second claim would be taken for another sending of the first.
+func (l *leadership) beginClaim() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.own || l.claiming {
+		return false
+	}
+	l.claiming = true
+	return true
+}
+
+func (l *leadership) endClaim() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.claiming = false
+}
+
 func (l *leadership) current() (HeadRow, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -479,8 +498,12 @@
 	return weakness(s.Cores) + int((uint64(h.Sum32())+version)%candidateTurns)
 }
 
-// claim takes the cell.
+// claim takes the cell, unless that is under way or done.
 func (s *Station) claim(ctx context.Context, head HeadRow) {
+	if !s.lead.beginClaim() {
+		return
+	}
+	defer s.lead.endClaim()
 	mine := Head{Session: s.Session, Name: s.Name, Addr: s.Addr}
 	sent := s.Now()
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/station/takeover_test.go
+++ b/station/takeover_test.go
@@ -205,3 +205,28 @@
 		require.False(t, s.lead.owns())
 	})
 }
+
+// TestOneClaimAtATime lets a host be offered a cell while it claims that by itself. It
+// took the second claim for an earlier sending of the first, and loaded the cell
+// twice: what the second loading had missed was forgotten, and run numbers came again.
+func TestOneClaimAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{takes: 4 * time.Millisecond}
+		s := successor(f, 100*time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		head := f.head
+		go s.claim(ctx, head)
+		go s.claim(ctx, head)
+		time.Sleep(2 * time.Second)
+		s.claim(ctx, head) // read before the first claim
+		require.True(t, s.lead.owns())
+		claims := 0
+		for len(s.events) > 0 {
+			if _, ok := (<-s.events).(cell.Claimed); ok {
+				claims++
+			}
+		}
+		require.Equal(t, 1, claims)
+	})
+}
