An older word on the owner does not take the cell from this host

While this host is handed the cell its keeper may be waiting for a reading of the head, an answer of the former owner or that of another host. Each of them came later and replaced the host's own claim. Commits were then not written any more, without the cell being told, until another host claimed, or were written with the former owner's head.

The slower the store, the wider the window.

Change: what is heard of an owner counts only as long as this host is not the owner.

The test fails without it: a reading of 0.5 s beside a takeover of 0.1 s.

--- a/station/call.go
+++ b/station/call.go
@@ -130,6 +130,9 @@
 	for name, addr := range out.Known {
 		s.lead.learn(name, addr)
 	}
+	if s.lead.own {
+		return true // it has been handed over meanwhile
+	}
 	if out.Owner && out.Age < staleCommit {
 		s.lead.ownerOK = s.Now()
 		s.lead.owner = out.Head
@@ -154,7 +157,7 @@
 		if err != nil || out.Head.Addr == "" || out.Head.Session == s.Session {
 			continue
 		}
-		s.lead.setOwner(out.Head)
+		s.lead.hear(out.Head)
 		return
 	}
 }
--- a/station/lead.go
+++ b/station/lead.go
@@ -141,6 +141,16 @@
 	l.owner, l.own = head, false
 }
 
+// hear notes who owns the cell, from a reading or another host. That may be older
+// than this host's own claim.
+func (l *leadership) hear(head HeadRow) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.own {
+		l.owner = head
+	}
+}
+
 // beginClaim reports whether a claim may begin: this host neither owns the cell nor
 // claims it already. A second claim would be taken for another sending of the first.
 func (l *leadership) beginClaim() bool {
@@ -456,7 +466,7 @@
 	if head.Version != k.head.Version || head.Session != k.head.Session {
 		k.since = now
 		if head.Session != owner.Session && !head.Vacant && head.Version > 0 && head.Name != s.Name {
-			s.lead.setOwner(head)
+			s.lead.hear(head)
 			k.head = head
 			return
 		}
--- a/station/takeover_test.go
+++ b/station/takeover_test.go
@@ -230,3 +230,28 @@
 		require.Equal(t, 1, claims)
 	})
 }
+
+// TestStaleWordDoesNotTakeTheCell lets the keeper hear of an earlier owner after the
+// cell was handed to this host: it ceased to commit, while the cell took itself for
+// owned.
+func TestStaleWordDoesNotTakeTheCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{takes: 4 * time.Millisecond}
+		s := successor(f, 100*time.Millisecond)
+		s.rules.Store(&ruleset.Rules{})
+		f.head.Name = "gone"
+		s.ReadHead = func(ctx context.Context) (HeadRow, error) {
+			f.mu.Lock()
+			stale := f.head
+			f.mu.Unlock()
+			time.Sleep(500 * time.Millisecond) // longer than the takeover
+			return stale, nil
+		}
+		k := keeper{station: s}
+		go k.tendOther(t.Context())
+		time.Sleep(10 * time.Millisecond)
+		s.claim(t.Context(), f.head)
+		time.Sleep(time.Second)
+		require.True(t, s.lead.owns())
+	})
+}
