--- a/station/lead.go
+++ b/station/lead.go
@@ -81,6 +81,7 @@
 	mu          sync.Mutex
 	owner       HeadRow // the last known owner; Version is kept while owned here
 	own         bool
+	claiming    bool
 	confirmedAt cell.Instant // of this host's commits
 	ownerOK     cell.Instant // when the owner last answered with fresh commits
 	storeDown   bool
@@ -140,6 +141,34 @@
 	l.owner, l.own = head, false
 }
 
+// hear notes who owns the cell, from a reading or another host. That may be older
+// than this host's own claim.
+func (l *leadership) hear(head HeadRow) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.own {
+		l.owner = head
+	}
+}
+
+// beginClaim reports whether a claim may begin: this host neither owns the cell nor
+// claims it already. A second claim would be taken for another sending of the first.
+func (l *leadership) beginClaim() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.own || l.claiming {
+		return false
+	}
+	l.claiming = true
+	return true
+}
+
+func (l *leadership) endClaim() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.claiming = false
+}
+
 func (l *leadership) current() (HeadRow, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -270,9 +299,12 @@
 func (s *Station) keepLead(ctx context.Context) {
 	k := keeper{station: s}
 	for ctx.Err() == nil {
-		if s.lead.owns() {
+		switch own := s.lead.owns(); {
+		case own && s.leaving.Load():
+			s.resign(ctx) // it was taking the cell when it was told to leave
+		case own:
 			k.tendOwn(ctx)
-		} else if !s.leaving.Load() {
+		case !s.leaving.Load():
 			k.tendOther(ctx)
 		}
 		pause.For(ctx, k.pause())
@@ -434,7 +466,7 @@
 	if head.Version != k.head.Version || head.Session != k.head.Session {
 		k.since = now
 		if head.Session != owner.Session && !head.Vacant && head.Version > 0 && head.Name != s.Name {
-			s.lead.setOwner(head)
+			s.lead.hear(head)
 			k.head = head
 			return
 		}
@@ -476,8 +508,12 @@
 	return weakness(s.Cores) + int((uint64(h.Sum32())+version)%candidateTurns)
 }
 
-// claim takes the cell.
+// claim takes the cell, unless that is under way or done.
 func (s *Station) claim(ctx context.Context, head HeadRow) {
+	if !s.lead.beginClaim() {
+		return
+	}
+	defer s.lead.endClaim()
 	mine := Head{Session: s.Session, Name: s.Name, Addr: s.Addr}
 	sent := s.Now()
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/station/takeover_test.go
+++ b/station/takeover_test.go
@@ -183,3 +183,75 @@
 		})
 	}
 }
+
+// TestHostThatLeavesKeepsNoCell stops a host in the middle of a takeover. It owned the
+// cell until its process ended, and the others waited for the head to stand still.
+func TestHostThatLeavesKeepsNoCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{takes: 4 * time.Millisecond}
+		const loading = 600 * time.Millisecond
+		s := successor(f, loading)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.claim(ctx, f.head)
+		time.Sleep(loading / 2)
+		s.Leave(ctx)
+		go s.writeCommits(ctx)
+		go s.keepLead(ctx)
+		time.Sleep(loading/2 + greetEvery + 10*f.takes)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.True(t, f.head.Vacant)
+		require.False(t, s.lead.owns())
+	})
+}
+
+// TestOneClaimAtATime lets a host be offered a cell while it claims that by itself. It
+// took the second claim for an earlier sending of the first, and loaded the cell
+// twice: what the second loading had missed was forgotten, and run numbers came again.
+func TestOneClaimAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{takes: 4 * time.Millisecond}
+		s := successor(f, 100*time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		head := f.head
+		go s.claim(ctx, head)
+		go s.claim(ctx, head)
+		time.Sleep(2 * time.Second)
+		s.claim(ctx, head) // read before the first claim
+		require.True(t, s.lead.owns())
+		claims := 0
+		for len(s.events) > 0 {
+			if _, ok := (<-s.events).(cell.Claimed); ok {
+				claims++
+			}
+		}
+		require.Equal(t, 1, claims)
+	})
+}
+
+// TestStaleWordDoesNotTakeTheCell lets the keeper hear of an earlier owner after the
+// cell was handed to this host: it ceased to commit, while the cell took itself for
+// owned.
+func TestStaleWordDoesNotTakeTheCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{takes: 4 * time.Millisecond}
+		s := successor(f, 100*time.Millisecond)
+		s.rules.Store(&ruleset.Rules{})
+		f.head.Name = "gone"
+		s.ReadHead = func(ctx context.Context) (HeadRow, error) {
+			f.mu.Lock()
+			stale := f.head
+			f.mu.Unlock()
+			time.Sleep(500 * time.Millisecond) // longer than the takeover
+			return stale, nil
+		}
+		k := keeper{station: s}
+		go k.tendOther(t.Context())
+		time.Sleep(10 * time.Millisecond)
+		s.claim(t.Context(), f.head)
+		time.Sleep(time.Second)
+		require.True(t, s.lead.owns())
+	})
+}
