A task that may have ended at a worker is run again only when its owner has read it

Cause: where both hosts of a zone are killed at once, tasks that they ran for others end at their workers and only the workers' next owners read that. Also found by reading: jobs that had moved twice were not asked for under the session that accepted them; an end that was read while the request still waited for its broken forward was dropped; a caller's idempotent request of which nothing is known was run again, though its end comes with the reply alone.

Change: once the leases have lapsed, the host that is to run the tasks again asks the owners of all workers, every 500 ms, what has ended there (control/settle.go). It goes on when every zone has answered, every owner that any answer names has answered, each has had a report of each of its workers since the lapse, and none has the task in hand. The question carries a time span, so that clocks need not agree. A worker that is silent for a lease counts as gone; 30 s after the lapse the work runs in any case and a warning is logged. An end that is listed for a task in a queue ends it there. A lost answer is asked for and never taken for a refusal. A caller's request that may have run is told so, with a time to come back.

Ruled out: overlapping runs (each second start comes after the first end). Tests, failing before: TestAdoptedJobWaitsForTheEndsAtWorkers started both tasks 8 s after the claim, TestLostAnswerIsNotAnAnswer started the task after 0.5 s, TestLostRequestIsNotRunAgain after 14 s, TestListedEndOfAWaitingTask left it waiting.

--- a/control/batch.go
+++ b/control/batch.go
@@ -225,7 +225,7 @@
 func (s *State) feed(id string, most int) int {
 	w := s.jobs[id]
 	st, ok := s.book.Get(id)
-	if w == nil || !ok || st.Cancelled || s.now.Before(w.notTill) || s.draining || s.holder.Fenced() {
+	if w == nil || !ok || st.Cancelled || s.now.Before(w.notTill) || s.settles(id) || s.draining || s.holder.Fenced() {
 		return 0
 	}
 	if st.Job.Class == class.Gang && w.next == 0 {
@@ -538,7 +538,13 @@
 	s.book.Restore(states)
 	p := s.core.Policy
 	notTill := since.Add(p.StartWindow + p.TaskLease + 2*p.ClockMargin)
-	for _, o := range append(ev.Ended, s.endedFor(ev.Session)...) {
+	for _, by := range acceptedBy(states) {
+		s.settle(settleKey{accepted: by}).lapsed = notTill
+		for _, o := range s.endedFor(EndsQuestion{Session: by}) {
+			s.takeStray(o)
+		}
+	}
+	for _, o := range ev.Ended {
 		s.takeStray(o)
 	}
 	for _, st := range states {
--- a/control/control.go
+++ b/control/control.go
@@ -75,6 +75,7 @@
 	adopting map[string]time.Time // sessions whose journal is being read
 	absorbed map[string]bool
 	strays   map[string]stray // ends of tasks whose job is not known here, by ID
+	settling map[settleKey]*settling
 
 	zones        map[string]zoneState
 	zoneInFlight bool
@@ -100,6 +101,7 @@
 	s.adopting = map[string]time.Time{}
 	s.absorbed = map[string]bool{}
 	s.strays = map[string]stray{}
+	s.settling = map[settleKey]*settling{}
 	s.quotas = map[string]*quota{}
 	s.zones = map[string]zoneState{}
 	s.endedAt = map[string]time.Time{}
@@ -165,7 +167,13 @@
 	case Deliver:
 		s.emit(ev.Answer)
 	case QueryEnded:
-		s.emit(EndedAnswer{Token: ev.Token, Ended: s.endedFor(ev.Session)})
+		s.emit(EndedAnswer{Token: ev.Token, Ended: s.endedFor(EndsQuestion{Session: ev.Session})})
+	case QueryEnds:
+		a := s.ends(ev.Question)
+		a.Token = ev.Token
+		s.emit(a)
+	case EndsTold:
+		s.endsTold(ev)
 	case TakeSnapshot:
 		s.emit(Snapshot{States: s.book.Snapshot()})
 	case Tick:
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"testing"
 	"time"
 
@@ -129,6 +130,29 @@
 	require.Equal(t, refusal.Unknown, answers[0].Refusal.Ran)
 }
 
+// TestLostRequestIsNotRunAgain loses the answer of a forwarded idempotent request.
+// Its end comes with the reply alone, so it may have run, and its caller is told.
+func TestLostRequestIsNotRunAgain(t *testing.T) {
+	r := newRig(t)
+	r.greet()
+	for i := range 20 { // they earn retries
+		id := strconv.Itoa(i)
+		r.update(control.Request{Task: small(id)})
+		r.update(control.ForwardDone{ID: id, Session: sibling, Outcome: &storage.Outcome{Task: id, End: storage.EndDone}})
+	}
+	x := small("x")
+	x.Deadline = r.now.Add(time.Minute)
+	require.Len(t, take[control.Forward](r.update(control.Request{Task: x})), 1)
+	r.ownWorker()
+	r.update(control.ForwardDone{ID: "x", Session: sibling})
+	effects := r.pass(time.Minute)
+	require.Empty(t, take[placement.Start](effects))
+	answers := take[control.Answer](effects)
+	require.Len(t, answers, 1)
+	require.Equal(t, refusal.Unknown, answers[0].Refusal.Ran)
+	require.Positive(t, answers[0].Refusal.RetryMillis, "its caller may send it again")
+}
+
 // TestForwardedWorkEndsWhenItsSenderIsSilent stops tasks of a host that greets
 // no more.
 func TestForwardedWorkEndsWhenItsSenderIsSilent(t *testing.T) {
@@ -258,3 +282,144 @@
 	require.Equal(t, []storage.Outcome{done}, answers[0].Ended)
 	require.Empty(t, take[control.EndedAnswer](r.update(control.QueryEnded{Token: 10, Session: "a3-other"}))[0].Ended)
 }
+
+// TestAdoptedJobWaitsForTheEndsAtWorkers replays the loss of both siblings at
+// once: one had accepted a job, the other ran a task of it. The host that adopted
+// the job asked once for what had ended, before the runner's workers had a new
+// owner, and ran the task again once the leases had lapsed.
+func TestAdoptedJobWaitsForTheEndsAtWorkers(t *testing.T) {
+	r := newRig(t)
+	r.ownWorker()
+	r.secondRack("a3-third")
+	j := job.Job{ID: "a." + sibling + ".1", Team: "t", Class: class.Batch, Need: resource.Vector{Slots: 1}, Tasks: 2, Accepted: r.now}
+	claimed := control.SessionRow{Name: "a2", State: "claimed", Holder: self}
+	r.update(control.ZoneRows{Rows: []storage.Row{r.row(control.SessionKey("a", sibling), claimed)}})
+	r.update(control.Adopted{Session: sibling, Entries: []job.Entry{{Accept: &j}}})
+	effects := r.pass(20 * time.Second)
+	require.Empty(t, take[placement.Start](effects), "nobody has read the end at w9")
+
+	r.secondRack("a3-again")
+	answer := control.EndsAnswer{Session: "a3-again", Zone: "a", Owners: map[string]string{self: "", "a3-again": ""}}
+	asked := take[control.AskEnds](effects)
+	r.update(control.EndsTold{Question: asked[len(asked)-1].Question, Answers: []control.EndsAnswer{answer}})
+	effects = r.pass(time.Second)
+	require.Empty(t, take[placement.Start](effects), "w9 has not reported")
+
+	answer.Read = true
+	answer.Ended = []storage.Outcome{{Task: job.TaskID(j.ID, 0), Attempt: 1, End: storage.EndDone}}
+	asked = take[control.AskEnds](effects)
+	require.NotEmpty(t, asked)
+	require.Equal(t, sibling, asked[0].Question.Session)
+	require.GreaterOrEqual(t, asked[0].Question.AgeMillis, int64(10_000), "the leases have lapsed 8 s after the claim")
+	r.update(control.EndsTold{Question: asked[0].Question, Answers: []control.EndsAnswer{answer}})
+	starts := take[placement.Start](r.pass(time.Second))
+	require.Len(t, starts, 1)
+	require.Equal(t, job.TaskID(j.ID, 1), starts[0].Task.ID)
+}
+
+// TestAdoptedJobDoesNotWaitForEver runs a job though nobody comes to own the
+// workers that may have run it.
+func TestAdoptedJobDoesNotWaitForEver(t *testing.T) {
+	r := newRig(t)
+	r.ownWorker()
+	r.secondRack("a3-third")
+	j := job.Job{ID: "a." + sibling + ".1", Team: "t", Class: class.Batch, Need: resource.Vector{Slots: 1}, Tasks: 1, Accepted: r.now}
+	claimed := control.SessionRow{Name: "a2", State: "claimed", Holder: self}
+	r.update(control.ZoneRows{Rows: []storage.Row{r.row(control.SessionKey("a", sibling), claimed)}})
+	r.update(control.Adopted{Session: sibling, Entries: []job.Entry{{Accept: &j}}})
+	effects := r.pass(time.Minute)
+	require.Len(t, take[placement.Start](effects), 1)
+	require.Equal(t, []control.Unsettled{{Session: sibling}}, take[control.Unsettled](effects))
+}
+
+// TestLostAnswerIsNotAnAnswer replays a killed host that told the sender of a
+// job's task, as its last word, that the outcome is not known. The sender ran the
+// task again half a second later. Now it waits until the workers' new owner has
+// read what ended there, and takes the end from it.
+func TestLostAnswerIsNotAnAnswer(t *testing.T) {
+	for _, ended := range []bool{true, false} {
+		r := newRig(t)
+		r.greet()
+		effects := r.update(control.SubmitJob{Token: 7, Job: job.Job{Team: "t", Class: class.Batch, Need: resource.Vector{Slots: 1}, Tasks: 1}})
+		sent := take[control.Forward](r.update(control.Journaled{Result: segment.Result{Token: take[control.Append](effects)[0].Batch.Token}}))
+		require.Len(t, sent, 1)
+		r.ownWorker()
+		r.secondRack(sibling)
+		r.update(control.ForwardDone{ID: sent[0].Task.ID, Session: sibling, Refusal: refusal.New(refusal.OutcomeLost, "this entry host has ended")})
+		effects = r.pass(20 * time.Second)
+		require.Empty(t, take[placement.Start](effects), "it may have ended at w9, which has no new owner")
+		for _, f := range take[control.Forward](effects) {
+			require.True(t, f.Resolve, "it must not be sent again")
+		}
+
+		r.secondRack("a2-again")
+		asked := take[control.AskEnds](effects)
+		require.NotEmpty(t, asked)
+		require.Equal(t, []string{sent[0].Task.ID}, asked[0].Question.Tasks)
+		answer := control.EndsAnswer{Session: "a2-again", Zone: "a", Read: true, Owners: map[string]string{self: "", "a2-again": ""}}
+		if ended {
+			answer.Ended = []storage.Outcome{{Task: sent[0].Task.ID, Attempt: 1, End: storage.EndDone}}
+		}
+		effects = r.update(control.EndsTold{Question: asked[len(asked)-1].Question, Answers: []control.EndsAnswer{answer}})
+		effects = append(effects, r.pass(2*time.Second)...)
+		starts := take[placement.Start](effects)
+		if ended {
+			require.Empty(t, starts)
+			require.Equal(t, job.Done, take[control.Append](effects)[0].Batch.Entries[0].End.State)
+			continue
+		}
+		require.Len(t, starts, 1, "it ran nowhere")
+	}
+}
+
+// TestEndsAreToldOnceWorkersWereRead says that ends are complete only when every
+// worker has reported since the leases lapsed, and none of the tasks is in hand.
+func TestEndsAreToldOnceWorkersWereRead(t *testing.T) {
+	r := newRig(t)
+	ask := func(age time.Duration) control.EndsAnswer {
+		q := control.EndsQuestion{Session: sibling, AgeMillis: age.Milliseconds()}
+		answers := take[control.EndsAnswer](r.update(control.QueryEnds{Token: 1, Question: q}))
+		require.Len(t, answers, 1)
+		return answers[0]
+	}
+	require.False(t, ask(time.Hour).Read, "the list of workers is not known")
+	r.ownWorker()
+	r.now = r.now.Add(time.Second)
+	require.False(t, ask(500*time.Millisecond).Read)
+	require.True(t, ask(time.Second).Read)
+	require.Equal(t, map[string]string{self: ""}, ask(time.Second).Owners)
+
+	theirs := small(job.TaskID("a."+sibling+".1", 0))
+	theirs.Job, theirs.Path = "a."+sibling+".1", []string{sibling}
+	r.update(control.Forwarded{From: sibling, Task: theirs})
+	require.False(t, ask(time.Second).Read, "it runs here")
+}
+
+// secondRack lists another worker, w9, whose rack a session of the zone owns.
+func (r *rig) secondRack(owner string) {
+	r.update(control.Hosts{List: []storage.Host{
+		{Name: "w1", Zone: "a", Rack: "r0", State: "live", Room: resource.Vector{Slots: 8}},
+		{Name: "w9", Zone: "a", Rack: "r9", State: "live", Room: resource.Vector{Slots: 8}},
+	}})
+	r.update(control.ZoneRows{Rows: []storage.Row{
+		r.row(control.SessionKey("a", owner), control.SessionRow{Name: "other", PeerAddr: "127.0.0.1:3", State: "live"}),
+		r.row(control.RackKey("a", "r9"), control.RackRow{Owner: owner}),
+	}})
+}
+
+// pass lets time pass while the table takes heartbeats, workers report and the
+// siblings are silent. It returns all effects.
+func (r *rig) pass(length time.Duration) []any {
+	const step = 100 * time.Millisecond
+	var all []any
+	for range length / step {
+		r.now = r.now.Add(step)
+		all = append(all, r.update(placement.Reported{Worker: "w1", Sent: r.now})...)
+		effects := r.update(control.Tick{})
+		all = append(all, effects...)
+		for _, b := range take[control.Beat](effects) {
+			r.update(control.BeatDone{Sent: r.now, Revision: 2, Successor: b.Row.Successor})
+		}
+	}
+	return all
+}
--- a/control/effect.go
+++ b/control/effect.go
@@ -61,6 +61,17 @@
 		Peers   []string
 	}
 
+	// AskEnds asks the hosts at Peers what has ended at their workers. The answers
+	// come back as EndsTold.
+	AskEnds struct {
+		Question EndsQuestion
+		Peers    []string
+	}
+
+	// Unsettled says that work is run again though its end may be waiting at a
+	// worker whose owner did not tell in time: a session's jobs, or a task.
+	Unsettled struct{ Session, Task string }
+
 	// EndedAnswer answers a QueryEnded.
 	EndedAnswer struct {
 		Token uint64
--- a/control/event.go
+++ b/control/event.go
@@ -159,6 +159,20 @@
 		Session string
 	}
 
+	// QueryEnds is another host's question about ends at workers. The answer is an
+	// EndsAnswer.
+	QueryEnds struct {
+		Token    uint64
+		Question EndsQuestion
+	}
+
+	// EndsTold brings the answers to an AskEnds. Hosts that did not answer are
+	// left out.
+	EndsTold struct {
+		Question EndsQuestion
+		Answers  []EndsAnswer
+	}
+
 	// TakeSnapshot asks for a snapshot of the accepted jobs.
 	TakeSnapshot struct{}
 
--- a/control/request.go
+++ b/control/request.go
@@ -192,7 +192,8 @@
 		return
 	}
 	inTime := t.Deadline.IsZero() || s.now.Before(t.Deadline)
-	if !t.NonIdempotent && inTime && s.budget.spend() {
+	mayBeDone := o.End == placement.EndLost // the reply to its start was lost
+	if !t.NonIdempotent && !mayBeDone && inTime && s.budget.spend() {
 		t.ResumeMillis = max(t.ResumeMillis, o.ResumeMillis)
 		s.route(t)
 		return
@@ -211,7 +212,7 @@
 // forwardDone handles the answer of the host that a task was forwarded to.
 func (s *State) forwardDone(ev ForwardDone) {
 	r := s.requests[ev.ID]
-	if n := s.peers[ev.Session]; n != nil && (r == nil || !r.resolved) {
+	if n := s.peers[ev.Session]; n != nil && !ev.Resolved {
 		n.sent = max(0, n.sent-1)
 	}
 	if r == nil || r.at != ev.Session {
@@ -223,7 +224,7 @@
 	case ev.Outcome != nil:
 		r.at = ""
 		s.taskEnded(t, *ev.Outcome, "")
-	case ev.Refusal != nil:
+	case ev.Refusal != nil && (t.Job == "" || ev.Refusal.Ran != refusal.Unknown):
 		r.at = ""
 		s.forwardRefused(t, ev.Refusal)
 	case ev.Unsent && r.lostAt.IsZero():
@@ -255,6 +256,9 @@
 // tendRequests resolves forwarded tasks whose answer was lost, ends those whose
 // sender is silent, and forgets old results.
 func (s *State) tendRequests() {
+	for _, g := range s.settling {
+		g.tasks = nil
+	}
 	for id, r := range s.requests {
 		if !r.lostAt.IsZero() {
 			s.resolve(id, r)
@@ -263,6 +267,7 @@
 			s.withdraw(Withdraw{ID: id})
 		}
 	}
+	s.tendSettling()
 	for id, old := range s.recent {
 		if s.now.Sub(old.at) > recentKept {
 			delete(s.recent, id)
@@ -276,16 +281,32 @@
 	return n == nil || s.now.Sub(n.heard) > peerSilence
 }
 
-// resolve asks what became of a task, until its lease has lapsed wherever it is.
+// resolve asks what became of a task, until its lease has lapsed wherever it is
+// and its end cannot be waiting there.
 func (s *State) resolve(id string, r *request) {
+	if s.useStray(id, r) {
+		return
+	}
 	since := r.lostAt
 	if n := s.peers[r.at]; n != nil && n.reached.After(since) {
 		since = n.reached // it still runs the task as long as it hears from here
 	}
-	if s.now.Sub(since) > s.lapseAfterSilence() {
-		r.lostAt, r.at = time.Time{}, ""
-		s.taskEnded(r.task, storage.Outcome{Task: id, End: placement.EndLost, Message: "the host that ran it is out of reach"}, "")
+	lapsed := since.Add(s.lapseAfterSilence())
+	switch {
+	case !s.now.After(lapsed):
+	case r.task.Job == "": // its end comes with the reply to its start alone
+		s.giveUp(id, r)
 		return
+	case s.now.Sub(lapsed) > settleLimit:
+		s.emit(Unsettled{Task: id})
+		s.giveUp(id, r)
+		return
+	default:
+		g := s.settle(settleKey{at: r.at})
+		g.tasks = append(g.tasks, id)
+		if lapsed.After(g.lapsed) {
+			g.lapsed = lapsed
+		}
 	}
 	past := !r.task.Deadline.IsZero() && s.now.After(r.task.Deadline)
 	if past && r.from == "" && !s.isOwnJob(r.task) {
--- a/control/stray.go
+++ b/control/stray.go
@@ -15,7 +15,7 @@
 	maxStrays  = 100_000
 )
 
-// stray is the end of a task that this host did not start.
+// stray is the end of a task that ran to it and that this host did not start.
 type stray struct {
 	outcome storage.Outcome
 	at      time.Time
@@ -25,10 +25,11 @@
 // a job that was taken over need not run it again.
 func (s *State) takeStray(o storage.Outcome) {
 	id, _, ok := job.ParseTaskID(o.Task)
-	if !ok || s.requests[o.Task] != nil {
+	r := s.requests[o.Task]
+	if !ok || !final(o) || r != nil && r.at == "" {
 		return
 	}
-	if st := s.lookJob(id); st != nil {
+	if st := s.lookJob(id); st != nil && r == nil {
 		s.applyStray(st, o)
 		return
 	}
@@ -51,15 +52,14 @@
 
 func (s *State) applyStray(st *job.State, o storage.Outcome) {
 	_, index, _ := job.ParseTaskID(o.Task)
-	done, failed := o.End == storage.EndDone, o.End == storage.EndFailed
-	if index < 0 || index >= len(st.Ends) || st.Ends[index].State != "" || !done && !failed {
+	if index < 0 || index >= len(st.Ends) || st.Ends[index].State != "" {
 		return
 	}
 	if w := s.jobs[st.Job.ID]; w != nil {
 		w.fed++ // endTask takes it off again
 	}
 	state := job.Done
-	if failed {
+	if o.End == storage.EndFailed {
 		state = job.Failed
 	}
 	s.endTask(st.Task(index), state, o.Message, o.Output)
@@ -78,23 +78,32 @@
 	}
 }
 
-// endedFor returns the outcomes of the tasks of a session's jobs that were
-// forwarded here or found at workers that were taken over, as far as they are
-// kept.
-func (s *State) endedFor(session string) []storage.Outcome {
+// endedFor returns the outcomes of the tasks asked for that were forwarded here
+// or found at workers that were taken over, as far as they are kept.
+func (s *State) endedFor(q EndsQuestion) []storage.Outcome {
 	var list []storage.Outcome
-	accepted := func(task string) bool {
-		_, by, ok := SplitJobID(jobOf(task))
-		return ok && by == session
+	add := func(id string) {
+		if o := s.recent[id].answer.Outcome; o != nil {
+			list = append(list, *o)
+		}
+		if kept, ok := s.strays[id]; ok {
+			list = append(list, kept.outcome)
+		}
 	}
-	for id, old := range s.recent {
-		if old.answer.Outcome != nil && accepted(id) {
-			list = append(list, *old.answer.Outcome)
+	if q.Session == "" {
+		for _, id := range q.Tasks {
+			add(id)
 		}
+		return list
 	}
-	for id, kept := range s.strays {
-		if accepted(id) {
-			list = append(list, kept.outcome)
+	for id := range s.recent {
+		if q.covers(id) {
+			add(id)
+		}
+	}
+	for id := range s.strays {
+		if _, ok := s.recent[id]; !ok && q.covers(id) {
+			add(id)
 		}
 	}
 	return list
@@ -104,7 +113,7 @@
 // was sent. Without an outcome nothing is known: it may have run.
 func (s *State) strayAnswer(id string) Answer {
 	kept, ok := s.strays[id]
-	if !ok || kept.outcome.End != storage.EndDone && kept.outcome.End != storage.EndFailed {
+	if !ok {
 		return Answer{ID: id, Refusal: refusal.New(refusal.OutcomeLost, "the session that took it on has ended")}
 	}
 	return Answer{ID: id, Outcome: &kept.outcome}
--- a/host/calls.go
+++ b/host/calls.go
@@ -132,6 +132,20 @@
 	return value.(control.EndedAnswer).Ended, nil
 }
 
+// endsLocal answers another host's question about ends at workers.
+func (h *Host) endsLocal(ctx context.Context, body []byte) (any, *refusal.Refusal) {
+	var q control.EndsQuestion
+	if err := json.Unmarshal(body, &q); err != nil {
+		return nil, refusal.New(refusal.BadRequest, "decode question: %v", err)
+	}
+	token := h.tokens.Add(1)
+	value, err := h.await(ctx, token, control.QueryEnds{Token: token, Question: q})
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+	return value, nil
+}
+
 func (h *Host) askPeer(ctx context.Context, addr string, q peer.Question, out any) *refusal.Refusal {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
--- a/host/perform.go
+++ b/host/perform.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,6 +49,12 @@
 		w.reply(e.Token, e)
 	case control.EndedAnswer:
 		w.reply(e.Token, e)
+	case control.EndsAnswer:
+		w.reply(e.Token, e)
+	case control.AskEnds:
+		go h.askEnds(ctx, e)
+	case control.Unsettled:
+		h.Log.Warn("host: run again without all workers' reports", "session", e.Session, "task", e.Task)
 	case control.GreetReply:
 		w.reply(e.Token, e.Greeting)
 	case control.Forward:
@@ -302,25 +310,43 @@
 	h.post(done)
 }
 
-// askEnded asks other hosts which tasks of a session have ended there. Those
-// that do not answer are passed over.
+// askEnded asks other hosts which tasks of a session have ended there. Hosts of
+// an older version answer no other question about ends.
 func (h *Host) askEnded(ctx context.Context, e control.Adopt) []storage.Outcome {
-	answers := make(chan []storage.Outcome, len(e.Peers))
-	for _, addr := range e.Peers {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			var ended []storage.Outcome
-			if r := h.askPeer(ctx, addr, peer.Question{Verb: verbEnded, Job: e.Session}, &ended); r != nil {
+	return slices.Concat(askAll[[]storage.Outcome](ctx, h, e.Peers, peer.Question{Verb: verbEnded, Job: e.Session})...)
+}
+
+// askEnds asks other hosts what has ended at their workers.
+func (h *Host) askEnds(ctx context.Context, e control.AskEnds) {
+	body, err := json.Marshal(e.Question)
+	if err != nil {
+		h.Log.Error("peer: question cannot be encoded", "err", err.Error())
+		return
+	}
+	h.post(control.EndsTold{Question: e.Question, Answers: askAll[control.EndsAnswer](ctx, h, e.Peers, peer.Question{Verb: verbEnds, Body: body})})
+}
+
+// askAll puts a question to several hosts at once. Those that do not answer are
+// passed over.
+func askAll[T any](ctx context.Context, h *Host, peers []string, q peer.Question) []T {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var all []T
+	for _, addr := range peers {
+		wg.Go(func() {
+			var answer T
+			if r := h.askPeer(ctx, addr, q, &answer); r != nil {
 				h.Log.Warn("peer: ended tasks not known", "peer", addr, "err", r.Error())
+				return
 			}
-			answers <- ended
-		}()
-	}
-	var all []storage.Outcome
-	for range e.Peers {
-		all = append(all, <-answers...)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, answer)
+		})
 	}
+	wg.Wait()
 	return all
 }
 
--- a/host/service.go
+++ b/host/service.go
@@ -20,6 +20,7 @@
 	verbCancel = "cancel"
 	verbSubmit = "submit"
 	verbEnded  = "ended"
+	verbEnds   = "ends"
 )
 
 // service is what this host does for other entry hosts.
@@ -122,6 +123,8 @@
 		value, r = h.submitForPeer(ctx, q.Body)
 	case verbEnded:
 		value, r = h.endedLocal(ctx, q.Job)
+	case verbEnds:
+		value, r = h.endsLocal(ctx, q.Body)
 	default:
 		r = refusal.New(refusal.BadRequest, "verb %q does not exist", q.Verb)
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -389,3 +389,21 @@
 	require.Equal(t, placement.EndLost, m.finished["t1/0"])
 	require.GreaterOrEqual(t, m.now.Sub(since), modelLease)
 }
+
+// TestListedEndOfAWaitingTask reports the end of an earlier start of a task that
+// waits to run again: it ran, and does not start.
+func TestListedEndOfAWaitingTask(t *testing.T) {
+	m := newModel(t, 1, 1)
+	m.submit(task.Task{Team: "a", Class: class.Batch, Need: resource.Vector{Slots: 7}}, 1)
+	m.submit(task.Task{Team: "a", Class: class.Batch, Need: resource.Vector{Slots: 2}}, 1)
+	require.Empty(t, m.place["t2/0"])
+	w := m.workers[m.names[0]]
+	w.done = []storage.Outcome{{Task: "t2/0", Attempt: 1, End: storage.EndDone}}
+	w.seq++
+	m.tick()
+	require.Equal(t, storage.EndDone, m.finished["t2/0"])
+	m.endLater(m.names[0], "t1/0", storage.EndDone)
+	m.tick()
+	require.Len(t, m.starts, 1)
+	require.Zero(t, m.core.Load().Waiting)
+}
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -40,6 +40,9 @@
 	setDefault(&p.LookupReserve, 0.25)
 }
 
+// lapse is how long after its last renewal was sent a task has ended for certain.
+func (p *Policy) lapse() time.Duration { return p.StartWindow + p.TaskLease + p.ClockMargin }
+
 func setDefault[T int | float64 | time.Duration](field *T, value T) {
 	if *field == 0 {
 		*field = value
--- a/placement/worker.go
+++ b/placement/worker.go
@@ -28,6 +28,7 @@
 
 	leaving    bool
 	owned      bool
+	since      time.Time // when it became owned
 	reported   time.Time // when the last report was asked for; zero before the first
 	suspected  time.Time // when a start was last left unanswered
 	renewing   bool      // a Renew is on its way
@@ -100,6 +101,9 @@
 			c.nodes[h.Name] = n
 			changed = true
 		}
+		if !n.owned {
+			n.since = c.now
+		}
 		changed = changed || !n.owned || n.host.Rack != h.Rack || n.host.Room != h.Room
 		n.host, n.owned = h, true
 		n.leaving = h.State == storage.StateLeaving
@@ -206,7 +210,23 @@
 // lapseFromNow returns when every task has ended that is renewed no more: the
 // last renewal may reach its worker StartWindow from now.
 func (c *Core) lapseFromNow() time.Time {
-	return c.now.Add(c.Policy.StartWindow + c.Policy.TaskLease + c.Policy.ClockMargin)
+	return c.now.Add(c.Policy.lapse())
+}
+
+// ReadSince reports whether every worker owned has answered a renewal that was
+// sent at t or later, so that all that had ended there by then is known. A worker
+// that has been silent for as long as leases take to lapse is passed over.
+func (c *Core) ReadSince(t time.Time) bool {
+	for _, n := range c.order {
+		heard := n.reported
+		if heard.Before(n.since) {
+			heard = n.since
+		}
+		if n.owned && n.reported.Before(t) && c.now.Sub(heard) <= c.Policy.lapse() {
+			return false
+		}
+	}
+	return true
 }
 
 func (c *Core) renewFailed(ev RenewFailed) {
@@ -246,10 +266,15 @@
 	}
 	n.after = ev.Report.Next
 	for _, o := range ev.Report.Ended {
-		if e := c.entries[o.Task]; e != nil && e.node == n {
-			c.end(o.Task, o)
-		} else if e == nil {
+		switch e := c.entries[o.Task]; {
+		case e == nil:
 			c.emit(Stray{Outcome: o})
+		case e.node == n:
+			c.end(o.Task, o)
+		case e.state == stateQueued && len(e.item.entries) == 1 && (o.End == storage.EndDone || o.End == storage.EndFailed):
+			c.dequeue(e.item) // an earlier start of it has ended after all
+			delete(c.entries, o.Task)
+			c.emit(Finish{Task: e.task, Outcome: o, Worker: n.host.Name})
 		}
 	}
 	c.compareRunning(n, ev)
