Jobs left out of a tick's work come first in the next

Cause, found by reading: a tick hands on 2,048 tasks, always from the oldest job on. Where enough old jobs have tasks that are refused and tried again every 500 ms (24 jobs of 512 tasks for a zone out of reach), the budget never reaches what stands behind. A new job is handed on when it is accepted, but an adopted one, or a task that is tried again, waited for as long as the refusals lasted. Test: TestRefusedJobsDoNotStarveTheNext, no start in a minute before, now within 15 s (the leases of the adopted job lapse after 8 s).

--- a/control/batch.go
+++ b/control/batch.go
@@ -201,22 +201,24 @@
 	s.jobOrder = append(s.jobOrder, id)
 }
 
-// tendJobs hands on tasks of open jobs and takes snapshots.
+// tendJobs hands on tasks of open jobs. Where one tick's work does not reach all
+// of them, the next begins with those that were left out.
 func (s *State) tendJobs() {
 	left := feedPerTick
-	kept := s.jobOrder[:0]
+	var fed, leftOut []string
 	for _, id := range s.jobOrder {
 		st, ok := s.book.Get(id)
-		if !ok || st.Open == 0 {
+		switch {
+		case !ok || st.Open == 0:
 			delete(s.jobs, id)
-			continue
-		}
-		kept = append(kept, id)
-		if left > 0 {
+		case left > 0:
 			left -= s.feed(id, left)
+			fed = append(fed, id)
+		default:
+			leftOut = append(leftOut, id)
 		}
 	}
-	s.jobOrder = kept
+	s.jobOrder = slices.Concat(leftOut, fed)
 	s.book.Forget(s.now)
 	s.forgetStrays()
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -395,6 +395,26 @@
 	require.False(t, ask(time.Second).Read, "it runs here")
 }
 
+// TestRefusedJobsDoNotStarveTheNext keeps jobs that ask for a zone out of reach in
+// front of one that was adopted: its task is handed on.
+func TestRefusedJobsDoNotStarveTheNext(t *testing.T) {
+	const refused, tasks = 24, 512
+	r := newRig(t)
+	r.ownWorker()
+	need := resource.Vector{Slots: 1}
+	for i := range refused {
+		j := job.Job{Team: "t", Class: class.Batch, Need: need, Tasks: tasks, Zone: "b"}
+		appends := take[control.Append](r.update(control.SubmitJob{Token: uint64(i), Job: j}))
+		require.Len(t, appends, 1)
+		r.update(control.Journaled{Result: segment.Result{Token: appends[0].Batch.Token}})
+	}
+	claimed := control.SessionRow{Name: "a2", State: "claimed", Holder: self}
+	r.update(control.ZoneRows{Rows: []storage.Row{r.row(control.SessionKey("a", sibling), claimed)}})
+	late := job.Job{ID: "a." + sibling + ".1", Team: "t", Class: class.Batch, Need: need, Tasks: 1, Accepted: r.now}
+	r.update(control.Adopted{Session: sibling, Entries: []job.Entry{{Accept: &late}}})
+	require.Len(t, take[placement.Start](r.pass(15*time.Second)), 1, "its leases have lapsed after 8 s")
+}
+
 // secondRack lists another worker, w9, whose rack a session of the zone owns.
 func (r *rig) secondRack(owner string) {
 	r.update(control.Hosts{List: []storage.Host{
