Every second a pass tries all teams

Cause, found by reading: a pass gives up after eight teams whose work finds no room, and begins with the same eight each time, as their use stays lowest. With eight teams waiting for accelerators that a service keeps, a ninth waited for ever beside free slots. Change: once a second a pass tries every team; the order by standing stays. Test: TestWaitingTeamsDoNotStarveTheNext, no start in a minute before.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -69,6 +69,10 @@
 	learned   map[learnedKey]*average
 	seq       uint64
 	dirty     bool // something may be placeable
+
+	missed       []*tierSlot // reused by every pass
+	fullPass     bool        // this pass tries every team
+	lastFullPass time.Time
 }
 
 // span is a range of indexes, from lo up to but not including hi.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -407,3 +407,20 @@
 	require.Len(t, m.starts, 1)
 	require.Zero(t, m.core.Load().Waiting)
 }
+
+// TestWaitingTeamsDoNotStarveTheNext lets eight teams wait for accelerators that a
+// service keeps, while slots are free for a ninth that stands behind them.
+func TestWaitingTeamsDoNotStarveTheNext(t *testing.T) {
+	m := newModel(t, 1, 8)
+	for range 4 { // every second worker has one
+		m.submit(task.Task{Team: "service", Class: class.Service, Need: resource.Vector{Slots: 1, Accelerators: 1}}, 1)
+	}
+	for i := range 8 {
+		m.submit(task.Task{Team: fmt.Sprint("a", i), Class: class.Batch, Need: resource.Vector{Slots: 1, Accelerators: 1}}, 1)
+	}
+	m.submit(task.Task{Team: "z", Class: class.Batch, Need: resource.Vector{Slots: 1}}, 1)
+	for range 600 { // a minute
+		m.tick()
+	}
+	require.NotEmpty(t, m.place[fmt.Sprintf("t%d/0", m.serial)], "slots are free")
+}
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -10,8 +10,13 @@
 	"github.com/cowslipgap/cowslipgap/room"
 )
 
-// maxMisses bounds how many teams one pass tries in vain, and so its cost.
-const maxMisses = 8
+const (
+	// maxMisses bounds how many teams one pass tries in vain, and so its cost.
+	maxMisses = 8
+	// fullPassEvery is the pause between passes that try every team, for those
+	// that stand behind teams whose work finds no room.
+	fullPassEvery = time.Second
+)
 
 // schedule places what can be placed now.
 func (c *Core) schedule() {
@@ -24,32 +29,35 @@
 		return
 	}
 	c.placeHeld()
+	c.fullPass = c.now.Sub(c.lastFullPass) >= fullPassEvery
 	for tier := range c.tiers {
 		c.scheduleTier(tier)
 	}
+	if c.fullPass {
+		c.lastFullPass = c.now
+	}
 	c.dirty = false // what was placed took room and gave none
 }
 
 // scheduleTier serves the teams of a tier, the one furthest below its share first.
 func (c *Core) scheduleTier(index int) {
 	t := &c.tiers[index]
-	var missed [maxMisses]*tierSlot
-	misses := 0
-	for t.Len() > 0 && misses < maxMisses {
+	missed := c.missed[:0]
+	for t.Len() > 0 && (len(missed) < maxMisses || c.fullPass) {
 		slot := t.slots[0]
 		if slot.team.roomIn(index) <= 0 {
 			c.park(slot.team, index)
 			continue
 		}
-		if c.placeNext(slot.team, index, misses == 0) {
+		if c.placeNext(slot.team, index, len(missed) == 0) {
 			continue
 		}
-		missed[misses] = heap.Pop(t).(*tierSlot)
-		misses++
+		missed = append(missed, heap.Pop(t).(*tierSlot))
 	}
-	for _, slot := range missed[:misses] {
+	for _, slot := range missed {
 		heap.Push(t, slot)
 	}
+	c.missed = missed
 }
 
 // placeNext places the team's next item in the tier, trying the heads of its
