Ends of a silent sender's tasks are kept as long as the table may be down

Cause, found by reading: the end of a forwarded task was kept for a minute. Where the sender is dead and the table is down for longer, nobody can adopt its jobs before that, and the adopter would run them again. Change: results for a sender that is silent stay for the solo limit (10 minutes). Test: TestEndsAreKeptForAHostThatIsTakenOverLate, nothing told after 5 minutes before.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -415,6 +415,25 @@
 	require.Len(t, take[placement.Start](r.pass(15*time.Second)), 1, "its leases have lapsed after 8 s")
 }
 
+// TestEndsAreKeptForAHostThatIsTakenOverLate keeps the end of a task whose sender
+// is gone for as long as the table may be down and nobody can adopt its jobs.
+func TestEndsAreKeptForAHostThatIsTakenOverLate(t *testing.T) {
+	r := newRig(t)
+	r.ownWorker()
+	theirs := small(job.TaskID("a."+sibling+".1", 0))
+	theirs.Job, theirs.Path = "a."+sibling+".1", []string{sibling}
+	starts := take[placement.Start](r.update(control.Forwarded{From: sibling, Task: theirs}))
+	require.Len(t, starts, 1)
+	done := storage.Outcome{Task: theirs.ID, Attempt: starts[0].Task.Attempt, End: storage.EndDone}
+	r.update(placement.Reported{Worker: "w1", Sent: r.now, Report: storage.Report{Ended: []storage.Outcome{done}, Next: 1}})
+	r.pass(5 * time.Minute)
+	answers := take[control.EndedAnswer](r.update(control.QueryEnded{Token: 9, Session: sibling}))
+	require.Equal(t, []storage.Outcome{done}, answers[0].Ended)
+	r.pass(10 * time.Minute)
+	answers = take[control.EndedAnswer](r.update(control.QueryEnded{Token: 10, Session: sibling}))
+	require.Empty(t, answers[0].Ended)
+}
+
 // secondRack lists another worker, w9, whose rack a session of the zone owns.
 func (r *rig) secondRack(owner string) {
 	r.update(control.Hosts{List: []storage.Host{
--- a/control/request.go
+++ b/control/request.go
@@ -12,7 +12,8 @@
 
 const (
 	// recentKept is for how long the outcome of a forwarded task can be asked
-	// for again.
+	// for again by its sender. Whoever adopts the jobs of a silent sender may come
+	// as late as the solo limit, if the table is down.
 	recentKept = time.Minute
 	// retryRatio is how many retries a request may cause on average.
 	retryRatio  = 0.1
@@ -40,6 +41,7 @@
 	answer Answer
 	order  int // that it answers
 	at     time.Time
+	from   string // the session that sent the task
 }
 
 // retryBudget bounds retries to a part of the requests.
@@ -120,7 +122,7 @@
 	}
 	if ev.Resolve || s.draining || s.isOwnJob(ev.Task) {
 		a := Answer{ID: id, Refusal: refusal.New(refusal.NoOwner, "it was not taken on at %s", s.Session).After(time.Millisecond)}
-		s.recent[id] = result{a, ev.Task.Order, s.now}
+		s.recent[id] = result{a, ev.Task.Order, s.now, ev.From}
 		s.emit(a)
 		return
 	}
@@ -153,7 +155,7 @@
 		a.Unguard = r.guard
 	}
 	if r.from != "" {
-		s.recent[id] = result{a, r.order, s.now}
+		s.recent[id] = result{a, r.order, s.now, r.from}
 	}
 	s.emit(a)
 }
@@ -269,7 +271,11 @@
 	}
 	s.tendSettling()
 	for id, old := range s.recent {
-		if s.now.Sub(old.at) > recentKept {
+		kept := recentKept
+		if s.silent(old.from) {
+			kept = max(kept, s.Rules.SoloLimit)
+		}
+		if s.now.Sub(old.at) > kept {
 			delete(s.recent, id)
 		}
 	}
