A request that had begun is not refused as not run

Cause: a caller's request whose run lapsed or was stopped is run again; where the second run found no room, its refusal went out as it came, as not run. Test: TestRequestThatHadBegunIsNotRefusedAsNotRun, notRun before.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -153,6 +153,31 @@
 	require.Positive(t, answers[0].Refusal.RetryMillis, "its caller may send it again")
 }
 
+// TestRequestThatHadBegunIsNotRefusedAsNotRun ends a request's first run short of
+// its end; the second finds no room until the deadline.
+func TestRequestThatHadBegunIsNotRefusedAsNotRun(t *testing.T) {
+	r := newRig(t)
+	r.ownWorker()
+	for i := range 20 { // they earn retries
+		id := strconv.Itoa(i)
+		require.Len(t, take[placement.Start](r.update(control.Request{Task: small(id)})), 1)
+		r.update(placement.Ended{ID: id, Outcome: storage.Outcome{Task: id, Attempt: 1, End: storage.EndDone}})
+	}
+	x, wide := small("x"), small("wide")
+	x.Deadline = r.now.Add(5 * time.Second)
+	require.Len(t, take[placement.Start](r.update(control.Request{Task: x})), 1)
+	wide.Need.Slots = 7
+	r.update(control.Request{Task: wide})
+	r.update(control.Request{Task: small("before")})
+	effects := r.update(placement.Ended{ID: "x", Outcome: storage.Outcome{Task: "x", Attempt: 1, End: storage.EndLapsed}})
+	effects = append(effects, r.pass(10*time.Second)...)
+	answers := take[control.Answer](effects)
+	require.Len(t, answers, 1)
+	require.Equal(t, "x", answers[0].ID)
+	require.NotNil(t, answers[0].Refusal)
+	require.Equal(t, refusal.Unknown, answers[0].Refusal.Ran, "%v", answers[0].Refusal)
+}
+
 // TestForwardedWorkEndsWhenItsSenderIsSilent stops tasks of a host that greets
 // no more.
 func TestForwardedWorkEndsWhenItsSenderIsSilent(t *testing.T) {
--- a/control/request.go
+++ b/control/request.go
@@ -34,6 +34,7 @@
 	resolve  time.Time // when to ask next what became of it
 	resolved bool      // a question is on its way
 	orders   int       // times it was forwarded from here
+	begun    bool      // a run of it ended before its end
 }
 
 // result is the outcome of a forwarded task, kept for repeats.
@@ -176,6 +177,11 @@
 			return
 		}
 	}
+	if r.begun {
+		begun := refusal.New(refusal.OutcomeLost, "it started, did not reach its end, and was then refused: %s", why.Message)
+		begun.RetryMillis = why.RetryMillis
+		why = begun
+	}
 	s.finish(t.ID, Answer{ID: t.ID, Refusal: why})
 }
 
@@ -197,6 +203,7 @@
 	mayBeDone := o.End == placement.EndLost // the reply to its start was lost
 	if !t.NonIdempotent && !mayBeDone && inTime && s.budget.spend() {
 		t.ResumeMillis = max(t.ResumeMillis, o.ResumeMillis)
+		r.begun = true
 		s.route(t)
 		return
 	}
