A task is not given up where its host has been reached while ends were asked for

By reading: between a question and its answers, at most 3 s, the host that a task was forwarded to may answer again, which moves the lapse of the lease on.

--- a/control/request.go
+++ b/control/request.go
@@ -300,11 +300,7 @@
 	if s.useStray(id, r) {
 		return
 	}
-	since := r.lostAt
-	if n := s.peers[r.at]; n != nil && n.reached.After(since) {
-		since = n.reached // it still runs the task as long as it hears from here
-	}
-	lapsed := since.Add(s.lapseAfterSilence())
+	lapsed := s.lapsedAt(r)
 	switch {
 	case !s.now.After(lapsed):
 	case r.task.Job == "": // its end comes with the reply to its start alone
@@ -334,6 +330,16 @@
 	s.emit(Forward{Task: r.task, Session: r.at, Addr: n.addr, Resolve: true})
 }
 
+// lapsedAt returns when the lease of a forwarded task whose answer was lost has
+// lapsed wherever it is.
+func (s *State) lapsedAt(r *request) time.Time {
+	since := r.lostAt
+	if n := s.peers[r.at]; n != nil && n.reached.After(since) {
+		since = n.reached // it still runs the task as long as it hears from here
+	}
+	return since.Add(s.lapseAfterSilence())
+}
+
 // isOwnJob reports whether a task belongs to a job that this host keeps.
 func (s *State) isOwnJob(t task.Task) bool {
 	if t.Job == "" {
--- a/control/settle.go
+++ b/control/settle.go
@@ -171,7 +171,11 @@
 	}
 	delete(s.settling, key)
 	for _, id := range ev.Question.Tasks {
-		if r := s.requests[id]; r != nil && r.at == key.at && !r.lostAt.IsZero() && !s.useStray(id, r) {
+		r := s.requests[id]
+		if r == nil || r.at != key.at || r.lostAt.IsZero() || s.useStray(id, r) {
+			continue
+		}
+		if s.now.After(s.lapsedAt(r)) { // unless the host has been reached meanwhile
 			s.giveUp(id, r)
 		}
 	}
