A host that our greetings do not reach is cut though its own arrive

Cause: calls to another host are ended when it has been silent for 3 s. Change: the last greeting that was answered decides, at each one that fails and at the first that is answered again. Test: TestHostReachedNoMoreIsCutThoughItIsHeard, no cut before.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -178,6 +178,27 @@
 	require.Equal(t, refusal.Unknown, answers[0].Refusal.Ran, "%v", answers[0].Refusal)
 }
 
+// TestHostReachedNoMoreIsCutThoughItIsHeard cuts one direction only: the sibling's
+// greetings arrive, ours are lost, and so was a task that was forwarded to it.
+func TestHostReachedNoMoreIsCutThoughItIsHeard(t *testing.T) {
+	r := newRig(t)
+	r.greet()
+	require.Len(t, take[control.Forward](r.update(control.Request{Task: small("x")})), 1)
+	r.update(control.Greeted{Addr: "127.0.0.1:2", Sent: r.now, Greeting: peer.Greeting{Session: sibling, Zone: "a"}})
+	r.now = r.now.Add(2 * time.Second)
+	r.greet()
+	require.Empty(t, take[control.Cut](r.update(control.GreetFailed{Session: sibling})))
+	r.now = r.now.Add(2 * time.Second)
+	r.greet()
+	cuts := take[control.Cut](r.update(control.GreetFailed{Session: sibling}))
+	require.Len(t, cuts, 1, "else the call that was lost hangs for ever")
+	require.Equal(t, "127.0.0.1:2", cuts[0].Addr)
+	// Calls that were sent since then may be lost too, though this greeting is not.
+	require.Len(t, take[control.Cut](r.update(control.Greeted{
+		Addr: "127.0.0.1:2", Sent: r.now, Greeting: peer.Greeting{Session: sibling, Zone: "a"},
+	})), 1)
+}
+
 // TestForwardedWorkEndsWhenItsSenderIsSilent stops tasks of a host that greets
 // no more.
 func TestForwardedWorkEndsWhenItsSenderIsSilent(t *testing.T) {
--- a/control/route.go
+++ b/control/route.go
@@ -186,6 +186,9 @@
 	n = s.neighbor(g.Session)
 	n.zone = g.Zone
 	if !ev.Incoming {
+		if !n.reached.IsZero() {
+			s.cutLost(n)
+		}
 		n.reached = s.now
 	}
 	used := n.greeting.Used
@@ -219,7 +222,13 @@
 		return
 	}
 	n.inFlight = false
-	if n.sent > 0 && s.now.Sub(n.heard) > peerSilence {
+	s.cutLost(n)
+}
+
+// cutLost ends the calls to a host that did not answer our greetings for a while,
+// though its own may arrive: what was sent in that time may be lost.
+func (s *State) cutLost(n *neighbor) {
+	if n.sent > 0 && s.now.Sub(n.reached) > peerSilence {
 		s.emit(Cut{Addr: n.addr})
 	}
 }
