--- a/control/batch.go
+++ b/control/batch.go
@@ -201,22 +201,24 @@
 	s.jobOrder = append(s.jobOrder, id)
 }
 
-// tendJobs hands on tasks of open jobs and takes snapshots.
+// tendJobs hands on tasks of open jobs. Where one tick's work does not reach all
+// of them, the next begins with those that were left out.
 func (s *State) tendJobs() {
 	left := feedPerTick
-	kept := s.jobOrder[:0]
+	var fed, leftOut []string
 	for _, id := range s.jobOrder {
 		st, ok := s.book.Get(id)
-		if !ok || st.Open == 0 {
+		switch {
+		case !ok || st.Open == 0:
 			delete(s.jobs, id)
-			continue
-		}
-		kept = append(kept, id)
-		if left > 0 {
+		case left > 0:
 			left -= s.feed(id, left)
+			fed = append(fed, id)
+		default:
+			leftOut = append(leftOut, id)
 		}
 	}
-	s.jobOrder = kept
+	s.jobOrder = slices.Concat(leftOut, fed)
 	s.book.Forget(s.now)
 	s.forgetStrays()
 }
@@ -225,7 +227,7 @@
 func (s *State) feed(id string, most int) int {
 	w := s.jobs[id]
 	st, ok := s.book.Get(id)
-	if w == nil || !ok || st.Cancelled || s.now.Before(w.notTill) || s.draining || s.holder.Fenced() {
+	if w == nil || !ok || st.Cancelled || s.now.Before(w.notTill) || s.settles(id) || s.draining || s.holder.Fenced() {
 		return 0
 	}
 	if st.Job.Class == class.Gang && w.next == 0 {
@@ -538,7 +540,13 @@
 	s.book.Restore(states)
 	p := s.core.Policy
 	notTill := since.Add(p.StartWindow + p.TaskLease + 2*p.ClockMargin)
-	for _, o := range append(ev.Ended, s.endedFor(ev.Session)...) {
+	for _, by := range acceptedBy(states) {
+		s.settle(settleKey{accepted: by}).lapsed = notTill
+		for _, o := range s.endedFor(EndsQuestion{Session: by}) {
+			s.takeStray(o)
+		}
+	}
+	for _, o := range ev.Ended {
 		s.takeStray(o)
 	}
 	for _, st := range states {
--- a/control/request.go
+++ b/control/request.go
@@ -12,7 +12,8 @@
 
 const (
 	// recentKept is for how long the outcome of a forwarded task can be asked
-	// for again.
+	// for again by its sender. Whoever adopts the jobs of a silent sender may come
+	// as late as the solo limit, if the table is down.
 	recentKept = time.Minute
 	// retryRatio is how many retries a request may cause on average.
 	retryRatio  = 0.1
@@ -33,6 +34,7 @@
 	resolve  time.Time // when to ask next what became of it
 	resolved bool      // a question is on its way
 	orders   int       // times it was forwarded from here
+	begun    bool      // a run of it ended before its end
 }
 
 // result is the outcome of a forwarded task, kept for repeats.
@@ -40,6 +42,7 @@
 	answer Answer
 	order  int // that it answers
 	at     time.Time
+	from   string // the session that sent the task
 }
 
 // retryBudget bounds retries to a part of the requests.
@@ -120,7 +123,7 @@
 	}
 	if ev.Resolve || s.draining || s.isOwnJob(ev.Task) {
 		a := Answer{ID: id, Refusal: refusal.New(refusal.NoOwner, "it was not taken on at %s", s.Session).After(time.Millisecond)}
-		s.recent[id] = result{a, ev.Task.Order, s.now}
+		s.recent[id] = result{a, ev.Task.Order, s.now, ev.From}
 		s.emit(a)
 		return
 	}
@@ -153,7 +156,7 @@
 		a.Unguard = r.guard
 	}
 	if r.from != "" {
-		s.recent[id] = result{a, r.order, s.now}
+		s.recent[id] = result{a, r.order, s.now, r.from}
 	}
 	s.emit(a)
 }
@@ -174,6 +177,11 @@
 			return
 		}
 	}
+	if r.begun {
+		begun := refusal.New(refusal.OutcomeLost, "it started, did not reach its end, and was then refused: %s", why.Message)
+		begun.RetryMillis = why.RetryMillis
+		why = begun
+	}
 	s.finish(t.ID, Answer{ID: t.ID, Refusal: why})
 }
 
@@ -192,8 +200,10 @@
 		return
 	}
 	inTime := t.Deadline.IsZero() || s.now.Before(t.Deadline)
-	if !t.NonIdempotent && inTime && s.budget.spend() {
+	mayBeDone := o.End == placement.EndLost // the reply to its start was lost
+	if !t.NonIdempotent && !mayBeDone && inTime && s.budget.spend() {
 		t.ResumeMillis = max(t.ResumeMillis, o.ResumeMillis)
+		r.begun = true
 		s.route(t)
 		return
 	}
@@ -211,7 +221,7 @@
 // forwardDone handles the answer of the host that a task was forwarded to.
 func (s *State) forwardDone(ev ForwardDone) {
 	r := s.requests[ev.ID]
-	if n := s.peers[ev.Session]; n != nil && (r == nil || !r.resolved) {
+	if n := s.peers[ev.Session]; n != nil && !ev.Resolved {
 		n.sent = max(0, n.sent-1)
 	}
 	if r == nil || r.at != ev.Session {
@@ -223,7 +233,7 @@
 	case ev.Outcome != nil:
 		r.at = ""
 		s.taskEnded(t, *ev.Outcome, "")
-	case ev.Refusal != nil:
+	case ev.Refusal != nil && (t.Job == "" || ev.Refusal.Ran != refusal.Unknown):
 		r.at = ""
 		s.forwardRefused(t, ev.Refusal)
 	case ev.Unsent && r.lostAt.IsZero():
@@ -255,6 +265,9 @@
 // tendRequests resolves forwarded tasks whose answer was lost, ends those whose
 // sender is silent, and forgets old results.
 func (s *State) tendRequests() {
+	for _, g := range s.settling {
+		g.tasks = nil
+	}
 	for id, r := range s.requests {
 		if !r.lostAt.IsZero() {
 			s.resolve(id, r)
@@ -263,8 +276,13 @@
 			s.withdraw(Withdraw{ID: id})
 		}
 	}
+	s.tendSettling()
 	for id, old := range s.recent {
-		if s.now.Sub(old.at) > recentKept {
+		kept := recentKept
+		if s.silent(old.from) {
+			kept = max(kept, s.Rules.SoloLimit)
+		}
+		if s.now.Sub(old.at) > kept {
 			delete(s.recent, id)
 		}
 	}
@@ -276,16 +294,28 @@
 	return n == nil || s.now.Sub(n.heard) > peerSilence
 }
 
-// resolve asks what became of a task, until its lease has lapsed wherever it is.
+// resolve asks what became of a task, until its lease has lapsed wherever it is
+// and its end cannot be waiting there.
 func (s *State) resolve(id string, r *request) {
-	since := r.lostAt
-	if n := s.peers[r.at]; n != nil && n.reached.After(since) {
-		since = n.reached // it still runs the task as long as it hears from here
+	if s.useStray(id, r) {
+		return
 	}
-	if s.now.Sub(since) > s.lapseAfterSilence() {
-		r.lostAt, r.at = time.Time{}, ""
-		s.taskEnded(r.task, storage.Outcome{Task: id, End: placement.EndLost, Message: "the host that ran it is out of reach"}, "")
+	lapsed := s.lapsedAt(r)
+	switch {
+	case !s.now.After(lapsed):
+	case r.task.Job == "": // its end comes with the reply to its start alone
+		s.giveUp(id, r)
+		return
+	case s.now.Sub(lapsed) > settleLimit:
+		s.emit(Unsettled{Task: id})
+		s.giveUp(id, r)
 		return
+	default:
+		g := s.settle(settleKey{at: r.at})
+		g.tasks = append(g.tasks, id)
+		if lapsed.After(g.lapsed) {
+			g.lapsed = lapsed
+		}
 	}
 	past := !r.task.Deadline.IsZero() && s.now.After(r.task.Deadline)
 	if past && r.from == "" && !s.isOwnJob(r.task) {
@@ -300,6 +330,16 @@
 	s.emit(Forward{Task: r.task, Session: r.at, Addr: n.addr, Resolve: true})
 }
 
+// lapsedAt returns when the lease of a forwarded task whose answer was lost has
+// lapsed wherever it is.
+func (s *State) lapsedAt(r *request) time.Time {
+	since := r.lostAt
+	if n := s.peers[r.at]; n != nil && n.reached.After(since) {
+		since = n.reached // it still runs the task as long as it hears from here
+	}
+	return since.Add(s.lapseAfterSilence())
+}
+
 // isOwnJob reports whether a task belongs to a job that this host keeps.
 func (s *State) isOwnJob(t task.Task) bool {
 	if t.Job == "" {
