An owner leaves in time when the store does not answer

Promise broken: a host that is told to stop is gone within the grace period, and calls that it has read are answered.

Cause: it gives the cell up after the commit on its way, which is sent until the store answers, and everything else waited for that: open connections were served for 2.5 s and shut down only after it. In an outage longer than some 2.5 s the process was there when the grace period ended, and what it had read was cut off by SIGKILL. An owner that is cut off from other hosts and the store waited in the same way, its members unkept and its cell not offered.

Evidence: TestOwnerLeavesInTimeWhenTheStoreIsSilent; it was there after 6 s, and ended 2.9 s after the store answered.

The test fails without it.

--- a/station/lead.go
+++ b/station/lead.go
@@ -67,6 +67,9 @@
 	// loadTimeout bounds one loading of the cell, each page of which has a bound of
 	// its own: longer, and the claim would not be worth holding.
 	loadTimeout = cell.Authority
+	// resignTimeout bounds the wait for commits on their way before the cell is given
+	// up, which last as long as an outage of the store: one call's longest time.
+	resignTimeout = storeTimeout
 	// reclaimDelay keeps a host that gave the cell up from taking it back before
 	// others had their chance.
 	reclaimDelay = 2 * time.Second
@@ -300,10 +303,11 @@
 	k := keeper{station: s}
 	for ctx.Err() == nil {
 		switch own := s.lead.owns(); {
-		case own && s.leaving.Load():
-			s.resign(ctx) // it was taking the cell when it was told to leave
 		case own:
 			k.tendOwn(ctx)
+			if s.leaving.Load() && !s.lead.stalled(s.Now()) {
+				s.resign(ctx) // it was taking the cell when it was told to leave
+			}
 		case !s.leaving.Load():
 			k.tendOther(ctx)
 		}
@@ -396,18 +400,21 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// resign gives the cell up and asks the others, one after the other, to take it.
+// resign gives the cell up and asks the others, one after the other, to take it. If
+// a commit is on its way for long, the cell is given up after it without asking.
 func (s *Station) resign(ctx context.Context) {
+	waitCtx, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
 	done := make(chan bool, 1)
 	select {
 	case s.commits <- commitOrder{resign: done}:
-	case <-ctx.Done():
+	case <-waitCtx.Done():
 		return
 	}
 	vacant := false
 	select {
 	case vacant = <-done:
-	case <-ctx.Done():
+	case <-waitCtx.Done():
 		return
 	}
 	s.lead.mu.Lock()
