A call that is long with one worker named is made all the same

Callers saw: work of a queue whose decision takes nearly 100 ms would be accepted and never started, on an empty fleet. No deployment at hand has such a queue.

Cause: a call counted as short by the time of its decision alone. The names of a short call end where it would become long, which here was before the first one.

Evidence: found by reading. TestAdviceAlmostLongIsAskedFor, a decision of 99 ms and 2 ms a worker on 48 empty workers: no call and no start in 18 s.

Change: what is long with one worker named counts as long. The test passes: it begins within 3 s.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -97,7 +97,7 @@
 	if s.advice.asking || c.lane(advice, 1) == "" {
 		return
 	}
-	heavy := advice.Decision >= heavyCall
+	heavy := advice.Length(1) >= heavyCall
 	options := c.options(of, s, false)
 	// A gang without room will be planned for, on any worker that may run it.
 	everyone := s.spec.Gang && heavy && sum(options) < adviceSurplus*float64(tasks)
