A worker of another life is asked about again

Callers saw: accepted work may wait for ever on workers with room.

Cause: what the advice service said of a worker was kept over the worker's restarts. A worker that might not run a step was never asked about again.

Evidence: found by reading. TestWorkerOfAnotherLifeIsAskedAboutAgain, 12 workers that may not run a step restart as ones that may: no start in the 12 s that follow, for a gang as for single tasks.

Change: an answer holds for the life that it is of. One that was asked for before a restart became known does not count.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -51,17 +51,34 @@
 	born  int64 // the life of the worker that it was made for
 }
 
+// verdict is the service's answer on a worker. It does not change as long as the
+// worker lives; the next life may be of another kind.
+type verdict struct {
+	good bool
+	born int64 // the life that it is of
+}
+
 // adviceState is what the advice service said of a step.
 type adviceState struct {
 	needed   bool
 	asking   bool
 	askedAt  Instant
-	eligible map[*worker]bool // of the workers asked about; it never changes
+	eligible map[*worker]verdict // of the workers asked about
 	tickets  map[*worker]ticket
 }
 
 // knows reports whether w is known to be allowed to run the step.
-func (a *adviceState) knows(w *worker) bool { return !a.needed || a.eligible[w] }
+func (a *adviceState) knows(w *worker) bool {
+	good, _ := a.verdict(w)
+	return !a.needed || good
+}
+
+// verdict returns whether w may run the step, and whether that is known.
+func (a *adviceState) verdict(w *worker) (good, known bool) {
+	v, known := a.eligible[w]
+	known = known && v.born == w.Born
+	return known && v.good, known
+}
 
 // suits reports whether w has the step's label and is known to be allowed to run it.
 func (s *step) suits(w *worker) bool { return s.advice.knows(w) && w.hasLabel(s.spec.Label) }
@@ -134,7 +151,7 @@
 		if !s.spec.Gang && (s.advice.valid(sl.w, c.now.Steady) || sl.keptFrom(c.now.Steady, length)) {
 			continue
 		}
-		good, known := s.advice.eligible[sl.w]
+		good, known := s.advice.verdict(sl.w)
 		if known && !good {
 			continue
 		}
@@ -163,7 +180,7 @@
 	}
 	var named []seat
 	for _, sl := range of.slots {
-		if _, known := s.advice.eligible[sl.w]; known || !sl.w.hasLabel(s.spec.Label) {
+		if _, known := s.advice.verdict(sl.w); known || !sl.w.hasLabel(s.spec.Label) {
 			continue
 		}
 		n := s.room(sl.w, sl.free)
@@ -306,7 +323,7 @@
 	}
 	c.answered(e.Host, s.advice.askedAt)
 	if s.advice.eligible == nil {
-		s.advice.eligible = map[*worker]bool{}
+		s.advice.eligible = map[*worker]verdict{}
 		s.advice.tickets = map[*worker]ticket{}
 	}
 	good := 0
@@ -315,10 +332,10 @@
 		if text != "" {
 			good++
 		}
-		if w == nil {
-			continue
+		if w == nil || w.rebornAt > s.advice.askedAt {
+			continue // the answer may be on the life before
 		}
-		s.advice.eligible[w] = text != ""
+		s.advice.eligible[w] = verdict{good: text != "", born: w.Born}
 		if text != "" {
 			s.advice.tickets[w] = ticket{text: text, until: c.now.Steady + e.Validity - ticketMargin, born: w.Born}
 		}
--- a/cell/starve_test.go
+++ b/cell/starve_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -32,3 +33,26 @@
 	f.run(20 * time.Second)
 	f.requireBegun(j, j.handedIn)
 }
+
+// TestWorkerOfAnotherLifeIsAskedAboutAgain replays workers that may not run a step, and
+// begin again under their names as others that may.
+func TestWorkerOfAnotherLifeIsAskedAboutAgain(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang %v", gang), func(t *testing.T) {
+			f := newFleet(t, 1, 12)
+			f.eligible = 0
+			spec := refret("cc00000000000000")
+			spec.Queue.Slack, spec.Steps[0].Count, spec.Steps[0].Gang = 60, 4, gang
+			j := f.submit(2*time.Second, spec)
+			f.run(8 * time.Second)
+			require.Zero(t, j.begunAt)
+			f.eligible = 100
+			for _, w := range f.workers {
+				w.info.Born++
+				w.token, w.n, w.ended = 0, 0, nil
+			}
+			f.run(20 * time.Second)
+			f.requireBegun(j, 8*time.Second)
+		})
+	}
+}
--- a/cell/watch.go
+++ b/cell/watch.go
@@ -11,6 +11,7 @@
 	c.note("worker restarted", slog.String("worker", w.ID), slog.Int("runs", len(w.runs)))
 	w.seen, w.ackable, w.acked, w.ackSent = 0, 0, 0, 0
 	w.life++
+	w.rebornAt = c.now.Steady
 	w.observed = 0
 	clear(w.strays)
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -52,6 +52,7 @@
 	acked     uint64  // highest end acknowledged
 	ackSent   uint64  // by the look on its way
 	life      int     // counts its restarts
+	rebornAt  Instant // when the last of them became known
 	runs      map[string]*run
 	strays    map[string]uint64 // runs at work there that belong to no task, with their number
 	used      resource.Vector
