Gangs that wait long for room leave their team's ceiling to others

Callers saw: work of a team does not start on a fleet with room, while the team has nothing running.

Cause: each gang that waits keeps its whole need from the rest of its team's ceiling, also one for which there is no room in sight. Gangs that wait for the same few workers keep it together.

Evidence: found by reading. TestGangsWithoutRoomLeaveTheirTeamItsShare, four gangs of 40 cores wait for one rack of six, which another team's work fills for a minute; their team may use 120 cores and uses none. A quote that comes then has not begun 15 s later.

Change: a gang keeps its team's rest only if its room is expected within 2 s, below the 3 s for which the users let work with room wait. After: the quote begins within 3 s. Left: a gang whose expected room moves on again and again keeps it for longer.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,9 @@
 	// spareSeats is how many more seats a gang asks about than it has members, as
 	// a share of them.
 	spareSeats = 0.5
+	// teamHorizon is within which time a gang must be expected to have room for its
+	// team's rest to be kept for it. The users let a job that has room wait for 3 s.
+	teamHorizon = 2 * time.Second
 	// overrun is how much longer than planned runs are taken to last when it is
 	// decided what may use room that is kept for later.
 	overrun = 1.2
@@ -50,7 +54,7 @@
 	}
 	seats, ready := c.prepareGang(p, of, s)
 	if !ready {
-		if c.couldHold(of, s) {
+		if s.roomAt <= c.now.Steady+teamHorizon && c.couldHold(of, s) {
 			// What the team ends from now on is kept for the gang too.
 			p.keepTeam(s)
 		}
@@ -73,6 +77,7 @@
 // prepareGang returns the seats of a gang that can start now. Otherwise it asks
 // for advice or keeps workers, whichever the gang waits for.
 func (c *Cell) prepareGang(p *round, of *pool, s *step) ([]seat, bool) {
+	s.roomAt = c.now.Steady
 	if !s.advice.knowsAny() {
 		c.ask(of, s, len(s.tasks))
 		c.noteAsking(s, "it waits for advice")
@@ -176,6 +181,7 @@
 // planGang keeps the workers that can hold the gang soonest, and sees to it that
 // tickets for them are there by then.
 func (c *Cell) planGang(p *round, of *pool, s *step) {
+	s.roomAt = math.MaxInt64
 	if p.planned >= maxPlanned || float64(p.kept) > maxReserved*float64(p.total) {
 		c.noteWaiting(s, "room is kept for others", p.planned)
 		return
@@ -201,6 +207,7 @@
 		return cmp.Compare(a.sl.w.ID, b.sl.w.ID)
 	})
 	at := openings[len(s.tasks)-1].at
+	s.roomAt = at
 	seats, spare := soonest(openings, len(s.tasks))
 	p.keep(s, seats, at)
 	c.noteWaiting(s, "workers are kept for it", int((at - c.now.Steady).Milliseconds()))
--- a/cell/job.go
+++ b/cell/job.go
@@ -58,6 +58,7 @@
 	notBefore Instant // pause after a refusal
 	noteDue   Instant // when its wait is logged again
 	noteGap   time.Duration
+	roomAt    Instant // when a gang that waits may have room
 	latestAt  Instant // start by then to meet the objective
 	rank      int
 }
--- a/cell/starve_test.go
+++ b/cell/starve_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipgap/cowslipgap/docket"
+	"github.com/cowslipgap/cowslipgap/resource"
 )
 
 // waitAllowed is for how long the users let a job wait that has room, with its team and
@@ -23,6 +24,24 @@
 	require.Empty(f.t, f.violations)
 }
 
+// occupied hands in work that keeps a number of workers with a label nearly full.
+func (f *fleet) occupied(at Instant, label string, workers int, length time.Duration) {
+	spec := quote("dd00000000000000")
+	spec.Team, spec.Queue.Advice = "blue", nil
+	spec.Steps = []docket.Step{{Count: workers, Need: resource.Vector{MilliCPU: 30_000}, Estimate: length, Label: label, MaxPerWorker: 1}}
+	f.submit(at, spec)
+}
+
+// blocked hands in gangs for which the workers that occupied fills have no room.
+func (f *fleet) blocked(at Instant, label string, count int) {
+	for i := range count {
+		spec := refret(fmt.Sprintf("ee%014x", i))
+		spec.Queue.Advice, spec.Queue.Slack, spec.Queue.Priority = nil, 60, 0
+		spec.Steps[0].Count, spec.Steps[0].Need, spec.Steps[0].Label = 2, resource.Vector{MilliCPU: 20_000}, label
+		f.submit(at, spec)
+	}
+}
+
 // TestAdviceAlmostLongIsAskedFor replays a queue whose calls are short, but of which one
 // that names a worker is not.
 func TestAdviceAlmostLongIsAskedFor(t *testing.T) {
@@ -56,3 +75,16 @@
 		})
 	}
 }
+
+// TestGangsWithoutRoomLeaveTheirTeamItsShare replays gangs that wait for the workers of
+// one rack, while the rest of the fleet and of their team's ceiling is free.
+func TestGangsWithoutRoomLeaveTheirTeamItsShare(t *testing.T) {
+	f := newFleet(t, 1, 48)
+	f.teams["red"] = Team{Rate: 100, Ceiling: resource.Vector{MilliCPU: 120_000}}
+	f.claim()
+	f.occupied(2*time.Second, "r0", 8, time.Minute)
+	f.blocked(3*time.Second, "r0", 4)
+	j := f.submit(5*time.Second, quote("bb00000000000000"))
+	f.run(20 * time.Second)
+	f.requireBegun(j, j.handedIn)
+}
