A gang above its team's ceiling keeps nothing from the team

Callers saw: once a ceiling falls below what an accepted gang needs, the team's other work does not start either.

Cause: the gang waits for the ceiling and keeps its need meanwhile, which is all there is. Only admission checked that a gang fits below the ceiling.

Evidence: found by reading. TestGangLargerThanALoweredCeilingKeepsNothing, a gang of 72 cores, the ceiling falls to 60: a quote has not begun after 16 s on an empty fleet.

Change: such a gang keeps nothing. The gang itself still waits until the ceiling is raised.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -54,7 +54,7 @@
 	}
 	seats, ready := c.prepareGang(p, of, s)
 	if !ready {
-		if s.roomAt <= c.now.Steady+teamHorizon && c.couldHold(of, s) {
+		if s.roomAt <= c.now.Steady+teamHorizon && !c.exceeds(s.job.Job) && c.couldHold(of, s) {
 			// What the team ends from now on is kept for the gang too.
 			p.keepTeam(s)
 		}
--- a/cell/starve_test.go
+++ b/cell/starve_test.go
@@ -88,3 +88,24 @@
 	f.run(20 * time.Second)
 	f.requireBegun(j, j.handedIn)
 }
+
+// TestGangLargerThanALoweredCeilingKeepsNothing replays a ceiling that falls below what
+// an accepted gang needs.
+func TestGangLargerThanALoweredCeilingKeepsNothing(t *testing.T) {
+	f := newFleet(t, 1, 48)
+	f.occupied(2*time.Second, "", 48, time.Minute)
+	big := f.submit(3*time.Second, refret("cc00000000000000"))
+	big.spec.Queue.Advice, big.spec.Queue.Slack = nil, 60
+	f.run(4 * time.Second)
+	require.True(t, big.accepted)
+	f.teams["red"] = Team{Rate: 100, Ceiling: resource.Vector{MilliCPU: 60_000}}
+	f.update(Policy{Teams: f.teams})
+	for _, w := range f.workers {
+		for _, r := range w.runs {
+			r.work = 0
+		}
+	}
+	j := f.submit(64*time.Second, quote("bb00000000000000"))
+	f.run(80 * time.Second)
+	f.requireBegun(j, j.handedIn)
+}
