A gang that knows too little asks on behind gangs that wait for room

Callers saw: a gang does not start for as long as eight others, or gangs that need a third of the fleet, wait for workers of one kind, though the rest has room for it.

Cause: a first call names only as many workers as the gang is likely to need. If too few of them may run it, planning asks about more, and that stopped where no more room is planned: "room is kept for others".

Evidence: found by reading. TestGangThatKnowsTooLittleAsksBehindOthers, sixteen gangs wait for 24 full workers of one kind, one worker in five is allowed a step. The first gang that comes, with room twice over on allowed workers, is told of none in its first call and has not begun 10 s later.

Change: where no room is planned, a gang still asks about workers with room that it has not asked about, each once, if those would hold it.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -183,6 +183,9 @@
 func (c *Cell) planGang(p *round, of *pool, s *step) {
 	s.roomAt = math.MaxInt64
 	if p.planned >= maxPlanned || float64(p.kept) > maxReserved*float64(p.total) {
+		if s.advice.needed && c.lane(s.job.Queue.Advice, 1) != "" && c.mayHold(of, s) {
+			c.askMore(of, s, true)
+		}
 		c.noteWaiting(s, "room is kept for others", p.planned)
 		return
 	}
@@ -249,6 +252,20 @@
 	return seats, spare
 }
 
+// mayHold reports whether the workers with room now would hold the gang, if all of which
+// it is not known may run it. It asks about each of those once.
+func (c *Cell) mayHold(of *pool, s *step) bool {
+	length := c.lesson(s.job.Queue.Name).actual(s.spec.Estimate)
+	seats := 0
+	for _, sl := range of.slots {
+		good, known := s.advice.verdict(sl.w)
+		if (good || !known) && !sl.keptFrom(c.now.Steady, length) && sl.w.hasLabel(s.spec.Label) {
+			seats += s.room(sl.w, sl.free)
+		}
+	}
+	return seats >= len(s.tasks)
+}
+
 // noteAsking logs a wait for the advice service, or for a host to call it from. The
 // number is the milliseconds since the call, or the long calls on their way.
 func (c *Cell) noteAsking(s *step, why string) {
--- a/cell/starve_test.go
+++ b/cell/starve_test.go
@@ -109,3 +109,33 @@
 	f.run(80 * time.Second)
 	f.requireBegun(j, j.handedIn)
 }
+
+// TestGangThatKnowsTooLittleAsksBehindOthers replays gangs that are told of too few
+// workers, behind more gangs than a round plans for, which wait for workers of one kind.
+func TestGangThatKnowsTooLittleAsksBehindOthers(t *testing.T) {
+	f := newFleet(t, 1, 48)
+	f.eligible = 20
+	f.occupied(2*time.Second, "k0", 24, 10*time.Minute)
+	f.blocked(3*time.Second, "k0", 2*maxPlanned)
+	gangs := 0
+	for i := range 20 {
+		spec := refret(fmt.Sprintf("cc%014x", i))
+		spec.Queue.Slack = 60
+		spec.Steps[0].Need = resource.Vector{MilliCPU: 7000, MemoryMB: 2000}
+		spec.Steps[0].Count, spec.Steps[0].Estimate = 4, time.Second
+		seats := 0
+		for id, w := range f.workers {
+			if w.info.Labels[0] == "k1" && f.allows(spec.ID+".0.0", id) {
+				seats += 4
+			}
+		}
+		if seats < 2*spec.Steps[0].Count {
+			continue
+		}
+		gangs++
+		j := f.submit(f.now+5*time.Second, spec)
+		f.run(f.now + 10*time.Second)
+		f.requireBegun(j, j.handedIn)
+	}
+	require.Positive(t, gangs)
+}
