A host without advice leaves its calls to the others

Callers saw: with two entry hosts, one of which does not reach the advice service, all gangs, or all smaller work, wait for as long as that lasts.

Cause: hosts are divided into those for long calls and those for short ones whether they answer or not. Of two hosts each has one kind of call.

Evidence: found by reading. TestHostWithoutAdviceLeavesCallsToTheOther, two hosts: no gang begins in 18 s if the first is silent, no lookup if the second is. With three hosts both begin.

Change: only hosts that answer are divided. One that is alone makes both kinds of calls.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -222,14 +222,18 @@
 }
 
 // lane returns the host from which to call, or "" if all are taken. A third of the
-// hosts make long calls only. The others make them while enough are left for short
+// hosts that answer make long calls only. The others make them while enough are left for short
 // calls, none of which waits behind a long one.
 func (c *Cell) lane(advice *docket.Advice, workers int) string {
-	if len(c.hosts) < 2 {
-		return c.shortest(c.hosts, laneDepth)
+	hosts := c.hosts
+	if len(c.silent) > 0 {
+		hosts = slices.DeleteFunc(slices.Clone(hosts), c.paused)
 	}
-	split := max(1, len(c.hosts)/3)
-	own, others := c.hosts[:split], c.hosts[split:]
+	if len(hosts) < 2 {
+		return c.shortest(hosts, laneDepth)
+	}
+	split := max(1, len(hosts)/3)
+	own, others := hosts[:split], hosts[split:]
 	if advice.Length(workers) < heavyCall {
 		return c.shortest(others, laneDepth)
 	}
@@ -238,7 +242,7 @@
 	}
 	left := -1 // without the one to be chosen
 	for _, host := range others {
-		if c.longCalls[host] == "" && !c.paused(host) {
+		if c.longCalls[host] == "" {
 			left++
 		}
 	}
@@ -265,11 +269,11 @@
 }
 
 // shortest returns the host with the fewest calls on their way, none of them long, or
-// "" if all have depth of them or are paused.
+// "" if all have depth of them.
 func (c *Cell) shortest(hosts []string, depth int) string {
 	best := ""
 	for _, host := range hosts {
-		if c.lanes[host] < depth && c.longCalls[host] == "" && !c.paused(host) && (best == "" || c.lanes[host] < c.lanes[best]) {
+		if c.lanes[host] < depth && c.longCalls[host] == "" && (best == "" || c.lanes[host] < c.lanes[best]) {
 			best = host
 		}
 	}
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -38,6 +38,7 @@
 	stood      map[string]time.Duration // longest wait of a call for its lane, by queue
 	lanes      map[string]Instant
 	mute       bool           // no call for advice gets through
+	muteHost   string         // none from this host does
 	unanswered int            // calls for advice
 	notes      map[string]int // log lines, by text and host or reason
 	jobs       map[string]*simJob
@@ -719,7 +720,7 @@
 	require.NoError(f.t, err)
 	advice := f.jobs[id.Job].spec.Queue.Advice
 	f.asks[f.jobs[id.Job].spec.Queue.Name]++
-	if f.mute {
+	if f.mute || e.Host == f.muteHost {
 		f.unanswered++
 		f.after(simDelay, func() { f.send(c, Advised{Host: e.Host, Step: e.Step, Failure: NoAnswer}) })
 		return
--- a/cell/starve_test.go
+++ b/cell/starve_test.go
@@ -139,3 +139,23 @@
 	}
 	require.Positive(t, gangs)
 }
+
+// TestHostWithoutAdviceLeavesCallsToTheOther replays hosts one of which never reaches
+// the advice service.
+func TestHostWithoutAdviceLeavesCallsToTheOther(t *testing.T) {
+	for _, hosts := range [][]string{{"a1", "a2"}, {"a1", "a2", "b1"}} {
+		for _, silent := range hosts {
+			t.Run(fmt.Sprintf("%d hosts, %s silent", len(hosts), silent), func(t *testing.T) {
+				f := newFleet(t, 1, 48)
+				f.hosts = hosts
+				f.claim()
+				f.muteHost = silent
+				a := f.submit(2*time.Second, refret("cc00000000000000"))
+				b := f.submit(2*time.Second, lookup("aa00000000000000"))
+				f.run(20 * time.Second)
+				f.requireBegun(a, a.handedIn)
+				f.requireBegun(b, b.handedIn)
+			})
+		}
+	}
+}
