A lasting task may use room that is kept for gangs

Callers saw: a task that is to run until its job is cancelled ends, and does not run again while there is room for it many times over.

Cause: workers kept for gangs take only what ends before the gang begins, which a task that lasts never does. On a full fleet the room that becomes free is kept first.

Evidence: found by reading.

Change: for such tasks nothing is kept. After: it runs within 3 s, with advice and without. Lasting members of a gang are as before.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -148,7 +148,7 @@
 		if !sl.w.hasLabel(s.spec.Label) {
 			continue
 		}
-		if !s.spec.Gang && (s.advice.valid(sl.w, c.now.Steady) || sl.keptFrom(c.now.Steady, length)) {
+		if !s.spec.Gang && (s.advice.valid(sl.w, c.now.Steady) || s.keptOut(sl, c.now.Steady, length)) {
 			continue
 		}
 		good, known := s.advice.verdict(sl.w)
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -392,6 +392,12 @@
 	return sl.keptUntil > 0 && now+time.Duration(overrun*float64(length)) > sl.keptUntil
 }
 
+// keptOut reports whether a task of the step, not of a gang, leaves a slot to a gang.
+// One that lasts does not: the users want it at work wherever there is room.
+func (s *step) keptOut(sl *slot, now Instant, length time.Duration) bool {
+	return !s.spec.LongRunning && sl.keptFrom(now, length)
+}
+
 // distance orders workers for a gang: those far from its data come last, then
 // those on which it has failed.
 func (s *step) distance(w *worker) int {
--- a/cell/place.go
+++ b/cell/place.go
@@ -172,7 +172,7 @@
 	var candidates []*slot
 	room := 0
 	for _, sl := range of.slots {
-		if need.Fits(sl.free) && !sl.keptFrom(c.now.Steady, length) && s.advice.allows(sl.w, c.now.Steady) && sl.w.hasLabel(s.spec.Label) {
+		if need.Fits(sl.free) && !s.keptOut(sl, c.now.Steady, length) && s.advice.allows(sl.w, c.now.Steady) && sl.w.hasLabel(s.spec.Label) {
 			candidates = append(candidates, sl)
 			room += s.room(sl.w, sl.free)
 		}
--- a/cell/starve_test.go
+++ b/cell/starve_test.go
@@ -159,3 +159,44 @@
 		}
 	}
 }
+
+// TestLastingTaskUsesRoomKeptForGangs replays a lasting task that ends on a fleet whose
+// free room is all on workers kept for gangs. The users count the task as lost though
+// the fleet is nearly full.
+func TestLastingTaskUsesRoomKeptForGangs(t *testing.T) {
+	for _, advised := range []bool{false, true} {
+		t.Run(fmt.Sprintf("advised %v", advised), func(t *testing.T) {
+			f := newFleet(t, 1, 12)
+			spec := quote("ff00000000000000")
+			spec.Team = "blue"
+			spec.Steps = []docket.Step{{Count: 1, Need: resource.Vector{MilliCPU: 1000}, Estimate: time.Hour, LongRunning: true}}
+			if !advised {
+				spec.Queue.Advice = nil
+			}
+			f.submit(2*time.Second, spec)
+			f.occupied(3*time.Second, "", 12, 10*time.Minute)
+			for i := range 6 {
+				spec := refret(fmt.Sprintf("ee%014x", i))
+				spec.Queue.Advice, spec.Queue.Slack, spec.Queue.Priority = nil, 60, 0
+				spec.Steps[0].Count, spec.Steps[0].Need, spec.Steps[0].MaxPerWorker = 3, resource.Vector{MilliCPU: 9000}, 1
+				f.submit(4*time.Second, spec)
+			}
+			f.run(10 * time.Second)
+			name := spec.ID + ".0.0.0"
+			for _, w := range f.workers {
+				if r := w.runs[name]; r != nil {
+					f.end(w, name, r, Faulted)
+				}
+			}
+			f.run(10*time.Second + waitAllowed)
+			running := 0
+			for _, w := range f.workers {
+				if w.runs[name] != nil {
+					running++
+				}
+			}
+			require.Equal(t, 1, running)
+			require.Empty(t, f.violations)
+		})
+	}
+}
