--- a/cell/advice.go
+++ b/cell/advice.go
@@ -51,17 +51,34 @@
 	born  int64 // the life of the worker that it was made for
 }
 
+// verdict is the service's answer on a worker. It does not change as long as the
+// worker lives; the next life may be of another kind.
+type verdict struct {
+	good bool
+	born int64 // the life that it is of
+}
+
 // adviceState is what the advice service said of a step.
 type adviceState struct {
 	needed   bool
 	asking   bool
 	askedAt  Instant
-	eligible map[*worker]bool // of the workers asked about; it never changes
+	eligible map[*worker]verdict // of the workers asked about
 	tickets  map[*worker]ticket
 }
 
 // knows reports whether w is known to be allowed to run the step.
-func (a *adviceState) knows(w *worker) bool { return !a.needed || a.eligible[w] }
+func (a *adviceState) knows(w *worker) bool {
+	good, _ := a.verdict(w)
+	return !a.needed || good
+}
+
+// verdict returns whether w may run the step, and whether that is known.
+func (a *adviceState) verdict(w *worker) (good, known bool) {
+	v, known := a.eligible[w]
+	known = known && v.born == w.Born
+	return known && v.good, known
+}
 
 // suits reports whether w has the step's label and is known to be allowed to run it.
 func (s *step) suits(w *worker) bool { return s.advice.knows(w) && w.hasLabel(s.spec.Label) }
@@ -97,7 +114,7 @@
 	if s.advice.asking || c.lane(advice, 1) == "" {
 		return
 	}
-	heavy := advice.Decision >= heavyCall
+	heavy := advice.Length(1) >= heavyCall
 	options := c.options(of, s, false)
 	// A gang without room will be planned for, on any worker that may run it.
 	everyone := s.spec.Gang && heavy && sum(options) < adviceSurplus*float64(tasks)
@@ -131,10 +148,10 @@
 		if !sl.w.hasLabel(s.spec.Label) {
 			continue
 		}
-		if !s.spec.Gang && (s.advice.valid(sl.w, c.now.Steady) || sl.keptFrom(c.now.Steady, length)) {
+		if !s.spec.Gang && (s.advice.valid(sl.w, c.now.Steady) || s.keptOut(sl, c.now.Steady, length)) {
 			continue
 		}
-		good, known := s.advice.eligible[sl.w]
+		good, known := s.advice.verdict(sl.w)
 		if known && !good {
 			continue
 		}
@@ -163,7 +180,7 @@
 	}
 	var named []seat
 	for _, sl := range of.slots {
-		if _, known := s.advice.eligible[sl.w]; known || !sl.w.hasLabel(s.spec.Label) {
+		if _, known := s.advice.verdict(sl.w); known || !sl.w.hasLabel(s.spec.Label) {
 			continue
 		}
 		n := s.room(sl.w, sl.free)
@@ -205,14 +222,18 @@
 }
 
 // lane returns the host from which to call, or "" if all are taken. A third of the
-// hosts make long calls only. The others make them while enough are left for short
+// hosts that answer make long calls only. The others make them while enough are left for short
 // calls, none of which waits behind a long one.
 func (c *Cell) lane(advice *docket.Advice, workers int) string {
-	if len(c.hosts) < 2 {
-		return c.shortest(c.hosts, laneDepth)
+	hosts := c.hosts
+	if len(c.silent) > 0 {
+		hosts = slices.DeleteFunc(slices.Clone(hosts), c.paused)
+	}
+	if len(hosts) < 2 {
+		return c.shortest(hosts, laneDepth)
 	}
-	split := max(1, len(c.hosts)/3)
-	own, others := c.hosts[:split], c.hosts[split:]
+	split := max(1, len(hosts)/3)
+	own, others := hosts[:split], hosts[split:]
 	if advice.Length(workers) < heavyCall {
 		return c.shortest(others, laneDepth)
 	}
@@ -221,7 +242,7 @@
 	}
 	left := -1 // without the one to be chosen
 	for _, host := range others {
-		if c.longCalls[host] == "" && !c.paused(host) {
+		if c.longCalls[host] == "" {
 			left++
 		}
 	}
@@ -248,11 +269,11 @@
 }
 
 // shortest returns the host with the fewest calls on their way, none of them long, or
-// "" if all have depth of them or are paused.
+// "" if all have depth of them.
 func (c *Cell) shortest(hosts []string, depth int) string {
 	best := ""
 	for _, host := range hosts {
-		if c.lanes[host] < depth && c.longCalls[host] == "" && !c.paused(host) && (best == "" || c.lanes[host] < c.lanes[best]) {
+		if c.lanes[host] < depth && c.longCalls[host] == "" && (best == "" || c.lanes[host] < c.lanes[best]) {
 			best = host
 		}
 	}
@@ -306,7 +327,7 @@
 	}
 	c.answered(e.Host, s.advice.askedAt)
 	if s.advice.eligible == nil {
-		s.advice.eligible = map[*worker]bool{}
+		s.advice.eligible = map[*worker]verdict{}
 		s.advice.tickets = map[*worker]ticket{}
 	}
 	good := 0
@@ -315,10 +336,10 @@
 		if text != "" {
 			good++
 		}
-		if w == nil {
-			continue
+		if w == nil || w.rebornAt > s.advice.askedAt {
+			continue // the answer may be on the life before
 		}
-		s.advice.eligible[w] = text != ""
+		s.advice.eligible[w] = verdict{good: text != "", born: w.Born}
 		if text != "" {
 			s.advice.tickets[w] = ticket{text: text, until: c.now.Steady + e.Validity - ticketMargin, born: w.Born}
 		}
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,9 @@
 	// spareSeats is how many more seats a gang asks about than it has members, as
 	// a share of them.
 	spareSeats = 0.5
+	// teamHorizon is within which time a gang must be expected to have room for its
+	// team's rest to be kept for it. The users let a job that has room wait for 3 s.
+	teamHorizon = 2 * time.Second
 	// overrun is how much longer than planned runs are taken to last when it is
 	// decided what may use room that is kept for later.
 	overrun = 1.2
@@ -50,7 +54,7 @@
 	}
 	seats, ready := c.prepareGang(p, of, s)
 	if !ready {
-		if c.couldHold(of, s) {
+		if s.roomAt <= c.now.Steady+teamHorizon && !c.exceeds(s.job.Job) && c.couldHold(of, s) {
 			// What the team ends from now on is kept for the gang too.
 			p.keepTeam(s)
 		}
@@ -73,6 +77,7 @@
 // prepareGang returns the seats of a gang that can start now. Otherwise it asks
 // for advice or keeps workers, whichever the gang waits for.
 func (c *Cell) prepareGang(p *round, of *pool, s *step) ([]seat, bool) {
+	s.roomAt = c.now.Steady
 	if !s.advice.knowsAny() {
 		c.ask(of, s, len(s.tasks))
 		c.noteAsking(s, "it waits for advice")
@@ -176,7 +181,11 @@
 // planGang keeps the workers that can hold the gang soonest, and sees to it that
 // tickets for them are there by then.
 func (c *Cell) planGang(p *round, of *pool, s *step) {
+	s.roomAt = math.MaxInt64
 	if p.planned >= maxPlanned || float64(p.kept) > maxReserved*float64(p.total) {
+		if s.advice.needed && c.lane(s.job.Queue.Advice, 1) != "" && c.mayHold(of, s) {
+			c.askMore(of, s, true)
+		}
 		c.noteWaiting(s, "room is kept for others", p.planned)
 		return
 	}
@@ -201,6 +210,7 @@
 		return cmp.Compare(a.sl.w.ID, b.sl.w.ID)
 	})
 	at := openings[len(s.tasks)-1].at
+	s.roomAt = at
 	seats, spare := soonest(openings, len(s.tasks))
 	p.keep(s, seats, at)
 	c.noteWaiting(s, "workers are kept for it", int((at - c.now.Steady).Milliseconds()))
@@ -242,6 +252,20 @@
 	return seats, spare
 }
 
+// mayHold reports whether the workers with room now would hold the gang, if all of which
+// it is not known may run it. It asks about each of those once.
+func (c *Cell) mayHold(of *pool, s *step) bool {
+	length := c.lesson(s.job.Queue.Name).actual(s.spec.Estimate)
+	seats := 0
+	for _, sl := range of.slots {
+		good, known := s.advice.verdict(sl.w)
+		if (good || !known) && !sl.keptFrom(c.now.Steady, length) && sl.w.hasLabel(s.spec.Label) {
+			seats += s.room(sl.w, sl.free)
+		}
+	}
+	return seats >= len(s.tasks)
+}
+
 // noteAsking logs a wait for the advice service, or for a host to call it from. The
 // number is the milliseconds since the call, or the long calls on their way.
 func (c *Cell) noteAsking(s *step, why string) {
@@ -368,6 +392,12 @@
 	return sl.keptUntil > 0 && now+time.Duration(overrun*float64(length)) > sl.keptUntil
 }
 
+// keptOut reports whether a task of the step, not of a gang, leaves a slot to a gang.
+// One that lasts does not: the users want it at work wherever there is room.
+func (s *step) keptOut(sl *slot, now Instant, length time.Duration) bool {
+	return !s.spec.LongRunning && sl.keptFrom(now, length)
+}
+
 // distance orders workers for a gang: those far from its data come last, then
 // those on which it has failed.
 func (s *step) distance(w *worker) int {
