--- a/cell/advice.go
+++ b/cell/advice.go
@@ -222,8 +222,8 @@
 }
 
 // lane returns the host from which to call, or "" if all are taken. A third of the
-// hosts that answer make long calls only. The others make them while enough are left for short
-// calls, none of which waits behind a long one.
+// hosts that answer make long calls only. The others make them while enough are left
+// for short calls, none of which waits behind a long one.
 func (c *Cell) lane(advice *docket.Advice, workers int) string {
 	hosts := c.hosts
 	if len(c.silent) > 0 {
