A question about a forwarded task counts as a call, and is cut like one

Cause: where the answer of a forwarded task was lost, and then the question about it too, nothing cut that call, as only tasks were counted; the question was never asked again, and once the host answered greetings again the lapse never came. Test: TestHostReachedNoMoreIsCutThoughItIsHeard goes on to a lost question; no cut before.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -197,6 +197,11 @@
 	require.Len(t, take[control.Cut](r.update(control.Greeted{
 		Addr: "127.0.0.1:2", Sent: r.now, Greeting: peer.Greeting{Session: sibling, Zone: "a"},
 	})), 1)
+	// The question what became of the task may be lost as well.
+	r.update(control.ForwardDone{ID: "x", Session: sibling})
+	r.now = r.now.Add(4 * time.Second)
+	require.Len(t, take[control.Forward](r.update(control.Tick{})), 1)
+	require.Len(t, take[control.Cut](r.update(control.GreetFailed{Session: sibling})), 1)
 }
 
 // TestForwardedWorkEndsWhenItsSenderIsSilent stops tasks of a host that greets
--- a/control/request.go
+++ b/control/request.go
@@ -221,7 +221,7 @@
 // forwardDone handles the answer of the host that a task was forwarded to.
 func (s *State) forwardDone(ev ForwardDone) {
 	r := s.requests[ev.ID]
-	if n := s.peers[ev.Session]; n != nil && !ev.Resolved {
+	if n := s.peers[ev.Session]; n != nil {
 		n.sent = max(0, n.sent-1)
 	}
 	if r == nil || r.at != ev.Session {
@@ -327,6 +327,7 @@
 		return
 	}
 	r.resolved = true
+	n.sent++
 	s.emit(Forward{Task: r.task, Session: r.at, Addr: n.addr, Resolve: true})
 }
 
--- a/control/route.go
+++ b/control/route.go
@@ -46,7 +46,7 @@
 	reached  time.Time // when it last answered a greeting of ours
 	full     time.Time // our last greeting with the use of teams
 	inFlight bool
-	sent     int // tasks forwarded to it and not answered
+	sent     int // tasks forwarded to it, and questions about them, not answered
 	slack    int64
 }
 
