Red: the head of a team's queue holds up what is behind it

A team's oldest task that waits for an accelerator keeps its next one, which needs a slot alone, from free slots: no start in a minute. Found by reading, for the class of fault of the late gangs; not mended.

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -424,3 +424,16 @@
 	}
 	require.NotEmpty(t, m.place[fmt.Sprintf("t%d/0", m.serial)], "slots are free")
 }
+
+// TestTaskWithoutRoomDoesNotHoldUpItsQueue lets a team's oldest task wait for an
+// accelerator that a service keeps, while slots are free for the next.
+func TestTaskWithoutRoomDoesNotHoldUpItsQueue(t *testing.T) {
+	m := newModel(t, 1, 2)
+	m.submit(task.Task{Team: "service", Class: class.Service, Need: resource.Vector{Slots: 1, Accelerators: 1}}, 1)
+	m.submit(task.Task{Team: "a", Class: class.Batch, Need: resource.Vector{Slots: 1, Accelerators: 1}}, 1)
+	m.submit(task.Task{Team: "a", Class: class.Batch, Need: resource.Vector{Slots: 1}}, 1)
+	for range 600 { // a minute
+		m.tick()
+	}
+	require.NotEmpty(t, m.place[fmt.Sprintf("t%d/0", m.serial)], "slots are free")
+}
