Gangs are refused when those before them wait too long for advice

Callers saw: gangs accepted in a long load stand with room for 15 to 81 s, and some still do 14 s after its end.

Cause: admission counts the fleet's work, not the calls for advice. Where gangs come faster than the hosts can call for them the line grows as long as the load lasts.

Change: what waits for its first long call, in rank order, counts in what a gang has to wait.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -167,7 +167,11 @@
 	if r.beyond {
 		rank += rankBeyond
 	}
-	r.wait = c.expectedWait(spec, rank, r.cores) + c.storeDelay()
+	r.wait = c.expectedWait(spec, rank, r.cores)
+	if spec.Queue.Advice != nil && spec.Queue.Advice.Length(1) >= heavyCall {
+		r.wait = max(r.wait, c.adviceLine(rank))
+	}
+	r.wait += c.storeDelay()
 	if r.wait > r.slack {
 		return refuse("it would be late", r.wait-r.slack)
 	}
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -252,6 +252,29 @@
 	return c.shortest(others, 1)
 }
 
+// adviceLine returns how long it takes until the waiting steps up to a rank that know of
+// no worker yet have had their first long call.
+func (c *Cell) adviceLine(rank int) time.Duration {
+	total := time.Duration(0)
+	for _, s := range c.waiting {
+		if s.job.Job == nil || s.advice.asking || s.advice.knowsAny() || c.rank(s) > rank {
+			continue
+		}
+		if advice := s.job.Queue.Advice; advice.Length(1) >= heavyCall {
+			names := adviceSurplus * float64(len(s.tasks)) / c.lesson(s.job.Queue.Name).eligible
+			total += advice.Length(int(min(adviceWorkers, names)))
+		}
+	}
+	return time.Duration(float64(total) / c.longLanes())
+}
+
+// longLanes returns how many long calls may be made at a time beside the short ones.
+func (c *Cell) longLanes() float64 {
+	hosts := float64(len(c.hosts))
+	own := max(1, math.Floor(hosts/3))
+	return own + max(0, hosts-own-max(1, c.shortLanes()))
+}
+
 // shortLanes returns how many lanes short calls have taken of late.
 func (c *Cell) shortLanes() float64 {
 	return c.shortUse * math.Exp(-float64(c.now.Steady-c.shortAt)/float64(shortWindow))
--- a/cell/starve_test.go
+++ b/cell/starve_test.go
@@ -200,3 +200,27 @@
 		})
 	}
 }
+
+// TestLineForAdviceStaysShort replays long loads of gangs for which there is room but
+// less advice than they need.
+func TestLineForAdviceStaysShort(t *testing.T) {
+	const end = 92 * time.Second
+	for _, load := range []struct {
+		hosts                  int
+		lookups, quotes, gangs float64 // a second
+	}{{6, 40, 6, 8}, {2, 20, 2, 2}} {
+		t.Run(fmt.Sprintf("%d hosts", load.hosts), func(t *testing.T) {
+			f := newFleet(t, 1, 48)
+			f.eligible = 22
+			f.hosts = f.hosts[:load.hosts]
+			f.claim()
+			f.mix("00", 2*time.Second, end, load.lookups, load.quotes, 0)
+			for i := range int(load.gangs * (end - 2*time.Second).Seconds()) {
+				spec := refret(fmt.Sprintf("cc%014x", i))
+				spec.Steps[0].Count, spec.Steps[0].Need, spec.Steps[0].Estimate = 4, lightGangs.need, lightGangs.estimate
+				f.submit(2*time.Second+time.Duration(f.rng.Int64N(int64(end-2*time.Second))), spec)
+			}
+			f.requireStarted(end)
+		})
+	}
+}
