--- a/control/control_test.go
+++ b/control/control_test.go
@@ -342,10 +342,7 @@
 	r := newRig(t)
 	r.ownWorker()
 	r.secondRack("a3-third")
-	j := job.Job{ID: "a." + sibling + ".1", Team: "t", Class: class.Batch, Need: resource.Vector{Slots: 1}, Tasks: 2, Accepted: r.now}
-	claimed := control.SessionRow{Name: "a2", State: "claimed", Holder: self}
-	r.update(control.ZoneRows{Rows: []storage.Row{r.row(control.SessionKey("a", sibling), claimed)}})
-	r.update(control.Adopted{Session: sibling, Entries: []job.Entry{{Accept: &j}}})
+	j := r.adoptJob(2)
 	effects := r.pass(20 * time.Second)
 	require.Empty(t, take[placement.Start](effects), "nobody has read the end at w9")
 
@@ -374,10 +371,7 @@
 	r := newRig(t)
 	r.ownWorker()
 	r.secondRack("a3-third")
-	j := job.Job{ID: "a." + sibling + ".1", Team: "t", Class: class.Batch, Need: resource.Vector{Slots: 1}, Tasks: 1, Accepted: r.now}
-	claimed := control.SessionRow{Name: "a2", State: "claimed", Holder: self}
-	r.update(control.ZoneRows{Rows: []storage.Row{r.row(control.SessionKey("a", sibling), claimed)}})
-	r.update(control.Adopted{Session: sibling, Entries: []job.Entry{{Accept: &j}}})
+	r.adoptJob(1)
 	effects := r.pass(time.Minute)
 	require.Len(t, take[placement.Start](effects), 1)
 	require.Equal(t, []control.Unsettled{{Session: sibling}}, take[control.Unsettled](effects))
@@ -459,10 +453,7 @@
 		require.Len(t, appends, 1)
 		r.update(control.Journaled{Result: segment.Result{Token: appends[0].Batch.Token}})
 	}
-	claimed := control.SessionRow{Name: "a2", State: "claimed", Holder: self}
-	r.update(control.ZoneRows{Rows: []storage.Row{r.row(control.SessionKey("a", sibling), claimed)}})
-	late := job.Job{ID: "a." + sibling + ".1", Team: "t", Class: class.Batch, Need: need, Tasks: 1, Accepted: r.now}
-	r.update(control.Adopted{Session: sibling, Entries: []job.Entry{{Accept: &late}}})
+	r.adoptJob(1)
 	require.Len(t, take[placement.Start](r.pass(15*time.Second)), 1, "its leases have lapsed after 8 s")
 }
 
@@ -485,6 +476,15 @@
 	require.Empty(t, answers[0].Ended)
 }
 
+// adoptJob has this host take over a batch job that its dead sibling accepted.
+func (r *rig) adoptJob(tasks int) job.Job {
+	claimed := control.SessionRow{Name: "a2", State: "claimed", Holder: self}
+	r.update(control.ZoneRows{Rows: []storage.Row{r.row(control.SessionKey("a", sibling), claimed)}})
+	j := job.Job{ID: "a." + sibling + ".1", Team: "t", Class: class.Batch, Need: resource.Vector{Slots: 1}, Tasks: tasks, Accepted: r.now}
+	r.update(control.Adopted{Session: sibling, Entries: []job.Entry{{Accept: &j}}})
+	return j
+}
+
 // secondRack lists another worker, w9, whose rack a session of the zone owns.
 func (r *rig) secondRack(owner string) {
 	r.update(control.Hosts{List: []storage.Host{
