--- a/control/control.go
+++ b/control/control.go
@@ -19,6 +19,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/catalog"
@@ -175,13 +177,19 @@
 	case OutcomeReports:
 		s.handleOutcomes(ev)
 	case TakeSnapshot:
-		s.emit(Snapshot{States: s.acceptedJobs.Snapshot()})
+		s.takeSnapshot()
 	case Tick:
 		s.tick()
 	}
 	return s.effects
 }
 
+// takeSnapshot emits a snapshot of the accepted jobs. Batches whose results have not
+// arrived may be written, but are not applied to the accepted jobs yet.
+func (s *State) takeSnapshot() {
+	s.emit(Snapshot{States: s.acceptedJobs.Snapshot(), Unapplied: slices.Collect(maps.Keys(s.journalWaiters))})
+}
+
 func (s *State) emit(e any) { s.effects = append(s.effects, e) }
 
 // updateCore passes an event to the placement core. It handles the effects that
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -256,6 +256,22 @@
 	require.Empty(t, effectsOf[placement.Start](effects))
 }
 
+// TestSnapshotNamesUnappliedBatches takes a snapshot while the result of a journal write
+// is on its way. The snapshot lacks the job and must name its batch.
+func TestSnapshotNamesUnappliedBatches(t *testing.T) {
+	h := newHarness(t)
+	h.addOwnedWorker()
+	submit := control.SubmitJob{Token: 7, Job: job.Job{Team: "t", Class: class.Batch, Need: resource.Vector{Slots: 1}, Tasks: 1}}
+	batch := effectsOf[control.Append](h.update(submit))[0].Batch
+	snapshot := effectsOf[control.Snapshot](h.update(control.TakeSnapshot{}))[0]
+	require.Empty(t, snapshot.States)
+	require.Equal(t, []uint64{batch.Token}, snapshot.Unapplied)
+	h.update(control.Journaled{Result: segment.Result{Token: batch.Token}})
+	snapshot = effectsOf[control.Snapshot](h.update(control.TakeSnapshot{}))[0]
+	require.Len(t, snapshot.States, 1)
+	require.Empty(t, snapshot.Unapplied)
+}
+
 // TestAdoptedJobWaitsForLeasesAndUsesReportedOutcomes takes over a job. A task that
 // a worker reports as done does not run again; the other starts only after the old
 // leases have lapsed.
--- a/control/effect.go
+++ b/control/effect.go
@@ -36,8 +36,12 @@
 	// Append writes a batch to the journal.
 	Append struct{ Batch segment.Batch }
 
-	// Snapshot writes the accepted jobs to the object store.
-	Snapshot struct{ States []job.State }
+	// Snapshot writes the accepted jobs to the object store. Unapplied holds the tokens
+	// of the batches whose results have not been applied to the states.
+	Snapshot struct {
+		States    []job.State
+		Unapplied []uint64
+	}
 
 	// WriteHeartbeat writes this host's heartbeat. Revision is the revision of the row that
 	// it replaces, Fence that of the session row; both are zero for the first.
--- a/control/job.go
+++ b/control/job.go
@@ -568,7 +568,7 @@
 			s.reclaimForwarded(st)
 		}
 	}
-	s.emit(Snapshot{States: s.acceptedJobs.Snapshot()})
+	s.takeSnapshot()
 	if m := s.members[ev.Session]; m != nil {
 		row := m.sessionRow
 		row.Absorbed = true
--- a/host/effects.go
+++ b/host/effects.go
@@ -68,7 +68,7 @@
 	case control.Append:
 		h.journal.Append(e.Batch)
 	case control.Snapshot:
-		h.journal.Snapshot(e.States)
+		h.journal.Snapshot(e.States, e.Unapplied)
 	case control.Greet:
 		go h.sendGreeting(ctx, e)
 	case control.CloseConnections:
--- a/segment/segment.go
+++ b/segment/segment.go
@@ -12,7 +12,7 @@
 //	j := segment.Journal{Platform: client, Session: "a1-x7", Fence: check, Report: report}
 //	go j.Run(ctx)
 //	j.Append(segment.Batch{Token: 1, Entries: entries, Droppable: true})
-//	j.Snapshot(tracker.Snapshot())
+//	j.Snapshot(tracker.Snapshot(), unappliedTokens)
 //
 //	states, entries, err := segment.Replay(ctx, client, "a1-x7")
 package segment
@@ -21,6 +21,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sort"
 	"strconv"
@@ -67,9 +68,10 @@
 	Guard     *Guard
 	Droppable bool // report ErrDropped if the table certainly did not accept the write
 
-	snapshot []job.State
-	encoded  []json.RawMessage
-	size     int
+	snapshot  []job.State
+	unapplied []uint64 // tokens of batches that the snapshot may lack
+	encoded   []json.RawMessage
+	size      int
 }
 
 // Result is the outcome of a batch. Err is nil or matches an error of this
@@ -99,11 +101,12 @@
 	wake     chan struct{}
 	initOnce sync.Once
 
-	seq          uint64           // sequence number of the last segment written
-	snapshotSeq  uint64           // sequence number of the last segment that the snapshot covers
-	headRevision uint64           // revision of the head row
-	revisions    [ringSize]uint64 // revisions of the ring's rows
-	writes       uint64           // rows written
+	seq          uint64            // sequence number of the last segment written
+	snapshotSeq  uint64            // sequence number of the last segment that the snapshot covers
+	headRevision uint64            // revision of the head row
+	revisions    [ringSize]uint64  // revisions of the ring's rows
+	segmentOf    map[uint64]uint64 // sequence numbers of the segments after the snapshot, by token of their batches
+	writes       uint64            // rows written
 }
 
 // segment is the value of one row of the ring.
@@ -138,9 +141,11 @@
 	j.enqueue(b)
 }
 
-// Snapshot queues a snapshot that covers every batch appended before.
-func (j *Journal) Snapshot(states []job.State) {
-	j.enqueue(Batch{snapshot: states, Droppable: true})
+// Snapshot queues a snapshot. The states contain the entries of every batch appended
+// before, except those of the batches with the unapplied tokens, whose results the
+// caller has not handled yet. A replay reads the segments of those.
+func (j *Journal) Snapshot(states []job.State, unapplied []uint64) {
+	j.enqueue(Batch{snapshot: states, unapplied: unapplied, Droppable: true})
 }
 
 func (j *Journal) enqueue(b Batch) {
@@ -183,7 +188,7 @@
 			}
 		}
 		if batches[0].snapshot != nil {
-			j.writeSnapshot(ctx, batches[0].snapshot)
+			j.writeSnapshot(ctx, batches[0].snapshot, j.coveredSeq(batches[0].unapplied))
 		} else {
 			j.writeSegment(ctx, batches)
 		}
@@ -240,6 +245,7 @@
 		err := j.commit(ctx, batches)
 		switch {
 		case err == nil:
+			j.recordSegment(batches)
 			j.reportAll(batches, nil)
 			return
 		case errors.Is(err, ErrFenced):
@@ -426,18 +432,43 @@
 	j.writes += uint64(rows)
 }
 
-// writeSnapshot stores the snapshot and then points the head row to it. If this
-// fails, the previous snapshot and its segments remain valid.
-func (j *Journal) writeSnapshot(ctx context.Context, states []job.State) {
+// recordSegment records which segment holds the batches that were just written.
+func (j *Journal) recordSegment(batches []Batch) {
+	if j.segmentOf == nil {
+		j.segmentOf = map[uint64]uint64{}
+	}
+	for _, b := range batches {
+		j.segmentOf[b.Token] = j.seq
+	}
+}
+
+// coveredSeq returns the sequence number of the last segment that a snapshot without
+// the unapplied batches covers. Batches that are not written yet are in later segments.
+func (j *Journal) coveredSeq(unapplied []uint64) uint64 {
+	covered := j.seq
+	for _, token := range unapplied {
+		if seq, written := j.segmentOf[token]; written {
+			covered = min(covered, seq-1)
+		}
+	}
+	return covered
+}
+
+// writeSnapshot stores a snapshot of the segments up to seq and then points the head
+// row to it. If this fails, the previous snapshot and its segments remain valid.
+func (j *Journal) writeSnapshot(ctx context.Context, states []job.State, seq uint64) {
+	if seq <= j.snapshotSeq {
+		return // the previous snapshot covers as much
+	}
 	data, err := json.Marshal(states)
 	if err != nil {
 		return
 	}
-	object := fmt.Sprintf("journal-%s-%d", j.Session, j.seq)
+	object := fmt.Sprintf("journal-%s-%d", j.Session, seq)
 	if err := j.Platform.PutObject(ctx, object, data); err != nil {
 		return
 	}
-	h := head{Seq: j.seq, Object: object, WriteID: fmt.Sprintf("%s-%08x", object, rand.Uint32())}
+	h := head{Seq: seq, Object: object, WriteID: fmt.Sprintf("%s-%08x", object, rand.Uint32())}
 	value, err := json.Marshal(h)
 	if err != nil {
 		return
@@ -467,6 +498,7 @@
 	defer j.mu.Unlock()
 	j.headRevision, j.snapshotSeq = revision, h.Seq
 	j.writes++
+	maps.DeleteFunc(j.segmentOf, func(_, segment uint64) bool { return segment <= h.Seq })
 }
 
 // Replay reads a session's snapshot and the entries after it, in order.
--- a/segment/segment_test.go
+++ b/segment/segment_test.go
@@ -199,12 +199,31 @@
 		require.NoError(t, h.wait(t, n).Err)
 		tracker.Apply(b.Entries[0])
 		if h.journal.SnapshotDue() {
-			h.journal.Snapshot(tracker.Snapshot())
+			h.journal.Snapshot(tracker.Snapshot(), nil)
 		}
 	}
 	require.Len(t, h.replayedIDs(t), count)
 }
 
+// TestSnapshotKeepsUnappliedBatches takes a snapshot after a batch was written, but
+// before its result was applied. A replay must still restore the batch.
+func TestSnapshotKeepsUnappliedBatches(t *testing.T) {
+	h := newHarness(t)
+	var tracker job.Tracker
+	for n := uint64(1); n <= 3; n++ {
+		b := acceptBatch(n)
+		h.journal.Append(b)
+		require.NoError(t, h.wait(t, n).Err)
+		if n != 2 { // the result of batch 2 is still on its way
+			tracker.Apply(b.Entries[0])
+		}
+	}
+	h.journal.Snapshot(tracker.Snapshot(), []uint64{2})
+	h.journal.Append(acceptBatch(4)) // is written after the snapshot
+	require.NoError(t, h.wait(t, 4).Err)
+	require.Equal(t, map[string]bool{"j1": true, "j2": true, "j3": true, "j4": true}, h.replayedIDs(t))
+}
+
 // TestReplayReportsMissingSegment deletes a segment and replays the journal.
 func TestReplayReportsMissingSegment(t *testing.T) {
 	h := newHarness(t)
