relays: other hosts carry the owner's commands to the workers of a large cell

Cause: on the small twins of the large site the owner's link of 2 Mbit/s was full, on the site itself its processor: every start, poll and answer of all workers went over it, and each heartbeat's reply held the addresses of all hosts. Sound workers did not answer in time, gangs lost members, the cell changed its owner. A relay has no authority of its own: it translates the owner's limits to its clock from a heartbeat and withholds starts and leases that are late. A start that the sender withheld no longer makes its worker suspect. The list of hosts is sent when it has changed; strength to own the cell follows from link and memory as well as cores, relative to the hosts that are known.

--- a/cell/event.go
+++ b/cell/event.go
@@ -171,6 +171,7 @@
 	Unhealthy
 	OtherWorker // another worker answers at the address
 	Invalid
+	Withheld // the sender did not send it, because it was late or the ownership had expired
 )
 
 // Started is the outcome of a Start.
--- a/cell/run.go
+++ b/cell/run.go
@@ -114,7 +114,7 @@
 	if c.handleFatal(w, e.Failure) {
 		return
 	}
-	if e.Failure != NoAnswer && e.Failure != NotSent {
+	if e.Failure != NoAnswer && e.Failure != NotSent && e.Failure != Withheld {
 		w.setClock(e.Clock, e.Received)
 		w.answeredAt, w.failing = max(w.answeredAt, e.Received), false
 	}
--- a/cellhost/cellhost.go
+++ b/cellhost/cellhost.go
@@ -91,9 +91,13 @@
 	Name    string
 	Session string  // unique to this process
 	Addr    string  // address for other entry hosts
+	Zone    string  // availability zone
 	Cores   float64 // number of processor cores available to this host; 0 if unknown
-	Cell    cell.Config
-	Log     *slog.Logger
+	// LinkMbps is the bandwidth of this host in megabits per second; 0 if unknown.
+	LinkMbps float64
+	MemoryMB int64 // memory available to this host; 0 if unknown
+	Cell     cell.Config
+	Log      *slog.Logger
 	// Now is a monotonic clock that must keep running while the host is
 	// suspended.
 	Now func() cell.Instant
@@ -105,6 +109,8 @@
 	rules            atomic.Pointer[ruleset.Rules]
 	rulesConfirmedAt atomic.Int64 // cell.Instant at which the store last confirmed the rules
 	ownership        ownership
+	dispatcher       dispatcher
+	carrier          carrier
 	commits          chan writeRequest
 	// resendDelay is used only by the goroutine that writes commits.
 	resendDelay resendDelay
@@ -178,6 +184,9 @@
 			continue
 		}
 		now := h.Now()
+		for _, failure := range h.dispatcher.expire(h, now) {
+			h.apply(ctx, state, pending, failure)
+		}
 		event := schedule.dueEvent(now)
 		if event == nil {
 			timer.Reset(schedule.nextDue() - now)
@@ -261,6 +270,7 @@
 			workers, err := h.ListWorkers(callCtx)
 			cancel()
 			if err == nil {
+				h.planRelays(workers)
 				h.post(ctx, cell.Listed{Workers: workers})
 			} else {
 				h.Log.Debug("workers cannot be listed", "error", err)
--- a/cellhost/effects.go
+++ b/cellhost/effects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -53,12 +54,12 @@
 		}
 	case cell.Start:
 		h.Counts.Starts.Add(1)
-		go h.sendStart(ctx, e)
+		h.dispatch(ctx, e.Worker, e)
 	case cell.Stop:
-		go h.sendStop(ctx, e)
+		h.dispatch(ctx, e.Worker, e)
 	case cell.Poll:
 		h.Counts.WorkerPolls.Add(1)
-		go h.sendPoll(ctx, e)
+		h.dispatch(ctx, e.Worker, e)
 	case cell.RequestAdvice:
 		h.Counts.Advice.Add(1)
 		go h.requestAdvice(ctx, e)
@@ -73,42 +74,45 @@
 	}
 }
 
-// sendStart sends a start command to a worker, unless the ownership that it relies on
-// has expired. It reads the clock immediately before the call, because the process may
-// have been suspended since the cell returned the effect.
-func (h *Host) sendStart(ctx context.Context, cmd cell.Start) {
-	if h.Now() > cmd.NotAfter {
-		h.post(ctx, cell.Started{Worker: cmd.Worker, Task: cmd.Task, Run: cmd.Run, Received: h.Now(), Failure: cell.NotSent})
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
-	defer cancel()
-	done := h.Start(ctx, cmd)
-	done.Worker, done.Task, done.Run, done.Received = cmd.Worker, cmd.Task, cmd.Run, h.Now()
-	h.post(context.WithoutCancel(ctx), done)
+// sendDirect sends a command to its worker and posts the outcome.
+func (h *Host) sendDirect(ctx context.Context, cmd any, startBefore cell.Instant) {
+	h.post(context.WithoutCancel(ctx), h.command(ctx, cmd, startBefore))
 }
 
-// sendStop sends a stop command to a worker.
-func (h *Host) sendStop(ctx context.Context, cmd cell.Stop) {
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
-	defer cancel()
-	done := h.Stop(ctx, cmd)
-	done.Worker, done.Task, done.Run, done.Received = cmd.Worker, cmd.Task, cmd.Run, h.Now()
-	h.post(context.WithoutCancel(ctx), done)
-}
-
-// sendPoll polls a worker. It renews no lease if the ownership that it relies on has
-// expired.
-func (h *Host) sendPoll(ctx context.Context, cmd cell.Poll) {
-	if h.Now() > cmd.NotAfter {
-		cmd.LeaseUntil = 0
+// command carries out a command to a worker and returns its outcome. It reads the clock
+// immediately before the call, because the process may have been suspended since the
+// cell returned the command: a start is not sent after startBefore or when the ownership
+// that it relies on has expired, and a poll then renews no lease.
+func (h *Host) command(ctx context.Context, cmd any, startBefore cell.Instant) any {
+	switch c := cmd.(type) {
+	case cell.Start:
+		done := cell.Started{Failure: cell.Withheld}
+		if h.Now() <= min(c.NotAfter, startBefore) {
+			ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+			defer cancel()
+			done = h.Start(ctx, c)
+		}
+		done.Worker, done.Task, done.Run, done.Received = c.Worker, c.Task, c.Run, h.Now()
+		return done
+	case cell.Stop:
+		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+		defer cancel()
+		done := h.Stop(ctx, c)
+		done.Worker, done.Task, done.Run, done.Received = c.Worker, c.Task, c.Run, h.Now()
+		return done
+	case cell.Poll:
+		sent := h.Now()
+		if sent > c.NotAfter {
+			c.LeaseUntil = 0
+		}
+		ctx, cancel := context.WithTimeout(ctx, c.Wait+pollMargin)
+		defer cancel()
+		done := h.Poll(ctx, c)
+		done.Worker, done.Sent, done.Received = c.Worker, sent, h.Now()
+		return done
+	default:
+		panic(fmt.Sprintf("cellhost: %T is not a command", cmd))
 	}
-	ctx, cancel := context.WithTimeout(ctx, cmd.Wait+pollMargin)
-	defer cancel()
-	sent := h.Now()
-	done := h.Poll(ctx, cmd)
-	done.Worker, done.Sent, done.Received = cmd.Worker, sent, h.Now()
-	h.post(context.WithoutCancel(ctx), done)
 }
 
 // requestAdvice asks the advice service, through the host that the cell chose.
--- a/cellhost/effects_test.go
+++ b/cellhost/effects_test.go
@@ -110,7 +110,7 @@
 		}
 		h.init()
 		start := time.Now()
-		h.sendStart(t.Context(), cell.Start{Command: cell.Command{NotAfter: time.Hour}})
+		h.dispatch(t.Context(), "w", cell.Start{Command: cell.Command{NotAfter: time.Hour}})
 		require.Equal(t, cell.NoAnswer, (<-h.events).(cell.Started).Failure)
 		require.LessOrEqual(t, time.Since(start), 400*time.Millisecond)
 	})
--- a/cellhost/metrics.go
+++ b/cellhost/metrics.go
@@ -21,6 +21,8 @@
 	Takeover meter.Latency // from a successful claim to acting as the owner
 	Waited   meter.Latency // from a job's acceptance to its first start
 
+	Traffic meter.Traffic // bytes exchanged, by purpose
+
 	summarizedAt cell.Instant // time of the last summary; used only by the cell's goroutine
 }
 
@@ -45,7 +47,7 @@
 			"claims": c.Claims.Load(), "deposals": c.OwnershipLosses.Load(), "commits": c.Commits.Load(), "commitsResent": c.Resent.Load(),
 			"starts": c.Starts.Load(), "looks": c.WorkerPolls.Load(), "adviceCalls": c.Advice.Load(),
 			"submitLatency": c.Submit.Summary(), "commitLatency": c.Commit.Summary(),
-			"takeoverLatency": c.Takeover.Summary(), "firstStartWait": c.Waited.Summary(),
+			"takeoverLatency": c.Takeover.Summary(), "firstStartWait": c.Waited.Summary(), "traffic": c.Traffic.Summary(),
 			"ready": h.Ready(), "rulesAgeMillis": h.RulesAge().Milliseconds(), "cell": h.summary.Load(),
 		}
 	})
--- a/cellhost/ownership.go
+++ b/cellhost/ownership.go
@@ -35,7 +35,7 @@
 	// too early, which moves the cell but does no harm.
 	unchangedBeforeClaim = 500 * time.Millisecond
 	// memberTimeout is how long a host counts as present after its last heartbeat.
-	memberTimeout = 1200 * time.Millisecond
+	memberTimeout = 4 * heartbeatInterval
 	// isolationTimeout is how long an owner that had members may receive no
 	// heartbeat before it probes the other hosts.
 	isolationTimeout = 1500 * time.Millisecond
@@ -59,13 +59,9 @@
 	// candidateSteps is the number of steps over which candidates with the same
 	// number of cores are spread.
 	candidateSteps = 5
-	// fullCores is the smallest number of processor cores with which a host claims
-	// without extra delay.
-	fullCores = 0.8
-	// stepsPerMissingCore is the number of extra steps for each core that a host has
-	// less than fullCores, up to maxExtraSteps.
-	stepsPerMissingCore = 20
-	maxExtraSteps       = 12
+	// maxExtraSteps is the largest number of extra steps with which a host claims
+	// because other hosts are stronger.
+	maxExtraSteps = 12
 	// headRefreshInterval is the time between two writes of the head row by a new
 	// owner that loads the cell. Together with a call to the store it is less than
 	// unchangedBeforeClaim, even if the store is tens of times slower than
@@ -100,15 +96,17 @@
 	storeDown    bool              // the last call to the store failed
 	storeRefuses bool              // the store refuses this host's commits
 	members      map[string]member // hosts that send heartbeats to this one, by name
-	hostAddrs    map[string]string // addresses of all hosts ever heard of, by name
+	hosts        hostList          // all hosts ever heard of
+	ownerHosts   uint64            // version of the list of hosts last received from an owner
 	resignedAt   cell.Instant      // when this host last gave the cell up
+	claimedAt    cell.Instant      // when this host last began to act as the owner
+	clock        ownerClock
 }
 
 // member is a host that sends heartbeats to this one.
 type member struct {
-	addr          string
+	hostInfo
 	lastHeartbeat cell.Instant
-	cores         float64      // number of processor cores; 0 if unknown
 	startedAt     cell.Instant // when its process started
 }
 
@@ -242,13 +240,13 @@
 		o.members = map[string]member{}
 	}
 	o.members[name] = m
-	o.recordAddr(name, m.addr)
+	o.hosts.record(name, m.hostInfo)
 }
 
 // successors returns the names of the other hosts in the order in which they are
-// offered the cell: those that send heartbeats before those that do not, those with
-// enough cores before those with few, then those that started last. In a rolling
-// replacement of the hosts, those that started last are not replaced again.
+// offered the cell: those that send heartbeats before those that do not, strong ones
+// before weak ones, then those that started last. In a rolling replacement of the
+// hosts, those that started last are not replaced again.
 func (o *ownership) successors(self string) []string {
 	names := slices.Collect(maps.Keys(o.others(self)))
 	o.mu.Lock()
@@ -258,7 +256,7 @@
 		if !present {
 			return maxExtraSteps + 1
 		}
-		return extraSteps(m.cores)
+		return o.hosts.extraSteps(m.hostInfo)
 	}
 	slices.SortFunc(names, func(a, b string) int {
 		return cmp.Or(cmp.Compare(steps(a), steps(b)), cmp.Compare(o.members[b].startedAt, o.members[a].startedAt), cmp.Compare(a, b))
@@ -266,36 +264,23 @@
 	return names
 }
 
-// extraSteps returns the extra delay, in steps of claimStagger, with which a host
-// claims the cell because it has few cores.
-func extraSteps(cores float64) int {
-	if cores <= 0 {
-		return 0
-	}
-	return int(min(maxExtraSteps, max(0, (fullCores-cores)*stepsPerMissingCore)))
-}
-
-// recordAddr records the address of a host. The caller must hold o.mu.
-func (o *ownership) recordAddr(name, addr string) {
-	if o.hostAddrs == nil {
-		o.hostAddrs = map[string]string{}
-	}
-	o.hostAddrs[name] = addr
-}
-
-// hostAddr returns the address of a host, or "" if it is unknown.
-func (o *ownership) hostAddr(name string) string {
+// host returns what is known about a host; its address is "" if it is unknown.
+func (o *ownership) host(name string) hostInfo {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.hostAddrs[name]
+	return o.hosts.byName[name]
 }
 
 // others returns the addresses, by name, of all hosts ever heard of except this one.
 func (o *ownership) others(self string) map[string]string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	addrs := maps.Clone(o.hostAddrs)
-	delete(addrs, self)
+	addrs := make(map[string]string, len(o.hosts.byName))
+	for name, info := range o.hosts.byName {
+		if name != self {
+			addrs[name] = info.Addr
+		}
+	}
 	return addrs
 }
 
@@ -461,7 +446,7 @@
 		if owned {
 			r.ID = h.Session
 		}
-		reply, err := h.callPeer(ctx, h.ownership.hostAddr(name), r, heartbeatTimeout)
+		reply, err := h.callPeer(ctx, h.ownership.host(name).Addr, r, heartbeatTimeout)
 		if err == nil && reply.Owner {
 			h.Log.Info("cell handed over", "to", name, "owned", owned)
 			return
@@ -540,7 +525,7 @@
 func (h *Host) claimSteps(version uint64) int {
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(h.Name)) // never fails
-	return extraSteps(h.Cores) + int((uint64(hash.Sum32())+version)%candidateSteps)
+	return h.extraSteps() + int((uint64(hash.Sum32())+version)%candidateSteps)
 }
 
 // claim claims the cell, unless this host owns it or is already claiming it.
@@ -614,10 +599,12 @@
 	}
 	h.Counts.Claims.Add(1)
 	h.Counts.Takeover.Observe(h.Now() - claimedAt)
+	h.dispatcher.reset(h.Now())
 	h.ownership.mu.Lock()
 	h.ownership.owner, h.ownership.isOwner = head.HeadRow, true
 	h.ownership.confirmedAt = head.sent
 	h.ownership.members = nil
+	h.ownership.claimedAt = h.Now()
 	h.ownership.mu.Unlock()
 	h.post(ctx, cell.Claimed{Token: head.Token, Sent: head.sent, Previous: hadOwner, Jobs: jobs, Workers: workers})
 	if rules := h.Rules(); rules != nil {
@@ -629,10 +616,10 @@
 // refreshHead rewrites the head row until refreshCtx ends: other hosts claim a cell whose
 // head row stays unchanged, and loading takes longer the more jobs there are. After
 // refreshCtx ends, it returns as soon as the current version is known. It reports
-// whether the claim is still valid. A host with few cores delays the first write by its
-// extra steps, so that hosts with more cores can claim the cell first.
+// whether the claim is still valid. A weak host delays the first write by its extra
+// steps, so that stronger hosts can claim the cell first.
 func (h *Host) refreshHead(ctx, refreshCtx context.Context, head *claimedHead) bool {
-	wait := headRefreshInterval + time.Duration(extraSteps(h.Cores))*claimStagger
+	wait := headRefreshInterval + time.Duration(h.extraSteps())*claimStagger
 	for versionKnown := true; ctx.Err() == nil && h.Now()-head.sent <= cell.MaxLeaseAfterCommit; {
 		if versionKnown && !pause.Sleep(refreshCtx, wait) {
 			return ctx.Err() == nil
--- a/cellhost/ownership_keeper_test.go
+++ b/cellhost/ownership_keeper_test.go
@@ -39,7 +39,7 @@
 	start := time.Now()
 	h.Now = func() cell.Instant { return time.Hour + time.Since(start) }
 	for i := range silentHosts {
-		h.ownership.recordAddr(fmt.Sprintf("host-%d", i), listener.Addr().String())
+		h.ownership.hosts.record(fmt.Sprintf("host-%d", i), hostInfo{Addr: listener.Addr().String()})
 	}
 	t.Cleanup(h.peers.Close)
 	return h, connections
@@ -50,7 +50,7 @@
 // that are gone still get requests for advice.
 func TestOfferDoesNotDelayMembers(t *testing.T) {
 	h, connections := newOwnerAmongSilentHosts(t)
-	h.ownership.recordMember("near", member{addr: "127.0.0.1:1", lastHeartbeat: h.Now()})
+	h.ownership.recordMember("near", member{hostInfo: hostInfo{Addr: "127.0.0.1:1"}, lastHeartbeat: h.Now()})
 	k := ownershipKeeper{host: h}
 	start := time.Now()
 	k.stepAsOwner(t.Context())
--- a/cellhost/peer_calls.go
+++ b/cellhost/peer_calls.go
@@ -18,16 +18,24 @@
 type requestKind int
 
 const (
-	kindHeartbeat   requestKind = iota + 1 // heartbeat from a host; asks whether the receiver owns the cell
-	kindProbe                              // checks that the receiver can be reached
-	kindOffer                              // offers a cell that is vacant or whose owner cannot write
-	kindAdvise                             // asks the receiver to call the advice service on the sender's behalf
-	kindSubmit                             // submits a job
-	kindCancel                             // cancels a job
-	kindQuery                              // asks for the state of a job
-	kindCountQueued                        // asks for the number of jobs of a queue that have not started a task
+	kindHeartbeat    requestKind = iota + 1 // heartbeat from a host; asks whether the receiver owns the cell
+	kindProbe                               // checks that the receiver can be reached
+	kindOffer                               // offers a cell that is vacant or whose owner cannot write
+	kindAdvise                              // asks the receiver to call the advice service on the sender's behalf
+	kindSubmit                              // submits a job
+	kindCancel                              // cancels a job
+	kindQuery                               // asks for the state of a job
+	kindCountQueued                         // asks for the number of jobs of a queue that have not started a task
+	kindRelay                               // gives commands to a relay
+	kindRelayResults                        // returns the results of relayed commands to the owner
 )
 
+// kindNames names the kinds of requests in the metrics.
+var kindNames = map[requestKind]string{
+	kindHeartbeat: "heartbeat", kindProbe: "probe", kindOffer: "offer", kindAdvise: "advise", kindSubmit: "submit",
+	kindCancel: "cancel", kindQuery: "query", kindCountQueued: "countQueued", kindRelay: "relay", kindRelayResults: "relayResults",
+}
+
 // request is a call from one entry host to another.
 type request struct {
 	Kind      requestKind   `cbor:"1,keyasint"`
@@ -40,6 +48,11 @@
 	Timeout   time.Duration `cbor:"8,keyasint,omitempty"`  // how long the sender waits for the reply
 	Cores     float64       `cbor:"9,keyasint,omitempty"`  // in a heartbeat: processor cores of the sender
 	Uptime    time.Duration `cbor:"10,keyasint,omitempty"` // in a heartbeat: time since the sender's process started
+	Info      *hostInfo     `cbor:"11,keyasint,omitempty"` // in a heartbeat: describes the sender; nil from older versions
+	Hosts     uint64        `cbor:"12,keyasint,omitempty"` // in a heartbeat: version of the list of hosts last received from the owner
+	Commands  *relayBatch   `cbor:"13,keyasint,omitempty"` // in kindRelay
+	Session   string        `cbor:"14,keyasint,omitempty"` // in kindRelayResults: the owner that gave the commands
+	Results   []relayResult `cbor:"15,keyasint,omitempty"` // in kindRelayResults
 }
 
 // reply answers a request.
@@ -49,7 +62,13 @@
 	Head      HeadRow           `cbor:"3,keyasint,omitempty"` // head row of the last owner known to the replying host
 	Outcome   Outcome           `cbor:"4,keyasint,omitempty"`
 	Advice    cell.AdviceResult `cbor:"5,keyasint,omitempty"`
-	Known     map[string]string // addresses of the hosts that the replying host knows, by name
+	Known     map[string]string // to older versions: addresses of the hosts that the replying host knows, by name
+	// Clock is the reading of the owner's clock, in a heartbeat reply.
+	Clock cell.Instant `cbor:"6,keyasint,omitempty"`
+	// Hosts holds the hosts that the owner knows, if the list has changed since the version
+	// in the request; HostsVersion is its version.
+	Hosts        map[string]hostInfo `cbor:"7,keyasint,omitempty"`
+	HostsVersion uint64              `cbor:"8,keyasint,omitempty"`
 }
 
 // Serve handles a message from another entry host.
@@ -60,6 +79,7 @@
 		return nil, errors.Wrap(err, "decode peer request")
 	}
 	body, err := cbor.Marshal(h.handle(ctx, r))
+	h.Counts.Traffic.Add("from "+kindNames[r.Kind], len(body), len(m.Body))
 	return &peer.Message{Body: body}, errors.Wrap(err, "encode peer reply")
 }
 
@@ -73,6 +93,12 @@
 		return h.handleOffer(ctx, r.ID)
 	case kindAdvise:
 		return reply{Advice: h.Advise(ctx, r.ID, r.Workers)}
+	case kindRelay:
+		h.carry(context.WithoutCancel(ctx), r.Commands)
+		return reply{}
+	case kindRelayResults:
+		h.handleRelayResults(ctx, r)
+		return reply{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
@@ -80,15 +106,28 @@
 }
 
 // handleHeartbeat records the sender as a member and replies with the last known
-// owner.
+// owner. The list of hosts is long, so it is sent only if it has changed.
 func (h *Host) handleHeartbeat(r request) reply {
 	now := h.Now()
-	h.ownership.recordMember(r.Name, member{addr: r.Addr, lastHeartbeat: now, cores: r.Cores, startedAt: now - r.Uptime})
+	info := hostInfo{Addr: r.Addr, Cores: r.Cores}
+	if r.Info != nil {
+		info = *r.Info
+	}
+	h.ownership.recordMember(r.Name, member{hostInfo: info, lastHeartbeat: now, startedAt: now - r.Uptime})
 	h.ownership.mu.Lock()
 	defer h.ownership.mu.Unlock()
-	out := reply{Owner: h.ownership.isOwner, Head: h.ownership.owner, Known: maps.Clone(h.ownership.hostAddrs)}
+	out := reply{Owner: h.ownership.isOwner, Head: h.ownership.owner}
 	if h.ownership.isOwner {
-		out.CommitAge = now - h.ownership.confirmedAt
+		out.CommitAge, out.Clock = now-h.ownership.confirmedAt, now
+	}
+	switch hosts := &h.ownership.hosts; {
+	case r.Info == nil:
+		out.Known = make(map[string]string, len(hosts.byName))
+		for name, info := range hosts.byName {
+			out.Known[name] = info.Addr
+		}
+	case h.ownership.isOwner && r.Hosts != hosts.version:
+		out.Hosts, out.HostsVersion = maps.Clone(hosts.byName), hosts.version
 	}
 	return out
 }
@@ -123,6 +162,7 @@
 // sendHeartbeat sends a heartbeat to the owner. It reports whether the receiver owns
 // the cell and its last confirmed commit is recent.
 func (h *Host) sendHeartbeat(ctx context.Context, owner HeadRow, timeout time.Duration) bool {
+	sent := h.Now()
 	out, err := h.callPeer(ctx, owner.Addr, h.heartbeat(), timeout)
 	if err != nil {
 		return false
@@ -130,11 +170,22 @@
 	h.ownership.mu.Lock()
 	defer h.ownership.mu.Unlock()
 	for name, addr := range out.Known {
-		h.ownership.recordAddr(name, addr)
+		if h.ownership.hosts.byName[name].Addr != addr {
+			h.ownership.hosts.record(name, hostInfo{Addr: addr})
+		}
+	}
+	for name, info := range out.Hosts {
+		h.ownership.hosts.record(name, info)
+	}
+	if out.HostsVersion != 0 {
+		h.ownership.ownerHosts = out.HostsVersion
 	}
 	if h.ownership.isOwner {
 		return true // this host became the owner during the call
 	}
+	if out.Owner && out.Clock > 0 {
+		h.ownership.clock = ownerClock{session: out.Head.Session, offset: sent - out.Clock, readAt: sent}
+	}
 	if out.Owner && out.CommitAge < staleCommitAge {
 		h.ownership.ownerSeenAt = h.Now()
 		h.ownership.owner = out.Head
@@ -148,7 +199,10 @@
 
 // heartbeat returns the heartbeat request of this host.
 func (h *Host) heartbeat() request {
-	return request{Kind: kindHeartbeat, Name: h.Name, Addr: h.Addr, Cores: h.Cores, Uptime: h.Now() - h.startedAt}
+	info := h.info()
+	h.ownership.mu.Lock()
+	defer h.ownership.mu.Unlock()
+	return request{Kind: kindHeartbeat, Name: h.Name, Addr: h.Addr, Cores: h.Cores, Uptime: h.Now() - h.startedAt, Info: &info, Hosts: h.ownership.ownerHosts}
 }
 
 // findOwner asks the other hosts which host owns the cell. It is used when this host
@@ -166,7 +220,7 @@
 
 // adviseViaPeer asks another host to call the advice service.
 func (h *Host) adviseViaPeer(ctx context.Context, req cell.RequestAdvice) cell.AdviceResult {
-	out, err := h.callPeer(ctx, h.ownership.hostAddr(req.Host), request{Kind: kindAdvise, ID: req.Step, Workers: req.Workers}, adviceTimeout)
+	out, err := h.callPeer(ctx, h.ownership.host(req.Host).Addr, request{Kind: kindAdvise, ID: req.Step, Workers: req.Workers}, adviceTimeout)
 	if err != nil {
 		h.Log.Debug("advice from another host failed", "host", req.Host, "step", req.Step, "error", err)
 		return cell.AdviceResult{Failure: cell.NoAnswer}
@@ -184,6 +238,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answer, err := h.peers.Call(ctx, addr, body)
+	h.Counts.Traffic.Add("to "+kindNames[r.Kind], len(body), len(answer))
 	if err != nil {
 		return out, err
 	}
--- /dev/null
+++ b/meter/traffic.go
@@ -0,0 +1,42 @@
+package meter
+
+import "sync"
+
+// Traffic counts messages and their bytes by purpose. The zero value is empty and ready
+// to use. It is safe for concurrent use.
+type Traffic struct {
+	mu        sync.Mutex
+	byPurpose map[string]TrafficSummary
+}
+
+// TrafficSummary holds the counts of one purpose.
+type TrafficSummary struct {
+	Messages      int64 `json:"messages"`
+	BytesSent     int64 `json:"bytesSent"`
+	BytesReceived int64 `json:"bytesReceived"`
+}
+
+// Add counts a message with the bytes sent and received.
+func (t *Traffic) Add(purpose string, sent, received int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.byPurpose == nil {
+		t.byPurpose = map[string]TrafficSummary{}
+	}
+	c := t.byPurpose[purpose]
+	c.Messages++
+	c.BytesSent += int64(sent)
+	c.BytesReceived += int64(received)
+	t.byPurpose[purpose] = c
+}
+
+// Summary returns the counts so far, by purpose.
+func (t *Traffic) Summary() map[string]TrafficSummary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := make(map[string]TrafficSummary, len(t.byPurpose))
+	for purpose, c := range t.byPurpose {
+		counts[purpose] = c
+	}
+	return counts
+}
