relays: keep them while the owner's link is full, count bytes by purpose

All batches to relays were late, all relays were paused, and the owner called the workers itself, which kept the link full for 30 s; 113 times "relay fails". After a restart of all hosts each new host changed the list of hosts, which went out with every heartbeat's reply, up to 78 of 180 KB/s. Change: a route whose relays are all paused keeps its first one; the list of hosts is asked for at most every 3 s; replies leave out what is empty (75 bytes each). Bytes by purpose are on the metrics address (traffic).

--- a/cellhost/dispatch.go
+++ b/cellhost/dispatch.go
@@ -24,7 +24,7 @@
 	// relayInterval is the minimum time between two batches to a relay or to the owner.
 	relayInterval = 10 * time.Millisecond
 	// relayTimeout bounds the delivery of a batch.
-	relayTimeout = 300 * time.Millisecond
+	relayTimeout = 500 * time.Millisecond
 	// relayMargin is added to the time that a command may take, for the way through a
 	// relay and back.
 	relayMargin = 250 * time.Millisecond
@@ -122,22 +122,29 @@
 	d := &h.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, name := range d.plan.Route(worker, d.zones[worker]) {
-		out := d.outbox(name)
-		if out.queue == nil {
-			out.queue = &batch.Queue[relayCommand]{Interval: relayInterval, Send: func(commands []relayCommand) {
-				h.sendBatch(ctx, name, commands)
-			}}
-		}
-		if now < out.pausedUntil {
-			continue
+	route := d.plan.Route(worker, d.zones[worker])
+	if len(route) == 0 {
+		return false
+	}
+	// If all relays of the route are paused, the cause is more likely this host's link
+	// than the relays, and calling the workers directly would take more of it.
+	name := route[0]
+	for _, candidate := range route {
+		if now >= d.outbox(candidate).pausedUntil {
+			name = candidate
+			break
 		}
-		d.nextID++
-		d.pending[d.nextID] = relayed{command: cmd, relay: name, sent: now, deadline: now + commandDuration(cmd) + relayMargin}
-		out.queue.Add(encodeCommand(d.nextID, cmd))
-		return true
 	}
-	return false
+	out := d.outbox(name)
+	if out.queue == nil {
+		out.queue = &batch.Queue[relayCommand]{Interval: relayInterval, Send: func(commands []relayCommand) {
+			h.sendBatch(ctx, name, commands)
+		}}
+	}
+	d.nextID++
+	d.pending[d.nextID] = relayed{command: cmd, relay: name, sent: now, deadline: now + commandDuration(cmd) + relayMargin}
+	out.queue.Add(encodeCommand(d.nextID, cmd))
+	return true
 }
 
 // outbox returns the outbox of a relay. The caller must hold d.mu.
@@ -159,8 +166,7 @@
 	return commandTimeout
 }
 
-// sendBatch delivers commands to a relay. If the relay certainly did not get them,
-// polls are sent directly, because the state of their workers must become known.
+// sendBatch delivers commands to a relay.
 func (h *Host) sendBatch(ctx context.Context, name string, commands []relayCommand) {
 	b := newRelayBatch(h.Session, h.Addr, commands)
 	b.StartBefore = h.Now() + commandTimeout
@@ -174,15 +180,9 @@
 	}
 	h.dispatcher.pause(h, name, "a batch was not delivered")
 	for _, command := range commands {
-		r, pending := h.dispatcher.take(command.ID)
-		if !pending {
-			continue
-		}
-		if _, isPoll := r.command.(cell.Poll); isPoll && failure == cell.Withheld {
-			go h.sendDirect(ctx, r.command, 0)
-			continue
+		if r, pending := h.dispatcher.take(command.ID); pending {
+			h.post(ctx, r.failed(failure, h.Now()))
 		}
-		h.post(ctx, r.failed(failure, h.Now()))
 	}
 }
 
--- a/cellhost/hosts.go
+++ b/cellhost/hosts.go
@@ -17,7 +17,7 @@
 	// relayWorkersPerCore and relayWorkersPerMbps are how many workers a relay can serve
 	// for each processor core and each megabit per second of its link.
 	relayWorkersPerCore = 400
-	relayWorkersPerMbps = 10
+	relayWorkersPerMbps = 20
 )
 
 // hostInfo describes an entry host to the others. Zero limits are unknown.
--- a/cellhost/ownership.go
+++ b/cellhost/ownership.go
@@ -34,6 +34,9 @@
 	// owner's longest time between commits. If the store is slow, a claim may come
 	// too early, which moves the cell but does no harm.
 	unchangedBeforeClaim = 500 * time.Millisecond
+	// hostListInterval is the minimum time between two requests for the list of hosts,
+	// which changes many times while hosts start.
+	hostListInterval = 3 * time.Second
 	// memberTimeout is how long a host counts as present after its last heartbeat.
 	memberTimeout = 4 * heartbeatInterval
 	// isolationTimeout is how long an owner that had members may receive no
@@ -98,6 +101,7 @@
 	members      map[string]member // hosts that send heartbeats to this one, by name
 	hosts        hostList          // all hosts ever heard of
 	ownerHosts   uint64            // version of the list of hosts last received from an owner
+	ownerHostsAt cell.Instant      // when it was requested
 	resignedAt   cell.Instant      // when this host last gave the cell up
 	claimedAt    cell.Instant      // when this host last began to act as the owner
 	clock        ownerClock
--- a/cellhost/peer_calls.go
+++ b/cellhost/peer_calls.go
@@ -49,7 +49,8 @@
 	Cores     float64       `cbor:"9,keyasint,omitempty"`  // in a heartbeat: processor cores of the sender
 	Uptime    time.Duration `cbor:"10,keyasint,omitempty"` // in a heartbeat: time since the sender's process started
 	Info      *hostInfo     `cbor:"11,keyasint,omitempty"` // in a heartbeat: describes the sender; nil from older versions
-	Hosts     uint64        `cbor:"12,keyasint,omitempty"` // in a heartbeat: version of the list of hosts last received from the owner
+	WantHosts bool          `cbor:"16,keyasint,omitempty"` // in a heartbeat: asks for the list of hosts if its version is not Hosts
+	Hosts     uint64        `cbor:"12,keyasint,omitempty"` // in a heartbeat: version of the list of hosts last received from an owner
 	Commands  *relayBatch   `cbor:"13,keyasint,omitempty"` // in kindRelay
 	Session   string        `cbor:"14,keyasint,omitempty"` // in kindRelayResults: the owner that gave the commands
 	Results   []relayResult `cbor:"15,keyasint,omitempty"` // in kindRelayResults
@@ -59,14 +60,14 @@
 type reply struct {
 	Owner     bool              `cbor:"1,keyasint,omitempty"` // the replying host owns the cell
 	CommitAge time.Duration     `cbor:"2,keyasint,omitempty"` // in a heartbeat reply: age of the owner's last confirmed commit
-	Head      HeadRow           `cbor:"3,keyasint,omitempty"` // head row of the last owner known to the replying host
-	Outcome   Outcome           `cbor:"4,keyasint,omitempty"`
-	Advice    cell.AdviceResult `cbor:"5,keyasint,omitempty"`
-	Known     map[string]string // to older versions: addresses of the hosts that the replying host knows, by name
+	Head      HeadRow           `cbor:"3,keyasint,omitzero"`  // head row of the last owner known to the replying host
+	Outcome   Outcome           `cbor:"4,keyasint,omitzero"`
+	Advice    cell.AdviceResult `cbor:"5,keyasint,omitzero"`
+	Known     map[string]string `cbor:",omitempty"` // to older versions: addresses of the hosts that the replying host knows, by name
 	// Clock is the reading of the owner's clock, in a heartbeat reply.
 	Clock cell.Instant `cbor:"6,keyasint,omitempty"`
-	// Hosts holds the hosts that the owner knows, if the list has changed since the version
-	// in the request; HostsVersion is its version.
+	// Hosts holds the hosts that the owner knows, if the request asks for them;
+	// HostsVersion is the version of the list.
 	Hosts        map[string]hostInfo `cbor:"7,keyasint,omitempty"`
 	HostsVersion uint64              `cbor:"8,keyasint,omitempty"`
 }
@@ -126,7 +127,7 @@
 		for name, info := range hosts.byName {
 			out.Known[name] = info.Addr
 		}
-	case h.ownership.isOwner && r.Hosts != hosts.version:
+	case h.ownership.isOwner && r.WantHosts && r.Hosts != hosts.version:
 		out.Hosts, out.HostsVersion = maps.Clone(hosts.byName), hosts.version
 	}
 	return out
@@ -178,7 +179,7 @@
 		h.ownership.hosts.record(name, info)
 	}
 	if out.HostsVersion != 0 {
-		h.ownership.ownerHosts = out.HostsVersion
+		h.ownership.ownerHosts, h.ownership.ownerHostsAt = out.HostsVersion, sent
 	}
 	if h.ownership.isOwner {
 		return true // this host became the owner during the call
@@ -199,10 +200,13 @@
 
 // heartbeat returns the heartbeat request of this host.
 func (h *Host) heartbeat() request {
-	info := h.info()
+	info, now := h.info(), h.Now()
 	h.ownership.mu.Lock()
 	defer h.ownership.mu.Unlock()
-	return request{Kind: kindHeartbeat, Name: h.Name, Addr: h.Addr, Cores: h.Cores, Uptime: h.Now() - h.startedAt, Info: &info, Hosts: h.ownership.ownerHosts}
+	return request{
+		Kind: kindHeartbeat, Name: h.Name, Addr: h.Addr, Cores: h.Cores, Uptime: now - h.startedAt, Info: &info,
+		WantHosts: h.ownership.ownerHosts == 0 || now-h.ownership.ownerHostsAt > hostListInterval, Hosts: h.ownership.ownerHosts,
+	}
 }
 
 // findOwner asks the other hosts which host owns the cell. It is used when this host
--- a/meter/traffic.go
+++ b/meter/traffic.go
@@ -1,6 +1,9 @@
 package meter
 
-import "sync"
+import (
+	"net"
+	"sync"
+)
 
 // Traffic counts messages and their bytes by purpose. The zero value is empty and ready
 // to use. It is safe for concurrent use.
@@ -9,6 +12,30 @@
 	byPurpose map[string]TrafficSummary
 }
 
+// Conn returns a connection whose reads and writes are counted, each as one message.
+func (t *Traffic) Conn(purpose string, conn net.Conn) net.Conn {
+	return &countedConn{Conn: conn, traffic: t, purpose: purpose}
+}
+
+// countedConn counts the bytes read and written on a connection.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+	purpose string
+}
+
+func (c *countedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.traffic.Add(c.purpose, 0, n)
+	return n, err
+}
+
+func (c *countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.traffic.Add(c.purpose, n, 0)
+	return n, err
+}
+
 // TrafficSummary holds the counts of one purpose.
 type TrafficSummary struct {
 	Messages      int64 `json:"messages"`
