cell: the test of gangs behind reserving ones exceeds the reserved share

TestGangBehindReservingGangsRequestsMoreAdvice counted on the limit of 8 gangs and failed since that limit is 64: its 16 gangs were too much work for the jobs behind them to be accepted. Its gangs now exceed the share of the processors that may be reserved, which is the limit that binds. As strict: without the call for more advice it fails.

--- a/cell/starvation_test.go
+++ b/cell/starvation_test.go
@@ -32,13 +32,13 @@
 	f.submit(at, spec)
 }
 
-// submitBlockedGangs submits gangs for which the workers that fillWorkers fills have no
-// room.
-func (f *simFleet) submitBlockedGangs(at Instant, label string, count int) {
+// submitBlockedGangs submits gangs of two members with the given need, for which the
+// workers that fillWorkers fills have no room.
+func (f *simFleet) submitBlockedGangs(at Instant, label string, count int, milliCPU int64) {
 	for i := range count {
 		spec := gangJob(fmt.Sprintf("ee%014x", i))
 		spec.Queue.Advice, spec.Queue.Slack, spec.Queue.Priority = nil, 60, 0
-		spec.Steps[0].Count, spec.Steps[0].Need, spec.Steps[0].Label = 2, resource.Vector{MilliCPU: 20_000}, label
+		spec.Steps[0].Count, spec.Steps[0].Need, spec.Steps[0].Label = 2, resource.Vector{MilliCPU: milliCPU}, label
 		f.submit(at, spec)
 	}
 }
@@ -84,7 +84,7 @@
 	f.teams["red"] = Team{Rate: 100, Ceiling: resource.Vector{MilliCPU: 120_000}}
 	f.claim()
 	f.fillWorkers(2*time.Second, "r0", 8, time.Minute)
-	f.submitBlockedGangs(3*time.Second, "r0", 4)
+	f.submitBlockedGangs(3*time.Second, "r0", 4, 20_000)
 	j := f.submit(5*time.Second, quoteJob("bb00000000000000"))
 	f.runUntil(20 * time.Second)
 	f.requireStartedWithin(j, j.submittedAt)
@@ -113,12 +113,12 @@
 
 // TestGangBehindReservingGangsRequestsMoreAdvice simulates gangs that know of too few
 // eligible workers. More gangs than a round reserves workers for are ahead of them, all
-// waiting for workers with one label.
+// waiting for workers with one label. The reservations on these exceed maxReservedShare.
 func TestGangBehindReservingGangsRequestsMoreAdvice(t *testing.T) {
 	f := newFleet(t, 1, 48)
 	f.eligiblePercent = 20
 	f.fillWorkers(2*time.Second, "k0", 24, 10*time.Minute)
-	f.submitBlockedGangs(3*time.Second, "k0", 2*maxReservingGangs)
+	f.submitBlockedGangs(3*time.Second, "k0", 10, 27_000)
 	gangs := 0
 	for i := range 20 {
 		spec := gangJob(fmt.Sprintf("cc%014x", i))
