admission: retry delays that are true, an allowance given back; smaller mends

Seen by reading: waits of 15 s and more all got 15 s, as the jitter was added before the cap, and the whole second that a caller is told could be half a second too early. The wait is rounded up before the jitter is added. A job refused because it was never sent gives its team's allowance back. The line of dropped log lines has a time, so explain shows it.

--- a/asynclog/asynclog.go
+++ b/asynclog/asynclog.go
@@ -84,7 +84,7 @@
 			}
 		}
 		if dropped := w.dropped.Load(); dropped > reported {
-			fmt.Fprintf(&buf, `{"level":"WARN","msg":"log lines dropped","count":%d}`+"\n", dropped-reported)
+			fmt.Fprintf(&buf, `{"time":%q,"level":"WARN","msg":"log lines dropped","count":%d}`+"\n", time.Now().UTC().Format(time.RFC3339Nano), dropped-reported)
 			reported = dropped
 		}
 		// A failure to write the log cannot be reported anywhere.
--- a/asynclog/asynclog_test.go
+++ b/asynclog/asynclog_test.go
@@ -42,7 +42,7 @@
 	close(w.gate)
 	logWriter.Close()
 	text := w.buf.String()
-	require.Contains(t, text, "log lines dropped")
+	require.Regexp(t, `{"time":"20[^"]+Z","level":"WARN","msg":"log lines dropped"`, text)
 	require.EqualValues(t, 1000, int64(strings.Count(text, `"msg":"line"`))+logWriter.Dropped())
 }
 
--- a/cell/admission.go
+++ b/cell/admission.go
@@ -16,7 +16,7 @@
 	// allows in this time.
 	rateBurst = 2 * time.Second
 	// minRetryDelay and maxRetryDelay bound the retry delay that is returned to refused
-	// callers.
+	// callers, without its jitter.
 	minRetryDelay = time.Second
 	maxRetryDelay = 15 * time.Second
 	// typicalCallWorkers is how many workers a job's call to the advice service is
@@ -113,6 +113,9 @@
 			c.emit(Answer{Reply: reply, Verdict: Refused, RetryAfter: wait, Reason: "the store does not answer"})
 		}
 		c.logInfo("job refused", slog.String("id", j.id), slog.String("reason", "the store does not answer"), slog.Duration("commitAge", commitAge), slog.Duration("retryAfter", wait))
+		if !j.beyondRate {
+			c.team(j.Team).allowance++
+		}
 		delete(c.jobs, j.id)
 		c.dropWorkingState(j)
 	}
@@ -262,13 +265,16 @@
 	return widest
 }
 
-// retryDelay returns the delay after which a refused caller may retry. Its jitter
-// depends on the job ID, so that callers refused together do not retry together.
+// retryDelay returns the delay after which a refused caller may retry, at least the
+// given wait. Its jitter depends on the job ID, so that callers refused together do not
+// retry together. Callers are told whole seconds, so the wait is rounded up before the
+// jitter is added: rounding the sum cannot send a caller back too early.
 func retryDelay(id string, wait time.Duration) time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id)) // never fails
 	jitter := time.Duration(h.Sum32()%1000) * time.Millisecond
-	return min(max(wait, minRetryDelay)+jitter, maxRetryDelay)
+	wait = min(max(wait, minRetryDelay), maxRetryDelay)
+	return (wait + time.Second - 1).Truncate(time.Second) + jitter
 }
 
 // withinRate refills the team's allowance and reports whether it covers a job.
