cell: judge a run's progress by its worker's clock

A story of other operators: a machine that was only silent had its work started again. Cause: progress was timed by the owner's clock. An owner that was suspended for some seconds and then read an answer and a report from before took every run there for stuck, stopped it and started it elsewhere. Change: a run is stuck if two reports with the same percentage are stuckAfter apart by the worker's clock. TestSuspendedOwnerTakesNoRunForStuck failed on the code before.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -278,6 +278,42 @@
 	require.Equal(t, workload.Completed, j.state)
 }
 
+// TestSuspendedOwnerTakesNoRunForStuck suspends an owner for some seconds. The first
+// answers that it reads afterwards are from before.
+func TestSuspendedOwnerTakesNoRunForStuck(t *testing.T) {
+	spec := quoteJob("bb00000000000001")
+	spec.Queue.Advice, spec.Steps[0].Count, spec.Steps[0].Estimate = nil, 1, 20*time.Second
+	c := New(Config{MaxLease: simMaxLease, StatusRetention: time.Minute})
+	clock := Clock{Steady: time.Hour, Wall: time.Unix(1, 0)}
+	task := spec.ID + ".0.0.0"
+	c.Update(clock, Claimed{Token: 9, Sent: clock.Steady, Previous: true, Workers: []WorkerRef{{ID: "w1"}},
+		Jobs: []StoredJob{{ID: spec.ID, Job: spec, Progress: &workload.Progress{State: workload.Active, Steps: []workload.StepRecord{{Placed: map[int]workload.Placement{0: {Worker: "w1", Run: 1}}}}}}}})
+	c.Update(clock, Listed{Workers: []WorkerInfo{{ID: "w1", Service: "s", Capacity: resource.Vector{MilliCPU: 32000, MemoryMB: 64000}, StartedAt: 1}}})
+	report := func(workerClock time.Duration) []any {
+		return c.Update(clock, PollResult{Worker: "w1", Sent: clock.Steady, Received: clock.Steady, Report: Report{
+			StartedAt: 1, Clock: workerClock, Running: []RunningTask{{Task: task, Run: 1, Percent: 10}},
+		}})
+	}
+	requireNoStop := func(effects []any) {
+		t.Helper()
+		for _, effect := range effects {
+			require.NotEqual(t, "cell.Stop", fmt.Sprintf("%T", effect))
+		}
+	}
+	report(time.Minute)
+	clock.Steady += 6 * time.Second // suspended; the worker's next report was sent soon after the last one
+	requireNoStop(report(time.Minute + 200*time.Millisecond))
+	requireNoStop(c.Update(clock, PlacementRound{}))
+	clock.Steady += 100 * time.Millisecond
+	report(time.Minute + 6*time.Second) // now without progress by its own clock
+	stopped := false
+	for _, effect := range c.Update(clock, PlacementRound{}) {
+		_, isStop := effect.(Stop)
+		stopped = stopped || isStop
+	}
+	require.True(t, stopped)
+}
+
 // TestGangIsNotStarvedByItsTeam simulates a team at its ceiling whose small tasks would
 // use each part of the ceiling as it becomes free.
 func TestGangIsNotStarvedByItsTeam(t *testing.T) {
--- a/cell/job.go
+++ b/cell/job.go
@@ -100,6 +100,9 @@
 	stopAckedAt Instant
 	percent     int     // reported progress
 	progressAt  Instant // when percent last changed
+	// progressClock is the worker's clock in the first report with the current percent; 0
+	// if no report has listed the run.
+	progressClock time.Duration
 }
 
 func (s *step) unstartedTasks() int { return s.tasksLeft - s.tasksWithRuns }
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -47,15 +47,16 @@
 	}
 }
 
-// stuck reports whether a run has made no progress for too long. Members of a gang
-// work and end together: none begins its work before all have started, and one that has
-// finished its work waits for the others.
+// stuck reports whether a run has made no progress for too long, by the clock of its
+// worker. By this host's clock, a run would also seem stuck if the host was suspended and
+// then read a report from before. Members of a gang work and end together: none begins its
+// work before all have started, and one that has finished its work waits for the others.
 func (c *Cell) stuck(r *run) bool {
 	s := r.task.step
 	if s.spec.LongRunning || s.spec.UsesIdleCPU || r.w.failing || r.percent >= 100 {
 		return false
 	}
-	if c.now.Steady-r.progressAt < max(stuckAfter, s.spec.Estimate/20) || c.now.Steady-r.w.answeredAt >= pollWait {
+	if r.progressClock == 0 || r.w.reportClock-r.progressClock < max(stuckAfter, s.spec.Estimate/20) || c.now.Steady-r.w.answeredAt >= pollWait {
 		return false
 	}
 	return !s.spec.Gang || r.percent > 0 || s.hasProgress()
--- a/cell/report.go
+++ b/cell/report.go
@@ -30,7 +30,7 @@
 	w.failing = false
 	w.lastAcked = max(w.lastAcked, w.ackInFlight)
 	w.answeredAt = max(w.answeredAt, e.Received)
-	w.reportedAt = e.Received
+	w.reportedAt, w.reportClock = e.Received, e.Report.Clock
 	w.setClock(e.Report.Clock, e.Received)
 	if e.Report.StartedAt > 0 && w.StartedAt > 0 && e.Report.StartedAt != w.StartedAt {
 		if e.Report.StartedAt < w.StartedAt {
@@ -216,6 +216,9 @@
 		r.confirmedAt = at
 		r.progressAt = at
 	}
+	if entry.Percent != r.percent || r.progressClock == 0 {
+		r.progressClock = r.w.reportClock
+	}
 	if entry.Percent != r.percent {
 		c.recordProgressSpeed(r, entry.Percent, at)
 		r.percent, r.progressAt = entry.Percent, at
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -44,6 +44,7 @@
 	polledAt      Instant           // when the last poll was sent
 	answeredAt    Instant           // when it last answered
 	reportedAt    Instant           // when its last report arrived
+	reportClock   time.Duration     // the worker's clock in its last report
 	failing       bool              // the last poll failed or a start since got no answer
 	clockAt       Instant           // when Clock was read
 	lastProcessed uint64            // sequence number of the last result processed
