cellhost: fewer heartbeats, announced claims, no crash by a job-less submission

Load pattern: hundreds of hosts send 3 heartbeats a second each to the owner, 490 a second on the large site, and learn of a new owner by the next one. Weak hosts, which claim last, now share 150 a second; a new owner announces itself to all; a call that does not find the owner makes its host look at once.

--- a/cellhost/cellhost.go
+++ b/cellhost/cellhost.go
@@ -109,6 +109,7 @@
 	rules            atomic.Pointer[ruleset.Rules]
 	rulesConfirmedAt atomic.Int64 // cell.Instant at which the store last confirmed the rules
 	ownership        ownership
+	ownerDoubted     chan struct{} // the owner may have changed
 	dispatcher       dispatcher
 	carrier          carrier
 	commits          chan writeRequest
@@ -131,6 +132,7 @@
 	h.once.Do(func() {
 		h.events = make(chan any, eventQueueSize)
 		h.commits = make(chan writeRequest, 4)
+		h.ownerDoubted = make(chan struct{}, 1)
 		if h.Now == nil {
 			start := time.Now()
 			h.Now = func() cell.Instant { return time.Since(start) }
--- a/cellhost/client_calls.go
+++ b/cellhost/client_calls.go
@@ -192,10 +192,13 @@
 	out, err := h.callPeer(ctx, owner.Addr, r, timeout)
 	switch {
 	case errors.Is(err, peer.ErrUnreachable):
+		h.doubtOwner()
 		return Outcome{}, noEffect
 	case err != nil:
+		h.doubtOwner()
 		return Outcome{}, effectUnknown
 	case out.Outcome.Verdict == cell.NotOwner && !out.Outcome.Unanswered:
+		h.doubtOwner()
 		return Outcome{}, noEffect
 	case out.Outcome.Unanswered:
 		return Outcome{}, effectUnknown
--- a/cellhost/ownership.go
+++ b/cellhost/ownership.go
@@ -20,6 +20,14 @@
 const (
 	// heartbeatInterval is the time between two heartbeats to the owner.
 	heartbeatInterval = 300 * time.Millisecond
+	// weakHeartbeats is how many heartbeats a second all weak hosts together send to the
+	// owner at most. They need not detect its end soon, because strong hosts claim the
+	// cell first.
+	weakHeartbeats = 150
+	// weakSteps is the number of extra steps from which on a host counts as weak.
+	weakSteps = maxExtraSteps / 2
+	// announceParallel is how many hosts a new owner tells about its claim at a time.
+	announceParallel = 8
 	// heartbeatTimeout bounds a heartbeat, a probe and an offer of the cell.
 	heartbeatTimeout = 400 * time.Millisecond
 	// suspectTimeout bounds a heartbeat to an owner that failed to answer the last
@@ -37,7 +45,8 @@
 	// hostListInterval is the minimum time between two requests for the list of hosts,
 	// which changes many times while hosts start.
 	hostListInterval = 3 * time.Second
-	// memberTimeout is how long a host counts as present after its last heartbeat.
+	// memberTimeout is how long a host that sends a heartbeat every heartbeatInterval
+	// counts as present after its last one.
 	memberTimeout = 4 * heartbeatInterval
 	// isolationTimeout is how long an owner that had members may receive no
 	// heartbeat before it probes the other hosts.
@@ -111,7 +120,13 @@
 type member struct {
 	hostInfo
 	lastHeartbeat cell.Instant
-	startedAt     cell.Instant // when its process started
+	interval      time.Duration // between its heartbeats; 0: heartbeatInterval
+	startedAt     cell.Instant  // when its process started
+}
+
+// timeout returns how long the host counts as present after its last heartbeat.
+func (m *member) timeout() time.Duration {
+	return memberTimeout / heartbeatInterval * max(m.interval, heartbeatInterval)
 }
 
 func (o *ownership) owns() bool {
@@ -288,14 +303,14 @@
 	return addrs
 }
 
-// pruneMembers removes the members that have sent no heartbeat for memberTimeout and
+// pruneMembers removes the members that have sent no heartbeat for their timeout and
 // returns the names of the remaining ones.
 func (o *ownership) pruneMembers(now cell.Instant) []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var names []string
 	for name, m := range o.members {
-		if now-m.lastHeartbeat > memberTimeout {
+		if now-m.lastHeartbeat > m.timeout() {
 			delete(o.members, name)
 			continue
 		}
@@ -318,7 +333,28 @@
 		case !h.leaving.Load():
 			k.stepAsFollower(ctx)
 		}
-		pause.Sleep(ctx, k.pause())
+		h.waitForStep(ctx, k.pause())
+	}
+}
+
+// waitForStep waits until the next step of the ownership keeper is due, or this host has
+// reason to believe that the owner has changed.
+func (h *Host) waitForStep(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-h.ownerDoubted:
+		pause.Sleep(ctx, min(delay, claimStagger))
+	}
+}
+
+// doubtOwner makes the ownership keeper check the owner soon.
+func (h *Host) doubtOwner() {
+	select {
+	case h.ownerDoubted <- struct{}{}:
+	default: // a check is pending
 	}
 }
 
@@ -342,7 +378,18 @@
 	if k.ownerSuspect || refused {
 		return claimStagger
 	}
-	return heartbeatInterval
+	return k.host.heartbeatInterval()
+}
+
+// heartbeatInterval returns the time between two heartbeats of this host.
+func (h *Host) heartbeatInterval() time.Duration {
+	h.ownership.mu.Lock()
+	defer h.ownership.mu.Unlock()
+	hosts := &h.ownership.hosts
+	if h.ownership.isOwner || hosts.extraSteps(h.info()) < weakSteps {
+		return heartbeatInterval
+	}
+	return max(heartbeatInterval, time.Duration(len(hosts.byName))*time.Second/weakHeartbeats)
 }
 
 // stepAsOwner posts changes of the members to the cell, offers the cell if commits are
@@ -422,12 +469,14 @@
 	select {
 	case h.commits <- writeRequest{resign: done}:
 	case <-waitCtx.Done():
+		h.Log.Warn("cell not handed over", "error", "earlier commits are not confirmed")
 		return
 	}
 	vacant := false
 	select {
 	case vacant = <-done:
 	case <-waitCtx.Done():
+		h.Log.Warn("cell not handed over in time", "error", "a commit is not confirmed; the cell is given up after it")
 		return
 	}
 	h.ownership.mu.Lock()
@@ -615,6 +664,30 @@
 		h.post(ctx, rules.Policy())
 	}
 	h.post(ctx, cell.AdviceHosts{Hosts: []string{h.Name}})
+	go h.announce(ctx, head.HeadRow)
+}
+
+// announce tells the other hosts that this host owns the cell, so that calls which wait
+// for an owner reach it before the next heartbeat.
+func (h *Host) announce(ctx context.Context, head HeadRow) {
+	tokens := make(chan struct{}, announceParallel)
+	for _, addr := range h.ownership.others(h.Name) {
+		tokens <- struct{}{}
+		go func() {
+			defer func() { <-tokens }()
+			// A host that is not reached reads the head row when it finds no owner.
+			_, _ = h.callPeer(ctx, addr, request{Kind: kindAnnounce, Head: &head}, heartbeatTimeout)
+		}()
+	}
+}
+
+// handleAnnounce records a new owner, unless the known one has claimed the cell later.
+func (o *ownership) handleAnnounce(head *HeadRow) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if head != nil && !o.isOwner && head.Token > o.owner.Token {
+		o.owner = *head
+	}
 }
 
 // refreshHead rewrites the head row until refreshCtx ends: other hosts claim a cell whose
--- a/cellhost/peer_calls.go
+++ b/cellhost/peer_calls.go
@@ -28,12 +28,13 @@
 	kindCountQueued                         // asks for the number of jobs of a queue that have not started a task
 	kindRelay                               // gives commands to a relay
 	kindRelayResults                        // returns the results of relayed commands to the owner
+	kindAnnounce                            // tells that the sender has claimed the cell
 )
 
 // kindNames names the kinds of requests in the metrics.
 var kindNames = map[requestKind]string{
 	kindHeartbeat: "heartbeat", kindProbe: "probe", kindOffer: "offer", kindAdvise: "advise", kindSubmit: "submit",
-	kindCancel: "cancel", kindQuery: "query", kindCountQueued: "countQueued", kindRelay: "relay", kindRelayResults: "relayResults",
+	kindCancel: "cancel", kindQuery: "query", kindCountQueued: "countQueued", kindRelay: "relay", kindRelayResults: "relayResults", kindAnnounce: "announce",
 }
 
 // request is a call from one entry host to another.
@@ -54,6 +55,8 @@
 	Commands  *relayBatch   `cbor:"13,keyasint,omitempty"` // in kindRelay
 	Session   string        `cbor:"14,keyasint,omitempty"` // in kindRelayResults: the owner that gave the commands
 	Results   []relayResult `cbor:"15,keyasint,omitempty"` // in kindRelayResults
+	Head      *HeadRow      `cbor:"17,keyasint,omitempty"` // in kindAnnounce
+	Interval  time.Duration `cbor:"18,keyasint,omitempty"` // in a heartbeat: time between two heartbeats of the sender
 }
 
 // reply answers a request.
@@ -97,10 +100,17 @@
 	case kindRelay:
 		h.carry(context.WithoutCancel(ctx), r.Commands)
 		return reply{}
+	case kindAnnounce:
+		h.ownership.handleAnnounce(r.Head)
+		h.doubtOwner() // the next heartbeat makes this host known to the new owner
+		return reply{}
 	case kindRelayResults:
 		h.handleRelayResults(ctx, r)
 		return reply{}
 	}
+	if r.Kind == kindSubmit && (r.Job == nil || r.Job.Validate() != nil) {
+		return reply{Outcome: Outcome{Verdict: cell.Refused, Reason: "malformed job"}}
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
 	return reply{Outcome: h.resolve(ctx, r)}
@@ -114,7 +124,7 @@
 	if r.Info != nil {
 		info = *r.Info
 	}
-	h.ownership.recordMember(r.Name, member{hostInfo: info, lastHeartbeat: now, startedAt: now - r.Uptime})
+	h.ownership.recordMember(r.Name, member{hostInfo: info, lastHeartbeat: now, interval: r.Interval, startedAt: now - r.Uptime})
 	h.ownership.mu.Lock()
 	defer h.ownership.mu.Unlock()
 	out := reply{Owner: h.ownership.isOwner, Head: h.ownership.owner}
@@ -200,11 +210,11 @@
 
 // heartbeat returns the heartbeat request of this host.
 func (h *Host) heartbeat() request {
-	info, now := h.info(), h.Now()
+	info, now, interval := h.info(), h.Now(), h.heartbeatInterval()
 	h.ownership.mu.Lock()
 	defer h.ownership.mu.Unlock()
 	return request{
-		Kind: kindHeartbeat, Name: h.Name, Addr: h.Addr, Cores: h.Cores, Uptime: now - h.startedAt, Info: &info,
+		Kind: kindHeartbeat, Name: h.Name, Addr: h.Addr, Cores: h.Cores, Uptime: now - h.startedAt, Info: &info, Interval: interval,
 		WantHosts: h.ownership.ownerHosts == 0 || now-h.ownership.ownerHostsAt > hostListInterval, Hosts: h.ownership.ownerHosts,
 	}
 }
--- a/cellhost/relay_test.go
+++ b/cellhost/relay_test.go
@@ -287,3 +287,17 @@
 	require.Equal(t, 1, outcomes, "the command is unanswered all the same")
 	require.NotZero(t, d.outboxes["r"].pausedUntil)
 }
+
+// TestNewOwnerAnnouncesItself covers hosts that still take an owner that has ended for the
+// current one.
+func TestNewOwnerAnnouncesItself(t *testing.T) {
+	owner, _ := newServingHost(t, "owner")
+	follower, _ := newServingHost(t, "follower")
+	follower.ownership.setOwner(HeadRow{Head: Head{Session: "ended", Token: 3}})
+	owner.ownership.hosts.record("follower", follower.info())
+	owner.announce(t.Context(), HeadRow{Head: Head{Session: owner.Session, Name: owner.Name, Addr: owner.Addr, Token: 4}})
+	require.Eventually(t, func() bool {
+		known, _ := follower.ownership.currentOwner()
+		return known.Session == owner.Session
+	}, eventTimeout, time.Millisecond)
+}
