relays: a batch holds the commands of one claim

Cause, by reading: commands that waited for a relay while the host lost the cell and claimed it again went out with those of the new claim under the earlier token. Workers would have rejected the new ones, and the host would have taken its claim for lost. Change: commands of an earlier claim are left out. Two methods have clearer names. TestBatchHoldsNoCommandsOfAnEarlierClaim fails without it.

--- a/cellhost/dispatch.go
+++ b/cellhost/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,7 +83,7 @@
 	}
 	var hosts []relay.Host
 	if float64(len(workers)) > directShare*float64(h.info().capacity()) {
-		hosts = h.ownership.relays(h.Name, h.Now())
+		hosts = h.ownership.relayCandidates(h.Name, h.Now())
 	}
 	plan := relay.New(hosts, perZone)
 	d := &h.dispatcher
@@ -94,8 +95,8 @@
 	d.plan, d.zones = plan, zones
 }
 
-// relays returns the other hosts that may serve as relays.
-func (o *ownership) relays(self string, now cell.Instant) []relay.Host {
+// relayCandidates returns the other hosts that may serve as relays.
+func (o *ownership) relayCandidates(self string, now cell.Instant) []relay.Host {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	newOwner := now-o.claimedAt < memberTimeout
@@ -111,13 +112,13 @@
 
 // dispatch sends a command to a worker, through a relay if the plan has one for it.
 func (h *Host) dispatch(ctx context.Context, worker string, cmd any) {
-	if !h.relay(ctx, worker, cmd) {
+	if !h.sendToRelay(ctx, worker, cmd) {
 		go h.sendDirect(ctx, cmd, h.Now()+commandTimeout)
 	}
 }
 
-// relay gives a command to a relay and reports whether there is one for the worker.
-func (h *Host) relay(ctx context.Context, worker string, cmd any) bool {
+// sendToRelay gives a command to a relay and reports whether there is one for the worker.
+func (h *Host) sendToRelay(ctx context.Context, worker string, cmd any) bool {
 	now := h.Now()
 	d := &h.dispatcher
 	d.mu.Lock()
@@ -166,8 +167,13 @@
 	return commandTimeout
 }
 
-// sendBatch delivers commands to a relay.
+// sendBatch delivers commands to a relay, except those of an earlier claim: they carry
+// another token, and all commands of a batch share one.
 func (h *Host) sendBatch(ctx context.Context, name string, commands []relayCommand) {
+	commands = h.dispatcher.stillPending(commands)
+	if len(commands) == 0 {
+		return
+	}
 	b := newRelayBatch(h.Session, h.Addr, commands)
 	b.StartBefore = h.Now() + commandTimeout
 	_, err := h.callPeer(ctx, h.ownership.host(name).Addr, request{Kind: kindRelay, Commands: b}, relayTimeout)
@@ -186,6 +192,16 @@
 	}
 }
 
+// stillPending returns the commands that wait for an outcome.
+func (d *dispatcher) stillPending(commands []relayCommand) []relayCommand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.DeleteFunc(commands, func(c relayCommand) bool {
+		_, pending := d.pending[c.ID]
+		return !pending
+	})
+}
+
 // take removes a pending command and reports whether it was there.
 func (d *dispatcher) take(id uint64) (relayed, bool) {
 	d.mu.Lock()
--- a/cellhost/relay_messages.go
+++ b/cellhost/relay_messages.go
@@ -99,14 +99,13 @@
 	return m
 }
 
-// newRelayBatch returns the batch for commands. They may have been queued during two
-// claims; all get the token and the limit of the earlier one, which workers then reject.
+// newRelayBatch returns the batch for commands of one claim. All get the earliest limit.
 func newRelayBatch(session, addr string, commands []relayCommand) *relayBatch {
 	b := &relayBatch{Session: session, Addr: addr, Token: commands[0].token, NotAfter: commands[0].notAfter, Commands: commands}
 	indexes := map[string]int{}
 	for i := range commands {
 		c := &commands[i]
-		b.Token, b.NotAfter = min(b.Token, c.token), min(b.NotAfter, c.notAfter)
+		b.NotAfter = min(b.NotAfter, c.notAfter)
 		if c.Kind != startCommand {
 			continue
 		}
--- a/cellhost/relay_test.go
+++ b/cellhost/relay_test.go
@@ -301,3 +301,27 @@
 		return known.Session == owner.Session
 	}, eventTimeout, time.Millisecond)
 }
+
+// TestBatchHoldsNoCommandsOfAnEarlierClaim covers a host that loses the cell and claims it
+// again while commands wait for a relay. With the earlier token, workers would reject the
+// new commands and the host would take its claim for lost.
+func TestBatchHoldsNoCommandsOfAnEarlierClaim(t *testing.T) {
+	owner, _, relays := newRelayedOwner(t)
+	command := func(token uint64) relayCommand {
+		d := &owner.dispatcher
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.outbox("r1")
+		d.nextID++
+		stop := cell.Stop{Command: cell.Command{Worker: "w1", Token: token}}
+		d.pending[d.nextID] = relayed{command: stop, relay: "r1", deadline: owner.Now() + time.Hour}
+		return encodeCommand(d.nextID, stop)
+	}
+	queued := []relayCommand{command(7)}
+	owner.dispatcher.reset(owner.Now())
+	queued = append(queued, command(8))
+	owner.sendBatch(t.Context(), "r1", queued)
+	nextEvent(t, owner)
+	require.Equal(t, 1, relays["r1"].count())
+	require.Equal(t, uint64(8), relays["r1"].calls[0].(cell.Stop).Token)
+}
