--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -23,6 +23,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.Equal(t, [][]int{{0}, {1, 2, 3, 4, 5, 6, 7, 8, 9}}, batches)
 		q.Add(10) // the queue is idle, so the value is not delayed
 		synctest.Wait()
