cell: the roster in rows that the store accepts

Cause: the roster of the workers in use was one row, 54 bytes a worker in base64. From some 1,200 workers on it exceeds the store's 64 KB, and every commit that holds it is rejected: nothing is accepted any more. Change: 400 workers a row; the first row keeps its key, rows that are no longer needed are deleted.

--- a/cell/commit.go
+++ b/cell/commit.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -20,6 +22,9 @@
 	// 1 MB in base64. A job adds up to two rows, the cell's head row two more entries.
 	maxRows  = 90
 	maxBytes = 500 << 10
+	// rosterRowWorkers is the number of workers in a row of the roster. The store accepts
+	// rows of 64 KB in base64; a worker takes some 55 bytes of that.
+	rosterRowWorkers = 400
 )
 
 // commitState tracks what has to be stored, the commit in flight, and when the
@@ -33,6 +38,7 @@
 	dirty       []*job
 	drops       []Row // rows to delete
 	rosterDirty bool  // the roster must be written
+	rosterRows  int   // rows of the roster that may be in the store
 }
 
 // pendingCommit holds what to do once a commit is confirmed.
@@ -79,6 +85,13 @@
 	p := &pendingCommit{seq: commits.seq}
 	effect := Commit{Seq: commits.seq}
 	size := 0
+	if commits.rosterDirty {
+		commits.rosterDirty = false
+		effect.Puts, effect.Drops = c.rosterRows(p)
+		for _, row := range effect.Puts {
+			size += len(row.Value)
+		}
+	}
 	for len(commits.dirty) > 0 && effect.rows() < maxRows && size < maxBytes {
 		j := commits.dirty[0]
 		commits.dirty = commits.dirty[1:]
@@ -87,14 +100,10 @@
 			effect.Puts = append(effect.Puts, row)
 		}
 	}
-	if n := min(len(commits.drops), maxRows-effect.rows()); n > 0 {
+	if n := min(len(commits.drops), max(0, maxRows-effect.rows())); n > 0 {
 		effect.Drops = append(effect.Drops, commits.drops[:n]...)
 		commits.drops = commits.drops[n:]
 	}
-	if commits.rosterDirty {
-		commits.rosterDirty = false
-		effect.Puts = append(effect.Puts, c.rosterRow(p))
-	}
 	if len(commits.dirty) == 0 {
 		p.acks = map[*worker]resultAck{}
 		for _, w := range c.sortedWorkers {
@@ -171,20 +180,34 @@
 	return Row{Table: table, Key: key, Value: value}
 }
 
-// rosterRow returns the row that lists the workers that this cell may use.
-func (c *Cell) rosterRow(p *pendingCommit) Row {
-	var refs []WorkerRef
-	for _, w := range c.workers {
-		refs = append(refs, WorkerRef{ID: w.ID, Addr: w.Addr, Service: w.Service})
-		p.workers = append(p.workers, w)
+// rosterRows returns the rows that list the workers that this cell may use, and those to
+// delete because there are fewer workers now.
+func (c *Cell) rosterRows(p *pendingCommit) (puts, drops []Row) {
+	for chunk := range slices.Chunk(c.sortedWorkers, rosterRowWorkers) {
+		var refs []WorkerRef
+		for _, w := range chunk {
+			refs = append(refs, WorkerRef{ID: w.ID, Addr: w.Addr, Service: w.Service})
+			p.workers = append(p.workers, w)
+		}
+		puts = append(puts, c.encodeRow(Roster, rosterKey(len(puts)), func() ([]byte, error) { return cbor.Marshal(refs) }))
 	}
-	return c.encodeRow(Roster, RosterKey, func() ([]byte, error) { return cbor.Marshal(refs) })
+	for n := len(puts); n < c.commits.rosterRows; n++ {
+		drops = append(drops, Row{Table: Roster, Key: rosterKey(n)})
+	}
+	c.commits.rosterRows = len(puts)
+	return puts, drops
 }
 
-// RosterKey is the key of the single roster row.
-const RosterKey = "workers"
+// rosterKey returns the key of a row of the roster. The first one has the key that
+// earlier versions read.
+func rosterKey(n int) string {
+	if n == 0 {
+		return "workers"
+	}
+	return "workers-" + strconv.Itoa(n)
+}
 
-// DecodeRoster decodes the roster row.
+// DecodeRoster decodes a row of the roster.
 func DecodeRoster(value []byte) ([]WorkerRef, error) {
 	var refs []WorkerRef
 	err := cbor.Unmarshal(value, &refs)
--- a/cell/effect.go
+++ b/cell/effect.go
@@ -24,7 +24,7 @@
 const (
 	Jobs     Table = iota // workload.Job by ID
 	Progress              // workload.Progress by ID
-	Roster                // workers in use, one row
+	Roster                // workers in use, some hundred in a row
 )
 
 // Row is one row of a Commit.
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -53,6 +53,7 @@
 		j.receivedAt = c.now.Steady - min(max(0, age), time.Minute)
 		c.addJob(j)
 	}
+	c.commits.rosterRows = (len(e.Workers) + rosterRowWorkers - 1) / rosterRowWorkers
 	for _, ref := range e.Workers {
 		w := newWorker(WorkerInfo{ID: ref.ID, Addr: ref.Addr, Service: ref.Service}, c.now.Steady)
 		w.onRoster = true
