host: a leaving host keeps no connections of its callers

The server closes idle connections when it shuts down; a caller that reuses one at that moment loses its request, which it may not repeat. Change: a leaving host answers with Connection: close, so that callers hold no idle connection when the listener closes. TestLeavingHostKeepsNoConnections failed before. The integration test was not repeated under load yet.

--- a/host/host.go
+++ b/host/host.go
@@ -211,7 +211,7 @@
 	if err != nil {
 		return err
 	}
-	h.http = &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	h.http = &http.Server{Handler: h.closeWhileLeaving(handler), ReadHeaderTimeout: 5 * time.Second}
 	h.spawn(func() {
 		if err := h.http.Serve(h.httpListener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			h.Log.Error("host: serving callers failed", "err", err.Error())
@@ -220,6 +220,18 @@
 	return nil
 }
 
+// closeWhileLeaving makes callers of a leaving host close their connections after the
+// response. The server closes idle connections when it shuts down, and a request that is
+// sent on one at that moment would be lost.
+func (h *Host) closeWhileLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (h *Host) gateway() *gateway.Gateway {
 	return &gateway.Gateway{
 		Settings:   h.Settings,
