cell: the owner logs the use of the fleet

Cause: the log said who waited and why, but not how full the fleet was meanwhile, nor how much of it was kept for gangs.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -87,6 +87,8 @@
 
 	commits          commitState
 	lastHousekeeping Instant
+	useLoggedAt      Instant
+	reservedMilliCPU int64 // processors that the last placement round reserved for gangs, in thousandths
 	load             loadEstimate
 }
 
@@ -225,6 +227,7 @@
 	c.refuseUnsent()
 	c.estimateLoad()
 	c.forgetEnded()
+	c.logUse()
 }
 
 func (c *Cell) emit(effect any) { c.effects = append(c.effects, effect) }
--- a/cell/place.go
+++ b/cell/place.go
@@ -99,6 +99,7 @@
 	c.heldUse = c.heldResources()
 	p := c.newRound()
 	defer p.clearStaleReservations()
+	defer func() { c.reservedMilliCPU = p.reservedMilliCPU }()
 	for _, s := range c.waiting {
 		pool := p.pools[s.job.Queue.Service]
 		if pool == nil || !c.mayPlace(s) {
