runtimes: run times as distributions

A queue kept one mean ratio of actual to estimated run times. With a heavy tail (3 in 100 tasks take 7 times as long) it describes neither the usual run nor the long ones: the slack of every job grew with it, and a run beyond its expected end counted as about to end.

With a learned heavy tail, admission takes the median for a job's own slack, as the objective allows for the real work, and a run older than expected takes the median of the runs that get that old. A gang counts once.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -163,7 +163,7 @@
 	if c.load.listed && r.cores == 0 {
 		return refuse("the service has no workers", minRetryDelay)
 	}
-	path := c.queueStats(spec.Queue.Name).expectedDuration(criticalPath(spec))
+	path := c.queueStats(spec.Queue.Name).typicalDuration(criticalPath(spec))
 	r.slack = time.Duration((spec.Queue.Slack-1)*float64(path)) + spec.Queue.Target
 	if spec.Queue.Advice != nil {
 		r.slack -= spec.Queue.Advice.Duration(typicalCallWorkers)
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -358,9 +358,9 @@
 // remainingWork estimates how long a run still has work to do.
 func (c *Cell) remainingWork(r *run) time.Duration {
 	s := r.task.step
-	duration := c.queueStats(s.job.Queue.Name).expectedDuration(s.spec.Estimate)
+	stats := c.queueStats(s.job.Queue.Name)
 	if r.confirmedAt == 0 {
-		return duration
+		return stats.expectedDuration(s.spec.Estimate)
 	}
 	age := c.now.Steady - r.confirmedAt
 	if r.percent > 0 {
@@ -368,7 +368,7 @@
 		totalDuration := time.Duration(float64(r.progressAt-r.confirmedAt) * 100 / float64(r.percent))
 		return max(0, totalDuration-age)
 	}
-	return max(duration/8, duration-age)
+	return stats.remainingDuration(s.spec.Estimate, age)
 }
 
 // reserve reserves workers for a gang from the given time on. Later steps may use
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
 	"math/bits"
 	"slices"
 	"strings"
@@ -70,6 +72,21 @@
 	submitKind("cc", gangs, gangJob)
 }
 
+// misestimate makes the work of all jobs differ from their estimates, by a factor of up to
+// maxOff by job, and a share of the tasks take 7 times as long.
+func (f *simFleet) misestimate(maxOff, tail float64) {
+	for _, id := range slices.Sorted(maps.Keys(f.jobs)) {
+		j := f.jobs[id]
+		off := math.Pow(maxOff, 2*f.rng.Float64()-1)
+		for _, name := range slices.Sorted(maps.Keys(j.actual)) {
+			j.actual[name] = time.Duration(off * float64(j.actual[name]))
+			if f.rng.Float64() < tail {
+				j.actual[name] *= 7
+			}
+		}
+	}
+}
+
 // loadPattern is a difficult load and the share of jobs that must meet their objective
 // under it.
 type loadPattern struct {
--- a/cell/queuestats.go
+++ b/cell/queuestats.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"time"
+
+	"github.com/cowslipgap/cowslipgap/runtimes"
 )
 
 const (
@@ -12,11 +14,10 @@
 	// minEligibleShare keeps a series of negative answers from making a step ask about
 	// all workers.
 	minEligibleShare = 0.05
-	// maxDurationSamples is how many runs the ratio of actual to estimated duration is
-	// averaged over.
-	maxDurationSamples = 200
 	// maxDurationRatio bounds the ratio of a single run.
 	maxDurationRatio = 8
+	// cautiousQuantile is the share of runs that end within their cautious duration.
+	cautiousQuantile = 0.9
 	// maxSpeedSamples is how many samples a worker's speed is averaged over: a few
 	// seconds of lookup jobs.
 	maxSpeedSamples = 12
@@ -27,12 +28,11 @@
 	minSpeedInterval = 150 * time.Millisecond
 )
 
-// queueStats holds the running averages of a queue's jobs.
+// queueStats holds what is known of a queue's jobs.
 type queueStats struct {
-	eligibleShare   float64 // share of workers that may run a step
-	adviceSamples   int
-	durationRatio   float64 // actual to estimated duration of runs; 0: unknown
-	durationSamples int
+	eligibleShare float64 // share of workers that may run a step
+	adviceSamples int
+	runs          runtimes.Distribution // actual to estimated duration
 }
 
 // queueStats returns the statistics of a queue.
@@ -45,12 +45,46 @@
 	return stats
 }
 
-// expectedDuration returns the average duration of runs with the given estimate.
+// expectedDuration returns the average duration of runs with the given estimate. It suits
+// sums over many runs, such as the work that waits.
 func (q *queueStats) expectedDuration(estimate time.Duration) time.Duration {
-	if q.durationRatio == 0 {
+	ratio, known := q.runs.Mean()
+	if !known {
 		return estimate
 	}
-	return time.Duration(float64(estimate) * q.durationRatio)
+	return time.Duration(float64(estimate) * ratio)
+}
+
+// typicalDuration returns the duration of a single job's path. With a heavy tail, that is
+// the median: the objective of a job allows for its real work, so the slack of the usual
+// job does not grow with the few that take many times as long.
+func (q *queueStats) typicalDuration(estimate time.Duration) time.Duration {
+	if !q.runs.HeavyTail() {
+		return q.expectedDuration(estimate)
+	}
+	return q.quantileDuration(estimate, 0.5)
+}
+
+// quantileDuration returns the duration that a share of the runs with the given estimate
+// does not exceed, or the average one if too few runs are known.
+func (q *queueStats) quantileDuration(estimate time.Duration, share float64) time.Duration {
+	ratio, known := q.runs.Quantile(share)
+	if !known {
+		return q.expectedDuration(estimate)
+	}
+	return time.Duration(float64(estimate) * ratio)
+}
+
+// remainingDuration returns how much longer a run of the given age, is expected to take. With a heavy tail, a run that exceeds the usual duration
+// is one of the long ones.
+func (q *queueStats) remainingDuration(estimate, age time.Duration) time.Duration {
+	expected := q.expectedDuration(estimate)
+	if age > expected && q.runs.HeavyTail() && estimate > 0 {
+		if total, known := q.runs.Beyond(float64(age) / float64(estimate)); known {
+			return max(expected/8, time.Duration(float64(estimate)*total)-age)
+		}
+	}
+	return max(expected/8, expected-age)
 }
 
 // recordEligible updates the average share of eligible workers.
@@ -64,19 +98,19 @@
 	stats.eligibleShare = max(stats.eligibleShare, minEligibleShare)
 }
 
-// recordResult updates the averages of the queue and the worker with the result of a
-// run.
+// recordResult updates what is known of the queue and the worker with the result of a run.
 func (c *Cell) recordResult(r *run, outcome RunOutcome) {
 	s := r.task.step
 	switch {
 	case outcome == GangTimedOut:
 		c.logInfo("gang incomplete", slog.String("task", r.task.name), slog.Uint64("run", r.number))
+	case s.spec.Gang && s.done:
+		// The first of its members to be reported has counted for all.
 	case outcome == Done && r.confirmedAt > 0 && s.spec.Estimate > 0 && s.job.Job != nil && r.number == 1:
+		ratio := float64(c.now.Steady-r.confirmedAt) / float64(s.spec.Estimate)
 		stats := c.queueStats(s.job.Queue.Name)
-		stats.durationSamples = min(stats.durationSamples+1, maxDurationSamples)
-		ratio := min(maxDurationRatio, float64(c.now.Steady-r.confirmedAt)/float64(s.spec.Estimate))
-		stats.durationRatio += (ratio - stats.durationRatio) / float64(stats.durationSamples)
-		if stats.durationSamples == maxDurationSamples {
+		stats.runs.Add(min(maxDurationRatio, ratio))
+		if stats.runs.Known() {
 			duration := stats.expectedDuration(s.spec.Estimate)
 			r.w.addSpeedSample(min(maxSpeed, float64(duration)/float64(max(1, c.now.Steady-r.confirmedAt))))
 		}
