Expected wait by the scarcest resource and by room on single workers

Cause: the expected wait counted cores of the whole fleet only. Jobs that memory keeps from any worker were accepted and late; small jobs were refused because of gangs ahead that could not use the room, and because of work of other services.

Gangs ahead count by what is reserved for them.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// packingEfficiency is the share of all processors that placement can use when
-	// much work waits; the rest is lost to fragmentation.
-	packingEfficiency = 0.85
 	// rateBurst bounds the jobs that a team may submit at once: as many as its rate
 	// allows in this time.
 	rateBurst = 2 * time.Second
@@ -32,32 +29,6 @@
 	maxTasks = 20_000
 )
 
-// demand is accepted work that is not done.
-type demand struct {
-	work  float64 // core-seconds left
-	cores float64 // cores that it could use now
-}
-
-func (d *demand) add(other demand) {
-	d.work += other.work
-	d.cores += other.cores
-}
-
-// loadEstimate is the demand on the fleet. Running work is counted separately, as
-// it keeps its room whatever its rank.
-type loadEstimate struct {
-	running  map[string]demand // by team
-	waiting  map[teamRank]demand
-	capacity map[string]float64 // cores, by service
-	listed   bool               // the workers had been listed when it was computed
-}
-
-// teamRank identifies the waiting work of a team at one rank.
-type teamRank struct {
-	team string
-	rank int
-}
-
 // submit accepts or refuses a job. When the fleet is overloaded, a job that would
 // be late is refused at once, with a time after which to retry, instead of being
 // accepted and finished late.
@@ -173,7 +144,7 @@
 	if r.beyondRate {
 		rank += rankBeyondRate
 	}
-	r.wait = c.expectedWait(spec, rank, r.cores)
+	r.wait = c.expectedWait(spec, rank)
 	if spec.Queue.Advice != nil && spec.Queue.Advice.Duration(1) >= longCall {
 		r.wait = max(r.wait, c.adviceQueueTime(rank))
 	}
@@ -216,55 +187,6 @@
 	return false
 }
 
-// expectedWait estimates how long a job would wait behind the accepted jobs. The
-// estimate is zero if the job and everything ahead of it fit at once, and
-// approaches the time for all the work ahead as demand outgrows capacity.
-func (c *Cell) expectedWait(spec *workload.Job, rank int, capacity float64) time.Duration {
-	var fleet, team demand
-	for name, d := range c.load.running {
-		fleet.add(d)
-		if name == spec.Team {
-			team.add(d)
-		}
-	}
-	for key, d := range c.load.waiting {
-		if key.rank > rank {
-			continue
-		}
-		fleet.add(d)
-		if key.team == spec.Team {
-			team.add(d)
-		}
-	}
-	wait := fleet.timeToFree(maxStepCores(spec), capacity*packingEfficiency)
-	if ceiling := c.policy[spec.Team].Ceiling.MilliCPU; ceiling > 0 {
-		wait = max(wait, team.timeToFree(maxStepCores(spec), float64(ceiling)/1000))
-	}
-	return wait
-}
-
-// timeToFree estimates how long it takes until the demand leaves the given number of
-// cores free.
-func (d demand) timeToFree(cores, capacity float64) time.Duration {
-	wanted := d.cores + min(cores, capacity)
-	if capacity <= 0 || wanted <= capacity {
-		return 0
-	}
-	return time.Duration(d.work / capacity * (wanted - capacity) / wanted * float64(time.Second))
-}
-
-// maxStepCores returns the number of cores of the job's widest step.
-func maxStepCores(spec *workload.Job) float64 {
-	widest := 0.0
-	for i := range spec.Steps {
-		st := &spec.Steps[i]
-		if !st.UsesIdleCPU {
-			widest = max(widest, float64(st.Count)*float64(st.Need.MilliCPU)/1000)
-		}
-	}
-	return widest
-}
-
 // retryDelay returns the delay after which a refused caller may retry, at least the
 // given wait. Its jitter depends on the job ID, so that callers refused together do not
 // retry together. Callers are told whole seconds, so the wait is rounded up before the
@@ -304,63 +226,3 @@
 	j.cancelReplies = append(j.cancelReplies, e.Reply)
 	c.markDirty(j)
 }
-
-// estimateLoad computes the remaining work of all accepted jobs.
-func (c *Cell) estimateLoad() {
-	c.load = loadEstimate{running: map[string]demand{}, waiting: map[teamRank]demand{}, capacity: map[string]float64{}, listed: c.listedOnce}
-	for _, w := range c.sortedWorkers {
-		if w.listed && !w.Draining && !w.silent(c.now.Steady) {
-			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000
-		}
-	}
-	for _, j := range c.live {
-		if !j.progress.State.Final() {
-			c.addLoad(j)
-		}
-	}
-}
-
-// addLoad adds the remaining work of a job to the estimate.
-func (c *Cell) addLoad(j *job) {
-	if c.load.running == nil {
-		return // the next estimate includes it
-	}
-	stats := c.queueStats(j.Queue.Name)
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if !s.done && !s.spec.UsesIdleCPU {
-				c.addStep(s, stats.expectedDuration(s.spec.Estimate).Seconds())
-			}
-		}
-	}
-}
-
-// addStep adds the remaining work of a step whose tasks take the given seconds.
-func (c *Cell) addStep(s *step, seconds float64) {
-	j := s.job
-	cores := float64(s.spec.Need.MilliCPU) / 1000
-	var running, waiting demand
-	for _, t := range s.tasks {
-		switch {
-		case t.done:
-		case len(t.runs) > 0 && t.runs[0].w.silent(c.now.Steady):
-			// The capacity of silent workers is not counted either.
-		case len(t.runs) > 0:
-			running.add(demand{work: seconds * cores * (1 - t.runs[0].doneShare()), cores: cores})
-		case s.ready || j.receivedAt == c.now.Steady:
-			waiting.add(demand{work: seconds * cores, cores: cores})
-		default:
-			waiting.work += seconds * cores
-		}
-	}
-	use := c.load.running[j.Team]
-	use.add(running)
-	c.load.running[j.Team] = use
-	key := teamRank{j.Team, c.rank(s)}
-	queued := c.load.waiting[key]
-	queued.add(waiting)
-	c.load.waiting[key] = queued
-}
-
-// doneShare returns the share of its work that a run has done.
-func (r *run) doneShare() float64 { return min(1, max(0, float64(r.percent)/100)) }
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -377,7 +377,7 @@
 	need := s.need()
 	for _, a := range assignments {
 		a.reservedFrom = max(from, 1)
-		a.w.reservedFrom = from
+		a.w.reservedFrom, a.w.reservedRank = from, s.rank
 		p.reservedMilliCPU += int64(a.n) * need.MilliCPU
 		if rest := a.free.Sub(need.Times(int64(a.n))); !rest.Negative() {
 			// The worker already has room for the members; others may use the rest.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -59,6 +59,7 @@
 	leaseEnd      Instant // when all its leases have certainly expired unless renewed
 	pausedUntil   Instant // no new work before this time
 	reservedFrom  Instant // when a gang needs it, according to the last placement round
+	reservedRank  int     // rank of that gang
 	speed         float64 // average speed relative to the estimates
 	speedSamples  int     // samples in speed, at most maxSpeedSamples
 }
