--- a/cell/advice.go
+++ b/cell/advice.go
@@ -26,6 +26,17 @@
 	// adviceSurplus is the ratio of the room that a call asks about to the room that
 	// is needed, because some of the room may be taken when the answer arrives.
 	adviceSurplus = 2.0
+	// moreSurplus replaces adviceSurplus in the later calls of a gang, which ask only about
+	// what the earlier ones left open.
+	moreSurplus = 1.5
+	// mediumCall is the duration up to which a call counts as medium. Steps of many tasks
+	// make such calls often, so long calls leave hosts for them.
+	mediumCall = 500 * time.Millisecond
+	// mediumShare is the share of the hosts that medium calls get while both they and
+	// longer ones wait for a host.
+	mediumShare = 0.15
+	// deniedWindow is how long a call that found no host counts as waiting.
+	deniedWindow = 200 * time.Millisecond
 	// maxWorkersPerCall is the maximum number of workers that the service accepts in
 	// one call.
 	maxWorkersPerCall = 100
@@ -126,25 +137,26 @@
 	if s.advice.asking() || c.chooseHost(advice, 1) == "" {
 		return
 	}
-	alwaysLong := advice.Duration(1) >= longCall
-	candidates := c.adviceCandidates(pool, s, false)
-	// If there is no room for a gang, workers are reserved for it, whether they have
-	// room now or not.
-	includeFull := s.spec.Gang && alwaysLong && totalExpected(candidates) < adviceSurplus*float64(tasks)
-	if includeFull {
-		candidates = c.adviceCandidates(pool, s, true)
-	}
-	maxWorkers := maxWorkersPerCall
-	if s.spec.Gang {
-		maxWorkers = maxParallelCalls * callSize(advice)
+	candidates := c.adviceCandidates(pool, s)
+	wanted := adviceSurplus * float64(tasks)
+	limit := maxWorkersPerCall
+	if longest := callSize(advice); longest < maxWorkersPerCall {
+		// Most of a long call is its fixed latency, so one that names many workers spares
+		// others. Room moves meanwhile, so it includes workers without room.
+		limit = longest
+		if totalExpected(candidates) < wanted || len(candidates) < limit {
+			candidates = append(candidates, c.fullCandidates(pool, s)...)
+		}
+		if s.spec.Gang {
+			limit *= c.parallelCalls()
+		}
 	}
 	var ids []string
 	expected := 0.0
 	for _, cand := range candidates {
-		enough := expected >= adviceSurplus*float64(tasks)
-		cheap := !alwaysLong && advice.PerWorker*time.Duration(len(ids)) < advice.FixedLatency/2
-		tooLong := !alwaysLong && advice.Duration(len(ids)+1) >= longCall
-		if enough && !cheap && !includeFull || tooLong || len(ids) == maxWorkers {
+		cheap := advice.PerWorker*time.Duration(len(ids)) < advice.FixedLatency/2 || s.spec.Gang && len(ids) < callSize(advice)
+		tooLong := advice.Duration(1) < longCall && advice.Duration(len(ids)+1) >= longCall
+		if expected >= wanted && !cheap || tooLong || len(ids) == limit {
 			break
 		}
 		ids = append(ids, cand.w.ID)
@@ -155,9 +167,49 @@
 	}
 }
 
-// adviceCandidates returns the workers to ask about, those with the most expected
-// tasks first. With includeFull, they include workers without room now.
-func (c *Cell) adviceCandidates(pool *servicePool, s *step, includeFull bool) []adviceCandidate {
+// parallelCalls returns how many calls one gang may make side by side. While hosts are
+// scarce, a gang that asks about many workers at once would keep others from asking at all.
+func (c *Cell) parallelCalls() int {
+	busy := len(c.longCalls)
+	return min(maxParallelCalls, 1+max(0, len(c.hosts)/2-busy)/maxParallelCalls)
+}
+
+// fullCandidates returns the workers without room for a task of the step that are expected
+// to have some first, those that free most of it before others.
+func (c *Cell) fullCandidates(pool *servicePool, s *step) []adviceCandidate {
+	stats := c.queueStats(s.job.Queue.Name)
+	horizon := c.now.Steady + s.job.Queue.Advice.Duration(1) + s.job.Queue.Advice.Validity
+	var candidates []adviceCandidate
+	for _, cand := range pool.candidates {
+		if s.room(cand.w, cand.free) > 0 || s.room(cand.w, cand.w.Capacity) == 0 || !cand.w.hasLabel(s.spec.Label) || s.advice.hasTicket(cand.w, c.now.Steady) {
+			continue
+		}
+		eligible, known := s.advice.lookup(cand.w)
+		if known && !eligible {
+			continue
+		}
+		free := cand.free
+		for _, rel := range c.releases(cand) {
+			if rel.at <= horizon {
+				free = free.Add(rel.need)
+			}
+		}
+		expected := float64(s.room(cand.w, free))
+		if expected == 0 {
+			continue
+		}
+		if !known {
+			expected *= stats.eligibleShare
+		}
+		candidates = append(candidates, adviceCandidate{cand.w, expected})
+	}
+	slices.SortStableFunc(candidates, func(a, b adviceCandidate) int { return cmp.Compare(b.expectedTasks, a.expectedTasks) })
+	return candidates
+}
+
+// adviceCandidates returns the workers with room to ask about, those with the most
+// expected tasks first.
+func (c *Cell) adviceCandidates(pool *servicePool, s *step) []adviceCandidate {
 	stats := c.queueStats(s.job.Queue.Name)
 	duration := stats.expectedDuration(s.spec.Estimate)
 	var candidates []adviceCandidate
@@ -173,9 +225,6 @@
 			continue
 		}
 		n := s.room(cand.w, cand.free)
-		if n == 0 && includeFull {
-			n = min(1, s.room(cand.w, cand.w.Capacity))
-		}
 		if n == 0 {
 			continue
 		}
@@ -189,30 +238,49 @@
 	return candidates
 }
 
-// requestMoreAdvice asks about workers that the gang's earlier calls did not cover:
-// those with room now or, if withRoom is false, all.
+// requestMoreAdvice asks about workers that the gang's earlier calls did not cover, if
+// they may hold the members that the others do not: workers with room now or, if withRoom
+// is false, all.
 func (c *Cell) requestMoreAdvice(pool *servicePool, s *step, withRoom bool) {
 	if s.advice.asking() {
 		return
 	}
+	share := c.queueStats(s.job.Queue.Name).eligibleShare
+	missing := float64(len(s.tasks))
+	if !withRoom {
+		missing *= adviceSurplus // other gangs take part of the room that a worker has when it is empty
+	}
 	var unasked []assignment
 	for _, cand := range pool.candidates {
-		if _, known := s.advice.lookup(cand.w); known || !cand.w.hasLabel(s.spec.Label) {
+		eligible, known := s.advice.lookup(cand.w)
+		if known && !eligible || !cand.w.hasLabel(s.spec.Label) {
 			continue
 		}
 		n := s.room(cand.w, cand.free)
 		if !withRoom {
 			n = s.room(cand.w, cand.w.Capacity)
 		}
-		if n > 0 {
+		switch {
+		case known:
+			missing -= float64(n)
+		case n > 0:
 			unasked = append(unasked, assignment{cand, n})
 		}
 	}
-	if len(unasked) == 0 {
+	if missing <= 0 && c.parallelCalls() == 1 {
 		return
 	}
 	slices.SortStableFunc(unasked, func(a, b assignment) int { return cmp.Compare(b.n, a.n) })
-	c.renewTickets(s, unasked)
+	size := callSize(s.job.Queue.Advice)
+	expected, ask := 0.0, 0
+	for ask < min(len(unasked), c.parallelCalls()*size) && (expected < moreSurplus*missing || ask < size) {
+		expected += share * float64(unasked[ask].n)
+		ask++
+	}
+	if withRoom && expected < missing || ask == 0 {
+		return
+	}
+	c.renewTickets(s, unasked[:ask])
 }
 
 // renewTickets asks for new tickets for the workers that a gang is to run on.
@@ -274,6 +342,11 @@
 	if advice.Duration(workers) < longCall {
 		return c.leastBusy(others, maxCallsPerHost)
 	}
+	medium := advice.Duration(workers) <= mediumCall
+	quota := mediumShare * float64(len(hosts))
+	if medium && float64(len(c.mediumCalls)) >= quota && c.recentlyDenied(c.longDeniedAt) {
+		return ""
+	}
 	if host := c.leastBusy(longOnly, 1); host != "" {
 		return host
 	}
@@ -283,10 +356,27 @@
 			available++
 		}
 	}
-	if float64(available) < max(1, c.shortCallHosts()) {
-		return ""
+	reserve := max(1, c.shortCallHosts())
+	if !medium && c.recentlyDenied(c.mediumDeniedAt) {
+		reserve += max(0, quota-float64(len(c.mediumCalls)))
 	}
-	return c.leastBusy(others, 1)
+	host := ""
+	if float64(available) >= reserve {
+		host = c.leastBusy(others, 1)
+	}
+	switch {
+	case host == "" && medium:
+		c.mediumDeniedAt = c.now.Steady
+	case host == "":
+		c.longDeniedAt = c.now.Steady
+	}
+	return host
+}
+
+// recentlyDenied reports whether a call that found no host at the given time still counts
+// as waiting.
+func (c *Cell) recentlyDenied(at Instant) bool {
+	return at > 0 && c.now.Steady-at < deniedWindow
 }
 
 // adviceQueueTime estimates how long it takes to make the first long call for all
@@ -322,6 +412,9 @@
 	c.callsInFlight[host]++
 	if duration >= longCall {
 		c.longCalls[host] = s.name
+		if duration <= mediumCall {
+			c.mediumCalls[host] = true
+		}
 		return
 	}
 	c.shortCallLoad = c.shortCallHosts() + float64(duration)/float64(shortCallWindow)
@@ -373,6 +466,7 @@
 	c.callsInFlight[e.Host] = max(0, c.callsInFlight[e.Host]-1)
 	if c.longCalls[e.Host] == e.Step {
 		delete(c.longCalls, e.Host)
+		delete(c.mediumCalls, e.Host)
 	}
 	if e.Failure != None {
 		c.recordCallFailure(e.Host, e.Failure)
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -76,6 +76,9 @@
 	backoffs        map[string]*hostBackoff // hosts whose last call failed
 	shortCallLoad   float64                 // average number of hosts busy with short calls
 	shortCallLoadAt Instant                 // when shortCallLoad was computed
+	mediumCalls     map[string]bool         // hosts whose long call is a medium one
+	mediumDeniedAt  Instant                 // when a medium call last found no host
+	longDeniedAt    Instant                 // when a longer call last found no host
 	waiting         []*step                 // ready steps with tasks to start
 	pendingJobs     []*job                  // jobs that may have steps to become ready
 	statsByQueue    map[string]*queueStats
@@ -113,7 +116,8 @@
 	c.jobs, c.live, c.ended = map[string]*job{}, map[string]*job{}, nil
 	c.workers, c.sortedWorkers = map[string]*worker{}, nil
 	c.teams = map[string]*teamUse{}
-	c.callsInFlight, c.longCalls, c.backoffs, c.shortCallLoad = map[string]int{}, map[string]string{}, map[string]*hostBackoff{}, 0
+	c.callsInFlight, c.longCalls, c.mediumCalls = map[string]int{}, map[string]string{}, map[string]bool{}
+	c.backoffs, c.shortCallLoad = map[string]*hostBackoff{}, 0
 	c.waiting, c.pendingJobs = nil, nil
 	if c.statsByQueue == nil {
 		c.statsByQueue = map[string]*queueStats{}
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -27,6 +27,9 @@
 	// gang that would wait longer, no quota of its team is reserved. Users accept that
 	// a job waits for up to 3 s although there is room for it.
 	quotaReserveHorizon = 2 * time.Second
+	// reserveHorizon bounds the expected time until there is room for a gang for which workers
+	// are reserved.
+	reserveHorizon = time.Second
 	// overrunFactor is applied to the expected duration of a run when deciding
 	// whether it ends before a reservation begins.
 	overrunFactor = 1.2
@@ -214,6 +217,10 @@
 	})
 	at := openings[len(s.tasks)-1].at
 	s.roomExpectedAt = at
+	if at > c.now.Steady+reserveHorizon {
+		c.logGangWait(s, "room for it is far off", int((at - c.now.Steady).Milliseconds()))
+		return
+	}
 	assignments, spare := assignOpenings(openings, len(s.tasks))
 	p.reserve(s, assignments, at)
 	c.logGangWait(s, "workers are kept for it", int((at - c.now.Steady).Milliseconds()))
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -32,8 +33,12 @@
 	owner           *Cell
 	store           simStore
 	fault           protocolFault
-	storeLatency    time.Duration            // duration of a transaction, if longer than simCommitLatency
-	eligiblePercent uint32                   // percentage of workers eligible for a step
+	storeLatency    time.Duration     // duration of a transaction, if longer than simCommitLatency
+	eligiblePercent uint32            // percentage of workers eligible for a step
+	eligibleByQueue map[string]uint32 // the same by queue, where it differs
+	submitted       int
+	adviceTime      map[string]time.Duration // service time of the calls for advice, by queue
+	estimatesOff    float64                  // factor up to which real run times differ from the estimates, by job
 	longestCall     map[string]time.Duration // longest call to the advice service, by queue
 	adviceCalls     map[string]int           // calls to the advice service, by queue
 	longestCallWait map[string]time.Duration // longest wait of a call for its host's earlier calls, by queue
@@ -734,6 +739,10 @@
 		f.send(c, AdviceResult{Host: e.Host, Step: e.Step, Failure: Invalid})
 		return
 	}
+	if f.adviceTime == nil {
+		f.adviceTime = map[string]time.Duration{}
+	}
+	f.adviceTime[f.jobs[id.Job].spec.Queue.Name] += took
 	start := max(f.hostBusyUntil[e.Host], f.now+simNetworkDelay)
 	queue := f.jobs[id.Job].spec.Queue.Name
 	f.longestCallWait[queue] = max(f.longestCallWait[queue], start-f.now)
@@ -755,7 +764,13 @@
 func (f *simFleet) allows(step, worker string) bool {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(step + worker)) // never fails
-	return h.Sum32()%100 < f.eligiblePercent
+	percent := f.eligiblePercent
+	if id, err := workload.ParseTaskID(step + ".0"); err == nil {
+		if p := f.eligibleByQueue[f.jobs[id.Job].spec.Queue.Name]; p > 0 {
+			percent = p
+		}
+	}
+	return h.Sum32()%100 < percent
 }
 
 // submit submits a job at the given time. It does not retry if the job is refused.
@@ -769,11 +784,15 @@
 
 // drawDurations draws the real duration of each task of a job.
 func (f *simFleet) drawDurations(j *simJob) {
+	off := 1.0
+	if f.estimatesOff > 0 {
+		off = math.Exp(math.Log(f.estimatesOff) * (2*f.rng.Float64() - 1))
+	}
 	for n := range j.spec.Steps {
 		for i := range j.spec.Steps[n].Count {
 			for k := range j.spec.Occurrences() {
 				id := workload.TaskID{Job: j.spec.ID, Occurrence: k, Step: n, Index: i}
-				j.actual[id.String()] = time.Duration(float64(j.spec.Steps[n].Estimate) * (0.85 + 0.3*f.rng.Float64()))
+				j.actual[id.String()] = time.Duration(float64(j.spec.Steps[n].Estimate) * off * (0.85 + 0.3*f.rng.Float64()))
 			}
 		}
 	}
