evacuation: operators' requests to empty a zone are kept

Change: every host follows the requests with the configuration, also while its version stays the same, and hands them to its cell. Workers of the zone are not usable; placements not sent are withdrawn with their gang; admission counts neither their capacity nor their runs. Where bounds.evacuate_ms is set, starts need a reading younger than the bound less their way to the worker, and carry that limit; a host with an older reading claims no cell, and an owner that can commit but not read gives it up after 2 s. Workers that are cold by their entry come last and give no speed samples.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -150,6 +150,9 @@
 	if commitAge := c.now.Steady - c.commits.confirmedAt; commitAge > maxCommitAge {
 		return refuse("the store does not answer", minRetryDelay)
 	}
+	if c.policyExpiredBy(maxCommitAge) {
+		return refuse("the operators' requests cannot be read", minRetryDelay)
+	}
 	tasks := 0
 	for i := range spec.Steps {
 		tasks += spec.Steps[i].Count * spec.Occurrences()
@@ -309,7 +312,7 @@
 func (c *Cell) estimateLoad() {
 	c.load = loadEstimate{running: map[string]demand{}, waiting: map[teamRank]demand{}, capacity: map[string]float64{}, listed: c.listedOnce}
 	for _, w := range c.sortedWorkers {
-		if w.listed && !w.Draining && !w.silent(c.now.Steady) {
+		if w.listed && !w.Draining && !w.evacuated && !w.silent(c.now.Steady) {
 			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000
 		}
 	}
@@ -343,8 +346,8 @@
 	for _, t := range s.tasks {
 		switch {
 		case t.done:
-		case len(t.runs) > 0 && t.runs[0].w.silent(c.now.Steady):
-			// The capacity of silent workers is not counted either.
+		case len(t.runs) > 0 && (t.runs[0].w.evacuated || t.runs[0].w.silent(c.now.Steady)):
+			// The capacity of these workers is not counted either.
 		case len(t.runs) > 0:
 			running.add(demand{work: seconds * cores * (1 - t.runs[0].doneShare()), cores: cores})
 		case s.ready || j.receivedAt == c.now.Steady:
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -29,6 +29,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/cowslipgap/cowslipgap/evacuation"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/workload"
 )
@@ -51,6 +52,7 @@
 	MaxLease        time.Duration // maximum lease that a worker grants
 	StopTimeout     time.Duration // maximum time that stopping a run takes
 	StatusRetention time.Duration // how long the state of an ended job is kept
+	MaxPolicyAge    time.Duration // age of the last reading of the policy above which nothing starts; 0: any age
 }
 
 // Cell is the state of one cell on one host. While the host does not own the cell,
@@ -70,6 +72,9 @@
 	sortedWorkers   []*worker // all workers, sorted by ID
 	teams           map[string]*teamUse
 	policy          map[string]Team
+	evacuated       evacuation.Orders
+	policyReadAt    Instant                 // when the policy was last read, or confirmed as current
+	startsWithheld  bool                    // the policy is too old to start anything
 	hosts           []string                // hosts that can call the advice service
 	callsInFlight   map[string]int          // calls to the advice service in flight, by host
 	longCalls       map[string]string       // step of the long call in flight, by host
@@ -133,7 +138,9 @@
 	c.effects = c.effects[:0]
 	switch e := event.(type) {
 	case Policy:
-		c.policy = e.Teams
+		c.setPolicy(e)
+	case PolicyConfirmed:
+		c.policyReadAt = max(c.policyReadAt, e.ReadAt)
 	case AdviceHosts:
 		c.hosts = e.Hosts
 	case Claimed:
@@ -221,6 +228,7 @@
 func (c *Cell) housekeeping() {
 	c.expireWorkers()
 	c.checkRuns()
+	c.checkPolicyAge()
 	c.checkRecovery()
 	c.refuseUnsent()
 	c.estimateLoad()
@@ -281,16 +289,25 @@
 	Running   int    `json:"runs"`
 	Workers   int    `json:"workers"`
 	Usable    int    `json:"usableWorkers"`
-	HeldTasks int    `json:"heldTasks"` // tasks that may still have a run of an earlier owner
+	HeldTasks int    `json:"heldTasks"`        // tasks that may still have a run of an earlier owner
+	Evacuated int    `json:"evacuatedWorkers"` // listed workers in zones that are being evacuated
+	Cold      int    `json:"coldWorkers"`      // usable workers that are still slow after their start
+	Withheld  bool   `json:"startsWithheld"`   // the operators' requests were read too long ago to start anything
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers)}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
 			summary.Usable++
+			if w.cold(c.now.Steady) {
+				summary.Cold++
+			}
+		}
+		if w.listed && w.evacuated {
+			summary.Evacuated++
 		}
 	}
 	for _, tasks := range c.held {
--- a/cell/event.go
+++ b/cell/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cowslipgap/cowslipgap/evacuation"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/workload"
 )
@@ -93,10 +94,19 @@
 	Draining  bool
 	StartedAt int64         // start of this incarnation, Unix milliseconds
 	Clock     time.Duration // reading of the worker's clock
+	ColdUntil time.Duration // on the worker's clock, when it reaches its usual speed; 0: it has
 }
 
 // Policy is the part of the configuration that applies to placement.
-type Policy struct{ Teams map[string]Team }
+type Policy struct {
+	Teams     map[string]Team
+	Evacuated evacuation.Orders // zones whose workers get no new work
+	ReadAt    Instant           // when it was read
+}
+
+// PolicyConfirmed reports that the policy in force was still the operators' latest at the
+// given time.
+type PolicyConfirmed struct{ ReadAt Instant }
 
 // Team holds the rate and the resource limit of a team.
 type Team struct {
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -134,9 +134,9 @@
 	}
 	preference := func(w *worker) int {
 		if s.advice.hasTicket(w, c.now.Steady) {
-			return 2 * s.workerPenalty(w)
+			return 2 * s.workerPenalty(w, c.now.Steady)
 		}
-		return 2*s.workerPenalty(w) + 1
+		return 2*s.workerPenalty(w, c.now.Steady) + 1
 	}
 	slices.SortStableFunc(assignments, func(a, b assignment) int {
 		return cmp.Or(cmp.Compare(preference(a.w), preference(b.w)), cmp.Compare(b.n, a.n))
@@ -405,12 +405,15 @@
 }
 
 // workerPenalty orders workers for a gang: workers on another rack than its data come
-// last and, within the same rack preference, those on which its first member has
-// failed.
-func (s *step) workerPenalty(w *worker) int {
+// last; within the same rack preference, those that are still slow after their start,
+// then those on which its first member has failed.
+func (s *step) workerPenalty(w *worker, now Instant) int {
 	penalty := 0
 	if s.spec.Rack != "" && w.Rack != s.spec.Rack {
-		penalty = 2
+		penalty = 4
+	}
+	if w.cold(now) {
+		penalty += 2
 	}
 	if s.tasks[0].avoid[w.ID] {
 		penalty++
--- a/cell/place.go
+++ b/cell/place.go
@@ -92,7 +92,7 @@
 // place starts the waiting tasks that can start, in order, and requests advice where
 // it is missing.
 func (c *Cell) place() {
-	if c.leaseLength() < minLease || len(c.waiting) == 0 {
+	if c.leaseLength() < minLease || len(c.waiting) == 0 || c.policyExpired() {
 		return
 	}
 	c.sortWaiting()
@@ -224,6 +224,9 @@
 		if from := cand.w.reservedFrom; from > c.now.Steady && c.now.Steady+duration > from {
 			score += penaltyReserved
 		}
+		if cand.w.cold(c.now.Steady) {
+			score += penaltyCold
+		}
 		if t.avoid[cand.w.ID] {
 			score += penaltyFailed
 		}
--- a/cell/queuestats.go
+++ b/cell/queuestats.go
@@ -76,7 +76,7 @@
 		stats.durationSamples = min(stats.durationSamples+1, maxDurationSamples)
 		ratio := min(maxDurationRatio, float64(c.now.Steady-r.confirmedAt)/float64(s.spec.Estimate))
 		stats.durationRatio += (ratio - stats.durationRatio) / float64(stats.durationSamples)
-		if stats.durationSamples == maxDurationSamples {
+		if stats.durationSamples == maxDurationSamples && !r.w.cold(c.now.Steady) {
 			duration := stats.expectedDuration(s.spec.Estimate)
 			r.w.addSpeedSample(min(maxSpeed, float64(duration)/float64(max(1, c.now.Steady-r.confirmedAt))))
 		}
@@ -88,7 +88,7 @@
 func (c *Cell) recordProgressSpeed(r *run, percent int, at Instant) {
 	s := r.task.step
 	passed := at - r.progressAt
-	if passed < minSpeedInterval || percent <= r.percent || s.spec.LongRunning || s.spec.UsesIdleCPU || s.job.Job == nil {
+	if passed < minSpeedInterval || percent <= r.percent || s.spec.LongRunning || s.spec.UsesIdleCPU || s.job.Job == nil || r.w.cold(c.now.Steady) {
 		return
 	}
 	duration := c.queueStats(s.job.Queue.Name).expectedDuration(s.spec.Estimate)
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -41,6 +41,7 @@
 	w.WorkerInfo = info
 	w.Clock, w.StartedAt = clock, startedAt
 	w.listed = true
+	w.evacuated = c.evacuated.Covers(w.Zone)
 }
 
 // expireWorkers drops the runs of unreachable workers whose leases have expired, and
--- a/cell/run.go
+++ b/cell/run.go
@@ -46,7 +46,7 @@
 	if r.state != placing || w.runs[t.name] != r || s.job.Job == nil || s.job.progress.State.Final() {
 		return
 	}
-	if !s.advice.hasTicket(w, c.now.Steady) || c.leaseLength() < minLease || !w.usable(c.now.Steady) {
+	if !s.advice.hasTicket(w, c.now.Steady) || c.leaseLength() < minLease || !w.usable(c.now.Steady) || c.policyExpired() {
 		c.dropRun(r)
 		c.abortGang(s, r.number)
 		return
@@ -56,8 +56,10 @@
 	if s.spec.Gang {
 		checkpoint = s.checkpoint
 	}
+	cmd := c.command(w)
+	cmd.NotAfter = c.startLimit()
 	c.emit(Start{
-		Command: c.command(w), Task: t.name, Run: r.number, Spec: s.job.Spec, Checkpoint: checkpoint,
+		Command: cmd, Task: t.name, Run: r.number, Spec: s.job.Spec, Checkpoint: checkpoint,
 		Ticket: s.advice.ticketFor(w), LeaseUntil: w.grantLease(c.now.Steady, c.leaseLength()),
 	})
 }
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowslipgap/cowslipgap/evacuation"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/workload"
 )
@@ -48,6 +49,7 @@
 	hosts           []string
 
 	teams             map[string]Team
+	evacuated         evacuation.Orders
 	usedByTeam        map[string]int64 // processors that a team's runs really use, in thousandths
 	lateStartShare    float64          // share of starts that are not answered but executed late
 	storeDown         bool
@@ -221,7 +223,7 @@
 			claimed.Jobs = append(claimed.Jobs, StoredJob{ID: id, Job: job})
 		}
 	}
-	f.send(c, Policy{Teams: f.teams})
+	f.send(c, Policy{Teams: f.teams, Evacuated: f.evacuated, ReadAt: f.now})
 	f.send(c, claimed)
 	f.send(c, AdviceHosts{Hosts: f.hosts})
 	f.listWorkers()
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -38,6 +38,7 @@
 type worker struct {
 	WorkerInfo
 	listed        bool              // in the store's list
+	evacuated     bool              // its availability zone is being evacuated
 	onRoster      bool              // on the stored roster, so that a successor would find it
 	synced        bool              // answered a poll since the claim or its last known restart
 	pollInFlight  bool              // a poll is in flight
@@ -120,7 +121,7 @@
 // usable reports whether the worker may get new work now. Workers with stray runs may
 // not, as the resource use of those is unknown.
 func (w *worker) usable(now Instant) bool {
-	return w.listed && w.onRoster && w.synced && !w.Draining && len(w.strays) == 0 &&
+	return w.listed && w.onRoster && w.synced && !w.Draining && !w.evacuated && len(w.strays) == 0 &&
 		now >= w.pausedUntil && !w.silent(now)
 }
 
--- a/cellhost/cellhost.go
+++ b/cellhost/cellhost.go
@@ -71,9 +71,10 @@
 	LookUp func(ctx context.Context, id string) (workload.State, bool, error)
 	// ListWorkers reads the list of workers from the store.
 	ListWorkers func(ctx context.Context) ([]cell.WorkerInfo, error)
-	// FollowRules waits for a limited time for rules newer than the given version,
-	// and returns nil if there are none.
-	FollowRules func(ctx context.Context, version int64) (*ruleset.Rules, error)
+	// FollowRules waits for a limited time for rules newer than those of the last call,
+	// and returns nil if there are none. It may return both rules and an error: the
+	// operators' requests have been read, but not the newest version of the rules.
+	FollowRules func(ctx context.Context) (*ruleset.Rules, error)
 
 	// Start starts one task on a worker.
 	Start func(ctx context.Context, o cell.Start) cell.Started
@@ -97,7 +98,10 @@
 	LinkMbps float64
 	MemoryMB int64 // memory available to this host; 0 if unknown
 	Cell     cell.Config
-	Log      *slog.Logger
+	// EvacuationBound is how long after an operator's request to evacuate a zone work may
+	// still start there; 0 if there is no such bound.
+	EvacuationBound time.Duration
+	Log             *slog.Logger
 	// Now is a monotonic clock that must keep running while the host is
 	// suspended.
 	Now func() cell.Instant
@@ -108,6 +112,7 @@
 	peers            peer.Pool
 	rules            atomic.Pointer[ruleset.Rules]
 	rulesConfirmedAt atomic.Int64 // cell.Instant at which the store last confirmed the rules
+	requestsReadAt   atomic.Int64 // cell.Instant as of which the operators' requests were last read
 	ownership        ownership
 	ownerDoubted     chan struct{} // the owner may have changed
 	dispatcher       dispatcher
@@ -166,7 +171,9 @@
 // runCell is the goroutine that owns the state of the cell. It applies events and
 // runs placement rounds and flushes when they are due.
 func (h *Host) runCell(ctx context.Context) {
-	state := cell.New(h.Cell)
+	cfg := h.Cell
+	cfg.MaxPolicyAge = h.maxRequestsAge()
+	state := cell.New(cfg)
 	pending := map[uint64]chan cell.Answer{}
 	timer := time.NewTimer(idleRoundInterval)
 	defer timer.Stop()
@@ -234,35 +241,6 @@
 	}
 }
 
-// followRules puts each new version of the rules in force.
-func (h *Host) followRules(ctx context.Context) {
-	version := int64(0)
-	reachable := true
-	for ctx.Err() == nil {
-		rules, err := h.FollowRules(ctx, version)
-		if err != nil {
-			if ctx.Err() == nil && reachable {
-				h.Log.Warn("configuration cannot be read", "version", version, "error", err)
-			}
-			reachable = false
-			pause.Sleep(ctx, rulesRetryDelay)
-			continue
-		}
-		if !reachable {
-			h.Log.Info("configuration can be read again", "version", version)
-		}
-		reachable = true
-		h.rulesConfirmedAt.Store(int64(h.Now()))
-		if rules == nil || rules.Version <= version {
-			continue
-		}
-		h.Log.Info("configuration in force", "version", rules.Version, "before", version, "queues", len(rules.Queues), "keys", len(rules.Keys))
-		version = rules.Version
-		h.rules.Store(rules)
-		h.post(ctx, rules.Policy())
-	}
-}
-
 // pollWorkerList posts the store's list of workers to the cell while this host
 // owns it.
 func (h *Host) pollWorkerList(ctx context.Context) {
--- a/cellhost/metrics.go
+++ b/cellhost/metrics.go
@@ -49,6 +49,7 @@
 			"submitLatency": c.Submit.Summary(), "commitLatency": c.Commit.Summary(),
 			"takeoverLatency": c.Takeover.Summary(), "firstStartWait": c.Waited.Summary(), "traffic": c.Traffic.Summary(),
 			"ready": h.Ready(), "rulesAgeMillis": h.RulesAge().Milliseconds(), "cell": h.summary.Load(),
+			"evacuatedZones": h.evacuatedZones(),
 		}
 	})
 }
--- a/cellhost/ownership.go
+++ b/cellhost/ownership.go
@@ -367,6 +367,7 @@
 	postedHosts  string       // names of the hosts last posted to the cell
 	lastMemberAt cell.Instant // when this owner last had a member
 	hadMembers   bool         // this owner has had members
+	expiredSince cell.Instant // since when this owner has been unable to read the operators' requests; 0: it is able
 	offering     atomic.Bool  // the cell is being offered to other hosts
 }
 
@@ -412,6 +413,7 @@
 	if h.ownership.commitsStalled(h.Now()) {
 		k.offer(ctx)
 	}
+	k.handOverExpired(ctx)
 	if k.hadMembers && h.Now()-k.lastMemberAt > isolationTimeout && h.isolated(ctx) {
 		h.Log.Warn("no other entry host can be reached", "silent", h.Now()-k.lastMemberAt)
 		k.hadMembers = false
@@ -561,7 +563,7 @@
 		return false
 	}
 	switch {
-	case h.Rules() == nil:
+	case h.Rules() == nil || h.requestsExpired():
 		return false
 	case head.Name == h.Name && head.Session != h.Session:
 		return true // the earlier process of this host has ended
@@ -660,9 +662,6 @@
 	h.ownership.claimedAt = h.Now()
 	h.ownership.mu.Unlock()
 	h.post(ctx, cell.Claimed{Token: head.Token, Sent: head.sent, Previous: hadOwner, Jobs: jobs, Workers: workers})
-	if rules := h.Rules(); rules != nil {
-		h.post(ctx, rules.Policy())
-	}
 	h.post(ctx, cell.AdviceHosts{Hosts: []string{h.Name}})
 	go h.announce(ctx, head.HeadRow)
 }
--- a/cellhost/peer_calls.go
+++ b/cellhost/peer_calls.go
@@ -147,7 +147,7 @@
 // store while this host can. The session is that of the owner, and is empty if the
 // cell is vacant.
 func (h *Host) handleOffer(ctx context.Context, session string) reply {
-	if h.leaving.Load() || h.Rules() == nil || h.ownership.owns() {
+	if h.leaving.Load() || h.Rules() == nil || h.requestsExpired() || h.ownership.owns() {
 		return reply{}
 	}
 	head, err := h.readHeadPromptly(ctx)
--- a/ruleset/ruleset.go
+++ b/ruleset/ruleset.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/cowslipgap/cowslipgap/cell"
+	"github.com/cowslipgap/cowslipgap/evacuation"
 	"github.com/cowslipgap/cowslipgap/workload"
 )
 
@@ -22,6 +23,9 @@
 	Queues  []Queue
 	Teams   map[string]cell.Team
 	Keys    map[string]string // name of the team by key
+	// Evacuated holds the zones that operators request to send no work to. It may change
+	// while Version stays the same.
+	Evacuated evacuation.Orders
 }
 
 // Queue is one queue and the calls that belong to it.
@@ -57,5 +61,5 @@
 
 // Policy returns the policy for placement.
 func (r *Rules) Policy() cell.Policy {
-	return cell.Policy{Teams: r.Teams}
+	return cell.Policy{Teams: r.Teams, Evacuated: r.Evacuated}
 }
