forecast: room is kept for urgent demand that rises

Cause: in the trough of a wave long tasks of other queues take the room; at the crest lookups wait for their ends, although those tasks could have waited. Change: arrivals of priority 0 are smoothed with their trend by queue and entry zone; from a clear rise until the fall, long starts of other queues that can wait leave the room that the wave needs beyond free room and ending runs. Submissions carry the entry zone. Tried and left: a single moment 2 s ahead (hardly bound, since tasks of that length all end within it), and keeping room only while the trend rises (taken again at the crest).

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -71,6 +71,7 @@
 		c.markDirty(j)
 		return
 	}
+	c.recordArrival(e.Job, e.Zone)
 	decision := c.decideAdmission(e.Job)
 	c.logInfo("job "+decision.outcome(), slog.String("id", e.Job.ID), slog.String("queue", e.Job.Queue.Name),
 		slog.String("team", e.Job.Team), slog.String("reason", decision.reason), slog.Duration("retryAfter", decision.retryAfter),
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -93,6 +93,7 @@
 	commits          commitState
 	lastHousekeeping Instant
 	load             loadEstimate
+	demand           demandForecast
 }
 
 // teamUse is the resource use of a team and the state of its rate limit.
@@ -293,11 +294,12 @@
 	Evacuated int    `json:"evacuatedWorkers"` // listed workers in zones that are being evacuated
 	Cold      int    `json:"coldWorkers"`      // usable workers that are still slow after their start
 	Withheld  bool   `json:"startsWithheld"`   // the operators' requests were read too long ago to start anything
+	KeepsRoom bool   `json:"roomKept"`         // long starts are withheld because urgent demand rises
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, KeepsRoom: c.demand.keeping}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
--- a/cell/event.go
+++ b/cell/event.go
@@ -52,6 +52,7 @@
 type Submit struct {
 	Reply uint64
 	Job   *workload.Job
+	Zone  string // availability zone of the host that the caller reached; "" if unknown
 }
 
 // Cancel cancels a job.
--- /dev/null
+++ b/cell/forecast.go
@@ -0,0 +1,150 @@
+package cell
+
+import (
+	"log/slog"
+	"math"
+	"time"
+
+	"github.com/cowslipgap/cowslipgap/forecast"
+	"github.com/cowslipgap/cowslipgap/workload"
+)
+
+// This file keeps room for the most urgent queues while their demand rises. It answers
+// the load pattern of a wave that meets a fleet on which long tasks of other queues have
+// taken all room in the trough before it.
+
+const (
+	// urgentPriority is the priority of the queues that room is kept for.
+	urgentPriority = 0
+	// forecastHorizon is how far ahead demand is predicted, about the time that a long task
+	// of another queue takes.
+	forecastHorizon = 2 * time.Second
+	// minLongStart is the expected duration from which on a task counts as long. Shorter
+	// ones end before the wave has come.
+	minLongStart = forecastHorizon / 2
+)
+
+// forecastMoments are the times ahead for which room is compared with demand.
+var forecastMoments = []time.Duration{forecastHorizon / 8, forecastHorizon / 4, forecastHorizon / 2, forecastHorizon}
+
+// demandForecast is what the cell knows about the arrivals of the most urgent queues. It
+// outlives a claim, like the statistics of the queues.
+type demandForecast struct {
+	arrivals forecast.Arrivals
+	queues   map[string]map[string]bool // urgent queues seen, by service
+	off      bool                       // room is kept for nobody, as if demand never rose
+	wave     bool                       // demand has risen clearly, and has not begun to fall since
+	keeping  bool                       // long starts have been withheld in the last round
+}
+
+// recordArrival records a submission to an urgent queue. Refused ones count: they are
+// demand, too.
+func (c *Cell) recordArrival(spec *workload.Job, zone string) {
+	if spec.Queue.Priority != urgentPriority {
+		return
+	}
+	work := 0.0
+	for i := range spec.Steps {
+		st := &spec.Steps[i]
+		if !st.UsesIdleCPU && !st.LongRunning {
+			work += c.queueStats(spec.Queue.Name).expectedDuration(st.Estimate).Seconds() * float64(st.Count) * float64(st.Need.MilliCPU) / 1000
+		}
+	}
+	c.demand.arrivals.Add(forecast.Kind{Queue: spec.Queue.Name, Zone: zone}, c.now.Steady, work)
+	if c.demand.queues == nil {
+		c.demand.queues = map[string]map[string]bool{}
+	}
+	if c.demand.queues[spec.Queue.Service] == nil {
+		c.demand.queues[spec.Queue.Service] = map[string]bool{}
+	}
+	c.demand.queues[spec.Queue.Service][spec.Queue.Name] = true
+}
+
+// yields reports whether the step may have to leave room to urgent queues: its tasks are
+// long, and it does not become late by waiting for the wave.
+func (c *Cell) yields(s *step) bool {
+	return s.job.Queue.Priority > urgentPriority && !s.spec.LongRunning && s.need().MilliCPU > 0 &&
+		c.queueStats(s.job.Queue.Name).expectedDuration(s.spec.Estimate) > minLongStart &&
+		s.latestStart > c.now.Steady+forecastHorizon
+}
+
+// longStartsAllowed returns how many tasks of the step may start without taking room that
+// urgent queues are expected to need before running tasks leave as much.
+func (c *Cell) longStartsAllowed(pool *servicePool, service string, s *step) int {
+	if c.demand.off || !c.yields(s) {
+		return math.MaxInt
+	}
+	if !pool.longRoomKnown {
+		pool.longRoomKnown = true
+		pool.longRoom = c.longRoom(pool, service)
+	}
+	return int(max(0, pool.longRoom) / s.need().MilliCPU)
+}
+
+// takeLongRoom records that tasks of the step have been placed.
+func (c *Cell) takeLongRoom(pool *servicePool, s *step, placed int) {
+	if pool.longRoomKnown && c.yields(s) {
+		pool.longRoom -= int64(placed) * s.need().MilliCPU
+	}
+}
+
+// longRoom returns the room for long starts of other queues, in thousandths of a
+// processor. All of it is free unless the demand of urgent queues clearly rises. What a
+// long task takes now is missing at each moment until it ends, so the moment at which
+// least is left decides.
+func (c *Cell) longRoom(pool *servicePool, service string) int64 {
+	rises, falls := false, true
+	for queue := range c.demand.queues[service] {
+		f := c.demand.arrivals.Expected(queue, c.now.Steady, forecastHorizon)
+		rises, falls = rises || f.Rises, falls && f.Falls
+	}
+	c.demand.wave = rises || c.demand.wave && !falls
+	if !c.demand.wave {
+		c.logRoomKept(0, 0)
+		return math.MaxInt64
+	}
+	var ends []release // of other runs, which leave room to urgent ones
+	now := int64(0)    // room that urgent queues have or could take now
+	for _, cand := range pool.candidates {
+		now += max(0, cand.free.MilliCPU)
+		for _, r := range cand.w.runs {
+			if job := r.task.step.job; job.Job != nil && job.Queue.Priority == urgentPriority {
+				now += r.task.step.need().MilliCPU
+			} else {
+				ends = append(ends, release{c.now.Steady + c.remainingTime(r), r.task.step.need()})
+			}
+		}
+	}
+	least, needed, room := int64(math.MaxInt64), int64(0), int64(0)
+	for _, after := range forecastMoments {
+		expected := 0.0
+		for queue := range c.demand.queues[service] {
+			expected += c.demand.arrivals.Expected(queue, c.now.Steady, after).Cores
+		}
+		then := now
+		for _, end := range ends {
+			if end.at <= c.now.Steady+after {
+				then += end.need.MilliCPU
+			}
+		}
+		if left := then - int64(1000*expected); left < least {
+			least, needed, room = left, int64(1000*expected), then
+		}
+	}
+	c.logRoomKept(needed, room)
+	return least
+}
+
+// logRoomKept logs when room begins or ceases to be kept.
+func (c *Cell) logRoomKept(needed, room int64) {
+	keeping := needed > room
+	if keeping == c.demand.keeping {
+		return
+	}
+	c.demand.keeping = keeping
+	text := "room kept for urgent demand"
+	if !keeping {
+		text = "no room kept for urgent demand"
+	}
+	c.logInfo(text, slog.Int64("neededCores", needed/1000), slog.Int64("expectedCores", room/1000))
+}
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -72,6 +72,7 @@
 			next++
 		}
 	}
+	c.takeLongRoom(pool, s, next)
 	c.logPlaced(s, next, 0)
 }
 
@@ -88,6 +89,10 @@
 		c.logGangWait(s, "the team is at its ceiling", allowed)
 		return nil, false
 	}
+	if allowed := c.longStartsAllowed(pool, s.job.Queue.Service, s); allowed < len(s.tasks) {
+		c.logGangWait(s, "room is kept for urgent demand", allowed)
+		return nil, false
+	}
 	assignments, spare := c.assignMembers(pool, s)
 	if memberCount(assignments) < len(s.tasks) {
 		c.reserveForGang(p, pool, s)
--- a/cell/place.go
+++ b/cell/place.go
@@ -55,6 +55,10 @@
 type servicePool struct {
 	candidates []*candidate
 	maxFree    resource.Vector // maximum free room on any worker, per dimension
+	// longRoom is the room for long starts that leave enough to urgent queues, in thousandths
+	// of a processor; longRoomKnown is whether the round has computed it.
+	longRoom      int64
+	longRoomKnown bool
 }
 
 // newRound collects the usable workers for a placement round.
@@ -167,7 +171,7 @@
 	if !need.Fits(pool.maxFree) {
 		return // no worker has room, the usual case on a full fleet
 	}
-	allowed := c.remainingQuota(p, s)
+	allowed := min(c.remainingQuota(p, s), c.longStartsAllowed(pool, s.job.Queue.Service, s))
 	if allowed == 0 {
 		return
 	}
@@ -203,6 +207,7 @@
 		placed++
 		cand.take(need)
 	}
+	c.takeLongRoom(pool, s, placed)
 	c.logPlaced(s, placed, left)
 	if left > 0 && s.advice.needed {
 		c.requestAdvice(pool, s, left)
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -70,6 +70,7 @@
 
 type simJob struct {
 	spec          *workload.Job
+	zone          string                   // of the host that the caller reaches
 	actual        map[string]time.Duration // real duration of each task on a worker of speed 1
 	faulty        bool                     // every run fails
 	submittedAt   Instant
@@ -803,7 +804,7 @@
 			f.after(50*time.Millisecond, func() { f.submitNow(j) })
 		}
 	}
-	f.update(Submit{Reply: f.reply, Job: j.spec})
+	f.update(Submit{Reply: f.reply, Job: j.spec, Zone: j.zone})
 }
 
 // killOwner ends the owner's process. A successor claims the cell after the delay.
--- a/cellhost/client_calls.go
+++ b/cellhost/client_calls.go
@@ -49,7 +49,7 @@
 // Submit submits a job and returns once it is stored or refused.
 func (h *Host) Submit(ctx context.Context, job *workload.Job) Outcome {
 	start := h.Now()
-	out := h.resolve(ctx, request{Kind: kindSubmit, Job: job})
+	out := h.resolve(ctx, request{Kind: kindSubmit, Job: job, Zone: h.Zone})
 	h.Counts.Submit.Observe(h.Now() - start)
 	switch {
 	case out.Unanswered:
@@ -213,7 +213,7 @@
 	call := pendingCall{id: h.nextID.Add(1), answer: make(chan cell.Answer, 1)}
 	switch r.Kind {
 	case kindSubmit:
-		call.event = cell.Submit{Reply: call.id, Job: r.Job}
+		call.event = cell.Submit{Reply: call.id, Job: r.Job, Zone: r.Zone}
 	case kindCancel:
 		call.event = cell.Cancel{Reply: call.id, ID: r.ID}
 	case kindQuery:
--- a/cellhost/peer_calls.go
+++ b/cellhost/peer_calls.go
@@ -57,6 +57,7 @@
 	Results   []relayResult `cbor:"15,keyasint,omitempty"` // in kindRelayResults
 	Head      *HeadRow      `cbor:"17,keyasint,omitempty"` // in kindAnnounce
 	Interval  time.Duration `cbor:"18,keyasint,omitempty"` // in a heartbeat: time between two heartbeats of the sender
+	Zone      string        `cbor:"19,keyasint,omitempty"` // in kindSubmit: availability zone of the host that the caller reached
 }
 
 // reply answers a request.
