forecast: demand is kept by service, and a kind that returns is counted anew

Two services shared one state, so the log would flap between them; a kind that had been idle for half a minute lost the arrivals of its first step. TestKindsThatEndAreForgotten shows the latter.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -299,7 +299,7 @@
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, KeepsRoom: c.demand.keeping}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom()}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
--- a/cell/forecast.go
+++ b/cell/forecast.go
@@ -31,10 +31,25 @@
 // outlives a claim, like the statistics of the queues.
 type demandForecast struct {
 	arrivals forecast.Arrivals
-	queues   map[string]map[string]bool // urgent queues seen, by service
-	off      bool                       // room is kept for nobody, as if demand never rose
-	wave     bool                       // demand has risen clearly, and has not begun to fall since
-	keeping  bool                       // long starts have been withheld in the last round
+	services map[string]*urgentDemand
+	off      bool // room is kept for nobody, as if demand never rose
+}
+
+// urgentDemand is the demand of the most urgent queues on one service.
+type urgentDemand struct {
+	queues  map[string]bool // those seen
+	wave    bool            // demand has risen clearly, and has not begun to fall since
+	keeping bool            // the wave needs more than runs will leave
+}
+
+// keepsRoom reports whether room is kept on any service.
+func (d *demandForecast) keepsRoom() bool {
+	for _, u := range d.services {
+		if u.keeping {
+			return true
+		}
+	}
+	return false
 }
 
 // recordArrival records a submission to an urgent queue. Refused ones count: they are
@@ -51,13 +66,15 @@
 		}
 	}
 	c.demand.arrivals.Add(forecast.Kind{Queue: spec.Queue.Name, Zone: zone}, c.now.Steady, work)
-	if c.demand.queues == nil {
-		c.demand.queues = map[string]map[string]bool{}
+	if c.demand.services == nil {
+		c.demand.services = map[string]*urgentDemand{}
 	}
-	if c.demand.queues[spec.Queue.Service] == nil {
-		c.demand.queues[spec.Queue.Service] = map[string]bool{}
+	u := c.demand.services[spec.Queue.Service]
+	if u == nil {
+		u = &urgentDemand{queues: map[string]bool{}}
+		c.demand.services[spec.Queue.Service] = u
 	}
-	c.demand.queues[spec.Queue.Service][spec.Queue.Name] = true
+	u.queues[spec.Queue.Name] = true
 }
 
 // yields reports whether the step may have to leave room to urgent queues: its tasks are
@@ -93,14 +110,18 @@
 // long task takes now is missing at each moment until it ends, so the moment at which
 // least is left decides.
 func (c *Cell) longRoom(pool *servicePool, service string) int64 {
+	u := c.demand.services[service]
+	if u == nil {
+		return math.MaxInt64
+	}
 	rises, falls := false, true
-	for queue := range c.demand.queues[service] {
+	for queue := range u.queues {
 		f := c.demand.arrivals.Expected(queue, c.now.Steady, forecastHorizon)
 		rises, falls = rises || f.Rises, falls && f.Falls
 	}
-	c.demand.wave = rises || c.demand.wave && !falls
-	if !c.demand.wave {
-		c.logRoomKept(0, 0)
+	u.wave = rises || u.wave && !falls
+	if !u.wave {
+		c.logRoomKept(u, service, 0, 0)
 		return math.MaxInt64
 	}
 	var ends []release // of other runs, which leave room to urgent ones
@@ -118,7 +139,7 @@
 	least, needed, room := int64(math.MaxInt64), int64(0), int64(0)
 	for _, after := range forecastMoments {
 		expected := 0.0
-		for queue := range c.demand.queues[service] {
+		for queue := range u.queues {
 			expected += c.demand.arrivals.Expected(queue, c.now.Steady, after).Cores
 		}
 		then := now
@@ -131,20 +152,20 @@
 			least, needed, room = left, int64(1000*expected), then
 		}
 	}
-	c.logRoomKept(needed, room)
+	c.logRoomKept(u, service, needed, room)
 	return least
 }
 
 // logRoomKept logs when room begins or ceases to be kept.
-func (c *Cell) logRoomKept(needed, room int64) {
+func (c *Cell) logRoomKept(u *urgentDemand, service string, needed, room int64) {
 	keeping := needed > room
-	if keeping == c.demand.keeping {
+	if keeping == u.keeping {
 		return
 	}
-	c.demand.keeping = keeping
+	u.keeping = keeping
 	text := "room kept for urgent demand"
 	if !keeping {
 		text = "no room kept for urgent demand"
 	}
-	c.logInfo(text, slog.Int64("neededCores", needed/1000), slog.Int64("expectedCores", room/1000))
+	c.logInfo(text, slog.String("service", service), slog.Int64("neededCores", needed/1000), slog.Int64("expectedCores", room/1000))
 }
--- a/cell/forecast_test.go
+++ b/cell/forecast_test.go
@@ -51,7 +51,7 @@
 	f := newFleet(t, 1, 48)
 	f.submitMix("00", 2*time.Second, 22*time.Second, 60, 14, 1)
 	f.onUpdate = func(c *Cell, _ any, _ []any, _ time.Duration) {
-		require.False(t, c.demand.keeping && f.now > 8*time.Second && f.now < 22*time.Second, "at %v", f.now)
+		require.False(t, c.demand.keepsRoom() && f.now > 8*time.Second && f.now < 22*time.Second, "at %v", f.now)
 	}
 	f.runUntil(60 * time.Second)
 	f.requireNoViolations()
--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -66,11 +66,13 @@
 		a.kinds = map[Kind]*series{}
 	}
 	s := a.kinds[k]
-	if s == nil {
+	if s != nil {
+		s.advance(now)
+	}
+	if s == nil || s.idle > maxIdleSteps {
 		s = &series{stepFrom: now}
 		a.kinds[k] = s
 	}
-	s.advance(now)
 	s.work += work
 }
 
--- a/forecast/forecast_test.go
+++ b/forecast/forecast_test.go
@@ -65,4 +65,7 @@
 	require.True(t, a.Expected("lookup", 10*time.Second, 2*time.Second).Rises)
 	require.Zero(t, a.Expected("lookup", time.Hour, 2*time.Second).Cores)
 	require.Empty(t, a.kinds)
+	feed(&a, Kind{"lookup", "a"}, time.Hour, time.Hour+10*time.Second, func(float64) float64 { return 100 })
+	feed(&a, Kind{"lookup", "a"}, 2*time.Hour, 2*time.Hour+10*time.Second, func(float64) float64 { return 100 })
+	require.InDelta(t, 100, a.Expected("lookup", 2*time.Hour+10*time.Second, time.Second).Cores, 5, "counted anew")
 }
