--- a/cell/admission.go
+++ b/cell/admission.go
@@ -42,6 +42,7 @@
 		c.markDirty(j)
 		return
 	}
+	c.recordArrival(e.Job, e.Zone)
 	decision := c.decideAdmission(e.Job)
 	c.logInfo("job "+decision.outcome(), slog.String("id", e.Job.ID), slog.String("queue", e.Job.Queue.Name),
 		slog.String("team", e.Job.Team), slog.String("reason", decision.reason), slog.Duration("retryAfter", decision.retryAfter),
@@ -121,6 +122,9 @@
 	if commitAge := c.now.Steady - c.commits.confirmedAt; commitAge > maxCommitAge {
 		return refuse("the store does not answer", minRetryDelay)
 	}
+	if c.policyExpiredBy(maxCommitAge) {
+		return refuse("the operators' requests cannot be read", minRetryDelay)
+	}
 	tasks := 0
 	for i := range spec.Steps {
 		tasks += spec.Steps[i].Count * spec.Occurrences()
--- a/cell/loadestimate.go
+++ b/cell/loadestimate.go
@@ -100,7 +100,9 @@
 }
 
 // counts reports whether the worker's capacity is part of the estimate.
-func (w *worker) counts(now Instant) bool { return w.listed && !w.Draining && !w.silent(now) }
+func (w *worker) counts(now Instant) bool {
+	return w.listed && !w.Draining && !w.evacuated && !w.silent(now)
+}
 
 // fleet returns the room of a service's workers. It is computed when the first job after an
 // estimate asks for it.
@@ -203,8 +205,8 @@
 	for _, t := range s.tasks {
 		switch {
 		case t.done:
-		case len(t.runs) > 0 && t.runs[0].w.silent(c.now.Steady):
-			// The capacity of silent workers is not counted either.
+		case len(t.runs) > 0 && (t.runs[0].w.evacuated || t.runs[0].w.silent(c.now.Steady)):
+			// The capacity of these workers is not counted either.
 		case len(t.runs) > 0:
 			running = running.Add(scarcity.Demand{Now: need, Work: work(1 - t.runs[0].doneShare())})
 		case s.ready || j.receivedAt == c.now.Steady:
--- a/cell/place.go
+++ b/cell/place.go
@@ -55,6 +55,10 @@
 type servicePool struct {
 	candidates []*candidate
 	maxFree    resource.Vector // maximum free room on any worker, per dimension
+	// longRoom is the room for long starts that leave enough to urgent queues, in thousandths
+	// of a processor; longRoomKnown is whether the round has computed it.
+	longRoom      int64
+	longRoomKnown bool
 }
 
 // newRound collects the usable workers for a placement round.
@@ -92,7 +96,7 @@
 // place starts the waiting tasks that can start, in order, and requests advice where
 // it is missing.
 func (c *Cell) place() {
-	if c.leaseLength() < minLease || len(c.waiting) == 0 {
+	if c.leaseLength() < minLease || len(c.waiting) == 0 || c.policyExpired() {
 		return
 	}
 	c.sortWaiting()
@@ -168,7 +172,7 @@
 	if !need.Fits(pool.maxFree) {
 		return // no worker has room, the usual case on a full fleet
 	}
-	allowed := c.remainingQuota(p, s)
+	allowed := min(c.remainingQuota(p, s), c.longStartsAllowed(pool, s.job.Queue.Service, s))
 	if allowed == 0 {
 		return
 	}
@@ -204,6 +208,7 @@
 		placed++
 		cand.take(need)
 	}
+	c.takeLongRoom(pool, s, placed)
 	c.logPlaced(s, placed, left)
 	if left > 0 && s.advice.needed {
 		c.requestAdvice(pool, s, left)
@@ -225,6 +230,9 @@
 		if from := cand.w.reservedFrom; from > c.now.Steady && c.now.Steady+duration > from {
 			score += penaltyReserved
 		}
+		if cand.w.cold(c.now.Steady) {
+			score += penaltyCold
+		}
 		if t.avoid[cand.w.ID] {
 			score += penaltyFailed
 		}
--- a/cell/queuestats.go
+++ b/cell/queuestats.go
@@ -110,7 +110,7 @@
 		ratio := float64(c.now.Steady-r.confirmedAt) / float64(s.spec.Estimate)
 		stats := c.queueStats(s.job.Queue.Name)
 		stats.runs.Add(min(maxDurationRatio, ratio))
-		if stats.runs.Known() {
+		if stats.runs.Known() && !r.w.cold(c.now.Steady) {
 			duration := stats.expectedDuration(s.spec.Estimate)
 			r.w.addSpeedSample(min(maxSpeed, float64(duration)/float64(max(1, c.now.Steady-r.confirmedAt))))
 		}
@@ -122,7 +122,7 @@
 func (c *Cell) recordProgressSpeed(r *run, percent int, at Instant) {
 	s := r.task.step
 	passed := at - r.progressAt
-	if passed < minSpeedInterval || percent <= r.percent || s.spec.LongRunning || s.spec.UsesIdleCPU || s.job.Job == nil {
+	if passed < minSpeedInterval || percent <= r.percent || s.spec.LongRunning || s.spec.UsesIdleCPU || s.job.Job == nil || r.w.cold(c.now.Steady) {
 		return
 	}
 	duration := c.queueStats(s.job.Queue.Name).expectedDuration(s.spec.Estimate)
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowslipgap/cowslipgap/evacuation"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/workload"
 )
@@ -48,6 +49,7 @@
 	hosts           []string
 
 	teams             map[string]Team
+	evacuated         evacuation.Orders
 	usedByTeam        map[string]int64 // processors that a team's runs really use, in thousandths
 	lateStartShare    float64          // share of starts that are not answered but executed late
 	storeDown         bool
@@ -68,6 +70,7 @@
 
 type simJob struct {
 	spec          *workload.Job
+	zone          string                   // of the host that the caller reaches
 	actual        map[string]time.Duration // real duration of each task on a worker of speed 1
 	faulty        bool                     // every run fails
 	submittedAt   Instant
@@ -221,7 +224,7 @@
 			claimed.Jobs = append(claimed.Jobs, StoredJob{ID: id, Job: job})
 		}
 	}
-	f.send(c, Policy{Teams: f.teams})
+	f.send(c, Policy{Teams: f.teams, Evacuated: f.evacuated, ReadAt: f.now})
 	f.send(c, claimed)
 	f.send(c, AdviceHosts{Hosts: f.hosts})
 	f.listWorkers()
@@ -801,7 +804,7 @@
 			f.after(50*time.Millisecond, func() { f.submitNow(j) })
 		}
 	}
-	f.update(Submit{Reply: f.reply, Job: j.spec})
+	f.update(Submit{Reply: f.reply, Job: j.spec, Zone: j.zone})
 }
 
 // killOwner ends the owner's process. A successor claims the cell after the delay.
