cell: speeds of workers in decisions

On a fleet of speeds 0.6, 1 and 1.6 a worker's speed was a term of the score only: run times were the same on each candidate, a gang mixed slow and fast workers and took as long on the slow ones, bulk with slack filled fast workers, and admission counted cores.

Where the speeds of a service differ by a factor of 2 between their quantiles 0.2 and 0.8, durations are divided by the speed (reservations, releases, openings), tasks take the slowest worker that is fast enough at the 0.1 and 0.9 quantiles of their run time, gangs take workers of like speed or wait for faster openings if they end in time only there, and admission counts cores of speed 1. Otherwise all workers count as speed 1.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -48,7 +48,7 @@
 type loadEstimate struct {
 	running  map[string]demand // by team
 	waiting  map[teamRank]demand
-	capacity map[string]float64 // cores, by service
+	capacity map[string]float64 // cores of speed 1, by service
 	listed   bool               // the workers had been listed when it was computed
 }
 
@@ -310,7 +310,7 @@
 	c.load = loadEstimate{running: map[string]demand{}, waiting: map[teamRank]demand{}, capacity: map[string]float64{}, listed: c.listedOnce}
 	for _, w := range c.sortedWorkers {
 		if w.listed && !w.Draining && !w.silent(c.now.Steady) {
-			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000
+			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000 * w.workSpeed()
 		}
 	}
 	for _, j := range c.live {
@@ -346,7 +346,7 @@
 		case len(t.runs) > 0 && t.runs[0].w.silent(c.now.Steady):
 			// The capacity of silent workers is not counted either.
 		case len(t.runs) > 0:
-			running.add(demand{work: seconds * cores * (1 - t.runs[0].doneShare()), cores: cores})
+			running.add(demand{work: seconds * cores * (1 - t.runs[0].doneShare()), cores: cores * t.runs[0].w.workSpeed()})
 		case s.ready || j.receivedAt == c.now.Steady:
 			waiting.add(demand{work: seconds * cores, cores: cores})
 		default:
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -156,16 +156,18 @@
 }
 
 // adviceCandidates returns the workers to ask about, those with the most expected
-// tasks first. With includeFull, they include workers without room now.
+// tasks first; on an uneven fleet, those of suitable speeds come before them. With
+// includeFull, they include workers without room now.
 func (c *Cell) adviceCandidates(pool *servicePool, s *step, includeFull bool) []adviceCandidate {
 	stats := c.queueStats(s.job.Queue.Name)
 	duration := stats.expectedDuration(s.spec.Estimate)
+	order := c.adviceOrder(s)
 	var candidates []adviceCandidate
 	for _, cand := range pool.candidates {
 		if !cand.w.hasLabel(s.spec.Label) {
 			continue
 		}
-		if !s.spec.Gang && (s.advice.hasTicket(cand.w, c.now.Steady) || s.blockedByReservation(cand, c.now.Steady, duration)) {
+		if !s.spec.Gang && (s.advice.hasTicket(cand.w, c.now.Steady) || s.blockedByReservation(cand, c.now.Steady, cand.w.duration(duration))) {
 			continue
 		}
 		eligible, known := s.advice.lookup(cand.w)
@@ -185,7 +187,9 @@
 		}
 		candidates = append(candidates, adviceCandidate{cand.w, expected})
 	}
-	slices.SortStableFunc(candidates, func(a, b adviceCandidate) int { return cmp.Compare(b.expectedTasks, a.expectedTasks) })
+	slices.SortStableFunc(candidates, func(a, b adviceCandidate) int {
+		return cmp.Or(order(a.w)-order(b.w), cmp.Compare(b.expectedTasks, a.expectedTasks))
+	})
 	return candidates
 }
 
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -79,6 +79,8 @@
 	waiting         []*step                 // ready steps with tasks to start
 	pendingJobs     []*job                  // jobs that may have steps to become ready
 	statsByQueue    map[string]*queueStats
+	uneven          map[string]float64 // usual speed of the services with workers of uneven speeds
+	speedsCheckedAt Instant            // when the speeds were last compared
 	recovered       bool
 	recoverBy       Instant                    // when recovery ends at the latest
 	held            map[string][]*task         // tasks that may still have a run of an earlier owner, by worker
@@ -116,6 +118,7 @@
 	if c.statsByQueue == nil {
 		c.statsByQueue = map[string]*queueStats{}
 	}
+	c.uneven, c.speedsCheckedAt = map[string]float64{}, 0
 	c.commits = commitState{}
 	c.load = loadEstimate{}
 	c.recovered, c.listedOnce = false, false
@@ -223,6 +226,7 @@
 	c.checkRuns()
 	c.checkRecovery()
 	c.refuseUnsent()
+	c.checkSpeeds()
 	c.estimateLoad()
 	c.forgetEnded()
 }
@@ -281,17 +285,22 @@
 	Running   int    `json:"runs"`
 	Workers   int    `json:"workers"`
 	Usable    int    `json:"usableWorkers"`
-	HeldTasks int    `json:"heldTasks"` // tasks that may still have a run of an earlier owner
+	HeldTasks int    `json:"heldTasks"`      // tasks that may still have a run of an earlier owner
+	Uneven    int    `json:"unevenServices"` // services with workers of uneven speeds
+	Speeds    int    `json:"knownSpeeds"`    // workers with a known speed
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers)}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Uneven: len(c.uneven)}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
 			summary.Usable++
 		}
+		if _, known := w.speed.Value(); known {
+			summary.Speeds++
+		}
 	}
 	for _, tasks := range c.held {
 		summary.HeldTasks += len(tasks)
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -89,7 +89,7 @@
 		return nil, false
 	}
 	assignments, spare := c.assignMembers(pool, s)
-	if memberCount(assignments) < len(s.tasks) {
+	if memberCount(assignments) < len(s.tasks) || c.waitsForFaster(p, pool, s, assignments) {
 		c.reserveForGang(p, pool, s)
 		return nil, false
 	}
@@ -123,12 +123,13 @@
 }
 
 // assignMembers assigns the members to workers with room. It prefers workers with a
-// ticket, then as few workers as possible. If there is not enough room, not all
+// ticket, then as few workers as possible, and on an uneven fleet workers of like speed
+// before all. If there is not enough room, not all
 // members are assigned; otherwise it also returns spare assignments.
 func (c *Cell) assignMembers(pool *servicePool, s *step) (assignments, spare []assignment) {
 	duration := c.queueStats(s.job.Queue.Name).expectedDuration(s.spec.Estimate)
 	for _, cand := range pool.candidates {
-		if n := s.room(cand.w, cand.free); n > 0 && !cand.blocks(c.now.Steady, duration) && s.eligibleOn(cand.w) {
+		if n := s.room(cand.w, cand.free); n > 0 && !cand.blocks(c.now.Steady, cand.w.duration(duration)) && s.eligibleOn(cand.w) {
 			assignments = append(assignments, assignment{cand, n})
 		}
 	}
@@ -145,6 +146,10 @@
 		if onRack := singleRack(assignments, len(s.tasks)); onRack != nil {
 			assignments = onRack
 		}
+	} else if c.uneven[s.job.Queue.Service] > 0 {
+		if inBand := c.chooseBand(s, assignments); inBand != nil {
+			assignments = inBand
+		}
 	}
 	return splitSpare(assignments, len(s.tasks))
 }
@@ -185,19 +190,14 @@
 // tickets for them in time.
 func (c *Cell) reserveForGang(p *round, pool *servicePool, s *step) {
 	s.roomExpectedAt = math.MaxInt64
-	if p.reservingGangs >= maxReservingGangs || float64(p.reservedMilliCPU) > maxReservedShare*float64(p.totalMilliCPU) {
+	if p.reservationsFull() {
 		if s.advice.needed && c.chooseHost(s.job.Queue.Advice, 1) != "" && c.fitsIfUnknownEligible(pool, s) {
 			c.requestMoreAdvice(pool, s, true)
 		}
 		c.logGangWait(s, "room is kept for others", p.reservingGangs)
 		return
 	}
-	var openings []opening
-	for _, cand := range pool.candidates {
-		if cand.reservedFrom == 0 && s.eligibleOn(cand.w) {
-			openings = c.openings(openings, s, cand)
-		}
-	}
+	openings := c.soonestOpenings(s, c.gangOpenings(pool, s))
 	if len(openings) < len(s.tasks) {
 		if s.advice.needed {
 			c.requestMoreAdvice(pool, s, false)
@@ -206,12 +206,6 @@
 		return
 	}
 	p.reservingGangs++
-	slices.SortFunc(openings, func(a, b opening) int {
-		if d := cmp.Compare(a.at, b.at); d != 0 {
-			return d
-		}
-		return cmp.Compare(a.cand.w.ID, b.cand.w.ID)
-	})
 	at := openings[len(s.tasks)-1].at
 	s.roomExpectedAt = at
 	assignments, spare := assignOpenings(openings, len(s.tasks))
@@ -231,6 +225,29 @@
 	}
 }
 
+// reservationsFull reports whether no more workers may be reserved for gangs.
+func (p *round) reservationsFull() bool {
+	return p.reservingGangs >= maxReservingGangs || float64(p.reservedMilliCPU) > maxReservedShare*float64(p.totalMilliCPU)
+}
+
+// gangOpenings returns the openings for a gang on all workers that may hold it, sorted by
+// time.
+func (c *Cell) gangOpenings(pool *servicePool, s *step) []opening {
+	var openings []opening
+	for _, cand := range pool.candidates {
+		if cand.reservedFrom == 0 && s.eligibleOn(cand.w) {
+			openings = c.openings(openings, s, cand)
+		}
+	}
+	slices.SortFunc(openings, func(a, b opening) int {
+		if d := cmp.Compare(a.at, b.at); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.cand.w.ID, b.cand.w.ID)
+	})
+	return openings
+}
+
 // opening is a time from which a worker has room for one more member.
 type opening struct {
 	at   Instant
@@ -263,7 +280,7 @@
 	members := 0
 	for _, cand := range pool.candidates {
 		eligible, known := s.advice.lookup(cand.w)
-		if (eligible || !known) && !cand.blocks(c.now.Steady, duration) && cand.w.hasLabel(s.spec.Label) {
+		if (eligible || !known) && !cand.blocks(c.now.Steady, cand.w.duration(duration)) && cand.w.hasLabel(s.spec.Label) {
 			members += s.room(cand.w, cand.free)
 		}
 	}
@@ -360,7 +377,7 @@
 	s := r.task.step
 	stats := c.queueStats(s.job.Queue.Name)
 	if r.confirmedAt == 0 {
-		return stats.expectedDuration(s.spec.Estimate)
+		return r.w.duration(stats.expectedDuration(s.spec.Estimate))
 	}
 	age := c.now.Steady - r.confirmedAt
 	if r.percent > 0 {
@@ -368,7 +385,8 @@
 		totalDuration := time.Duration(float64(r.progressAt-r.confirmedAt) * 100 / float64(r.percent))
 		return max(0, totalDuration-age)
 	}
-	return stats.remainingDuration(s.spec.Estimate, age)
+	done := time.Duration(float64(age) * r.w.workSpeed())
+	return r.w.duration(stats.remainingDuration(s.spec.Estimate, done))
 }
 
 // reserve reserves workers for a gang from the given time on. Later steps may use
--- a/cell/job.go
+++ b/cell/job.go
@@ -17,7 +17,8 @@
 	hasProgressRow bool           // the job's progress row is stored, or in a commit that is not confirmed yet
 	dirty          bool           // queued for the next commit
 	receivedAt     Instant
-	objective      Instant // when the job should be complete
+	objective      Instant       // when the job should be complete
+	path           time.Duration // estimated duration of its critical path
 	occurrences    []*occurrence
 	acceptReplies  []uint64 // IDs of the replies to send once the acceptance is stored
 	cancelReplies  []uint64 // IDs of the replies to send once the cancellation is stored
@@ -51,6 +52,7 @@
 	lastRun         uint64              // number of the last run of a gang; the runs of other steps are numbered in task
 	failedRuns      workload.FailedRuns // of a gang; other steps use task.failedRuns
 	checkpoint      string              // of a gang; other steps use task.checkpoint
+	peerWork        []float64           // work of the tasks that have ended, ascending, in nanoseconds at speed 1
 	gangRemainingAt Instant             // when gangRemaining was computed
 	gangRemaining   time.Duration       // longest remaining work of a gang's members
 
@@ -90,16 +92,18 @@
 
 // run is one execution of a task on a worker.
 type run struct {
-	task        *task
-	number      uint64
-	w           *worker
-	state       runState
-	sentAt      Instant
-	confirmedAt Instant // when it was first known to be running
-	stopSentAt  Instant
-	stopAckedAt Instant
-	percent     int     // reported progress
-	progressAt  Instant // when percent last changed
+	task           *task
+	number         uint64
+	w              *worker
+	state          runState
+	sentAt         Instant
+	confirmedAt    Instant // when it was first known to be running
+	stopSentAt     Instant
+	stopAckedAt    Instant
+	percent        int     // reported progress
+	sampledPercent int     // progress at the last speed sample
+	sampledAt      Instant // when that was; 0 before the first
+	progressAt     Instant // when percent last changed
 	// progressClock is the worker's clock in the first report with the current percent; 0
 	// if no report has listed the run.
 	progressClock time.Duration
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -74,7 +74,8 @@
 
 // misestimate makes the work of all jobs differ from their estimates, by a factor of up to
 // maxOff by job, and a share of the tasks take 7 times as long.
-func (f *simFleet) misestimate(maxOff, tail float64) {
+func (f *simFleet) misestimate(tail float64) {
+	const maxOff = 1.9
 	for _, id := range slices.Sorted(maps.Keys(f.jobs)) {
 		j := f.jobs[id]
 		off := math.Pow(maxOff, 2*f.rng.Float64()-1)
--- a/cell/place.go
+++ b/cell/place.go
@@ -16,6 +16,7 @@
 	// weighted speed.
 	penaltyFailed  = 4 // the task failed there before
 	penaltyOffRack = 8 // the data is on another rack, so the task takes longer
+	penaltyLate    = 3 // the worker is too slow for the job's objective
 	// penaltyReserved applies to workers that the last round reserved for a gang.
 	// Steps ranked before the gang may use them if no other worker has room.
 	penaltyReserved = 2
@@ -175,7 +176,7 @@
 	var candidates []*candidate
 	room := 0
 	for _, cand := range pool.candidates {
-		if need.Fits(cand.free) && !s.blockedByReservation(cand, c.now.Steady, duration) && s.advice.startAllowed(cand.w, c.now.Steady) && cand.w.hasLabel(s.spec.Label) {
+		if need.Fits(cand.free) && !s.blockedByReservation(cand, c.now.Steady, cand.w.duration(duration)) && s.advice.startAllowed(cand.w, c.now.Steady) && cand.w.hasLabel(s.spec.Label) {
 			candidates = append(candidates, cand)
 			room += s.room(cand.w, cand.free)
 		}
@@ -187,13 +188,14 @@
 		}
 		return
 	}
+	needed := c.neededSpeed(s)
 	left, placed := 0, 0
 	for _, t := range s.tasks {
 		if t.done || len(t.runs) > 0 || t.heldFor != "" || allowed == 0 {
 			continue
 		}
 		allowed--
-		cand := c.bestCandidate(s, t, duration, candidates)
+		cand := c.bestCandidate(s, t, duration, needed, candidates)
 		if cand == nil {
 			left++
 			continue
@@ -211,8 +213,9 @@
 
 // bestCandidate returns the worker with the lowest score for the task, or nil if none
 // has room. Apart from penalties, it prefers fast workers and those on which the task
-// leaves the least processor time unused.
-func (c *Cell) bestCandidate(s *step, t *task, duration time.Duration, candidates []*candidate) *candidate {
+// leaves the least processor time unused. On an uneven fleet it prefers slow workers, if
+// they are fast enough.
+func (c *Cell) bestCandidate(s *step, t *task, duration time.Duration, needed float64, candidates []*candidate) *candidate {
 	var best *candidate
 	bestScore := 0.0
 	for _, cand := range candidates {
@@ -220,8 +223,8 @@
 			continue
 		}
 		score := float64(cand.free.MilliCPU-s.spec.Need.MilliCPU) / float64(max(1, cand.w.Capacity.MilliCPU))
-		score -= speedWeight * cand.w.relativeSpeed()
-		if from := cand.w.reservedFrom; from > c.now.Steady && c.now.Steady+duration > from {
+		score += speedScore(cand.w.placementSpeed(), needed)
+		if from := cand.w.reservedFrom; from > c.now.Steady && c.now.Steady+cand.w.duration(duration) > from {
 			score += penaltyReserved
 		}
 		if t.avoid[cand.w.ID] {
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+
+	"github.com/cowslipgap/cowslipgap/speed"
 )
 
 // handleRestart handles the restart of a worker: its results are numbered from 1
@@ -12,7 +14,7 @@
 	w.lastProcessed, w.lastStored, w.lastAcked, w.ackInFlight = 0, 0, 0, 0
 	w.incarnation++
 	w.restartSeenAt = c.now.Steady
-	w.speedSamples = 0
+	w.speed = speed.Estimate{}
 	clear(w.strays)
 }
 
--- a/cell/queuestats.go
+++ b/cell/queuestats.go
@@ -18,21 +18,14 @@
 	maxDurationRatio = 8
 	// cautiousQuantile is the share of runs that end within their cautious duration.
 	cautiousQuantile = 0.9
-	// maxSpeedSamples is how many samples a worker's speed is averaged over: a few
-	// seconds of lookup jobs.
-	maxSpeedSamples = 12
-	// maxSpeed bounds a single speed sample.
-	maxSpeed = 3
-	// minSpeedInterval is the minimum time between two progress reports that give a
-	// speed sample, because progress is reported in whole percents.
-	minSpeedInterval = 150 * time.Millisecond
 )
 
 // queueStats holds what is known of a queue's jobs.
 type queueStats struct {
 	eligibleShare float64 // share of workers that may run a step
 	adviceSamples int
-	runs          runtimes.Distribution // actual to estimated duration
+	runs          runtimes.Distribution // actual to estimated duration on a worker of speed 1
+	peers         runtimes.Distribution // work of a task relative to the median of its step
 }
 
 // queueStats returns the statistics of a queue.
@@ -45,8 +38,8 @@
 	return stats
 }
 
-// expectedDuration returns the average duration of runs with the given estimate. It suits
-// sums over many runs, such as the work that waits.
+// expectedDuration returns the average duration of runs with the given estimate on a
+// worker of speed 1. It suits sums over many runs, such as the work that waits.
 func (q *queueStats) expectedDuration(estimate time.Duration) time.Duration {
 	ratio, known := q.runs.Mean()
 	if !known {
@@ -75,7 +68,8 @@
 	return time.Duration(float64(estimate) * ratio)
 }
 
-// remainingDuration returns how much longer a run of the given age, is expected to take. With a heavy tail, a run that exceeds the usual duration
+// remainingDuration returns how much longer a run of the given age, both on a worker of
+// speed 1, is expected to take. With a heavy tail, a run that exceeds the usual duration
 // is one of the long ones.
 func (q *queueStats) remainingDuration(estimate, age time.Duration) time.Duration {
 	expected := q.expectedDuration(estimate)
@@ -107,39 +101,11 @@
 	case s.spec.Gang && s.done:
 		// The first of its members to be reported has counted for all.
 	case outcome == Done && r.confirmedAt > 0 && s.spec.Estimate > 0 && s.job.Job != nil && r.number == 1:
-		ratio := float64(c.now.Steady-r.confirmedAt) / float64(s.spec.Estimate)
-		stats := c.queueStats(s.job.Queue.Name)
-		stats.runs.Add(min(maxDurationRatio, ratio))
-		if stats.runs.Known() {
-			duration := stats.expectedDuration(s.spec.Estimate)
-			r.w.addSpeedSample(min(maxSpeed, float64(duration)/float64(max(1, c.now.Steady-r.confirmedAt))))
+		ratio := float64(c.now.Steady-r.confirmedAt) / float64(s.spec.Estimate) * r.speed()
+		c.queueStats(s.job.Queue.Name).runs.Add(min(maxDurationRatio, ratio))
+		if !s.spec.Gang {
+			c.addSpeedSample(r, 100, c.now.Steady)
+			c.addPeerWork(r)
 		}
 	}
 }
-
-// recordProgressSpeed takes a speed sample of a run's worker from the progress
-// between two reports. Estimates are rough, so a single sample means little.
-func (c *Cell) recordProgressSpeed(r *run, percent int, at Instant) {
-	s := r.task.step
-	passed := at - r.progressAt
-	if passed < minSpeedInterval || percent <= r.percent || s.spec.LongRunning || s.spec.UsesIdleCPU || s.job.Job == nil {
-		return
-	}
-	duration := c.queueStats(s.job.Queue.Name).expectedDuration(s.spec.Estimate)
-	speed := float64(percent-r.percent) / 100 * float64(duration) / float64(passed)
-	r.w.addSpeedSample(min(speed, maxSpeed))
-}
-
-func (w *worker) addSpeedSample(speed float64) {
-	w.speedSamples = min(w.speedSamples+1, maxSpeedSamples)
-	w.speed += (speed - w.speed) / float64(w.speedSamples)
-}
-
-// relativeSpeed returns the worker's speed relative to the usual one, 1 if it is
-// unknown.
-func (w *worker) relativeSpeed() float64 {
-	if w.speedSamples < maxSpeedSamples/2 {
-		return 1
-	}
-	return w.speed
-}
--- a/cell/queuestats_test.go
+++ b/cell/queuestats_test.go
@@ -28,7 +28,7 @@
 		clear(j.actual)
 		f.drawDurations(j)
 	}
-	f.misestimate(1.9, 0.03)
+	f.misestimate(0.03)
 	known, total, beyond := map[string]float64{}, map[string]float64{}, map[string]float64{}
 	f.onUpdate = func(c *Cell, event any, _ []any, _ time.Duration) {
 		e, ok := event.(PollResult)
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -15,8 +15,8 @@
 // setObjective computes when a job should be complete and when each of its steps
 // must start at the latest.
 func (c *Cell) setObjective(j *job) {
-	path := criticalPath(j.Job)
-	j.objective = j.receivedAt + time.Duration(j.Queue.Slack*float64(path)) + j.Queue.Target
+	j.path = criticalPath(j.Job)
+	j.objective = j.receivedAt + time.Duration(j.Queue.Slack*float64(j.path)) + j.Queue.Target
 	tails := stepTails(j.Job)
 	for _, o := range j.occurrences {
 		base := j.objective
--- /dev/null
+++ b/cell/speed.go
@@ -0,0 +1,359 @@
+package cell
+
+import (
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// speedCheckInterval is how often the speeds are compared.
+	speedCheckInterval = 500 * time.Millisecond
+	// minKnownSpeeds and minKnownShare are how many workers of a service must have a
+	// known speed for the check, as a number and as a share of them.
+	minKnownSpeeds = 8
+	minKnownShare  = 0.5
+	// The speeds of a service count as uneven from unevenFactor between slowQuantile and
+	// fastQuantile on, until the factor is below evenFactor. A few slow workers, which a
+	// fault may have slowed down for a while, are no uneven fleet.
+	slowQuantile, fastQuantile = 0.2, 0.8
+	unevenFactor, evenFactor   = 2.0, 1.7
+	// likeSpeed is the factor of speeds within one band.
+	likeSpeed = 1.5
+	// minSpeedShare is the minimum share of a run that a speed sample covers, because
+	// progress is reported in whole percents and at intervals.
+	minSpeedShare = 0.25
+	// minPeers is how many tasks of a step must have ended for others to be compared with.
+	minPeers = 3
+	// earlyQuantile and cautiousQuantile bound the run times for which a start on a
+	// worker has to be in time.
+	earlyQuantile = 0.1
+	// speedMargin allows for errors of the estimated speed.
+	speedMargin = 1.15
+	// lateOrder is added to the order of workers that are too slow, more than any band.
+	lateOrder = 100
+	// endDelay is the usual time from the end of a run to the stored end of its job.
+	endDelay = 100 * time.Millisecond
+)
+
+// This file answers an uneven fleet, on which the fastest workers take a fraction of the
+// time of the slowest. Work is expected to take longer on slow workers, work with little
+// time goes to workers that are fast enough, and work with slack leaves those free. Gangs
+// run on workers of like speed, as they wait for their slowest member. On a fleet of like
+// speeds, all workers count as speed 1.
+
+// addSpeedSample takes a sample of the speed of a run's worker from the progress since the
+// last sample. Tasks of a gang give none: they wait for each other.
+func (c *Cell) addSpeedSample(r *run, percent int, at Instant) {
+	s := r.task.step
+	from := max(r.sampledAt, r.confirmedAt)
+	share := float64(percent-r.sampledPercent) / 100
+	if share <= 0 || at <= from || s.spec.Gang || s.spec.LongRunning || s.spec.UsesIdleCPU || s.job.Job == nil {
+		return
+	}
+	stats := c.queueStats(s.job.Queue.Name)
+	expected := float64(stats.quantileDuration(s.spec.Estimate, 0.5))
+	spread, known := stats.runs.Spread()
+	if peers, peersKnown := stats.peers.Spread(); peersKnown && len(s.peerWork) >= minPeers {
+		expected, spread = s.peerWork[len(s.peerWork)/2], peers
+	}
+	if known {
+		r.sampledPercent, r.sampledAt = percent, at
+		r.w.speed.Add(share*expected/float64(at-from), spread, share)
+	}
+}
+
+// addPeerWork records the work of a run that has ended, which tasks of the same step are
+// compared with: their work differs less than the estimates of jobs are off.
+func (c *Cell) addPeerWork(r *run) {
+	s := r.task.step
+	if s.spec.Gang {
+		return
+	}
+	work := float64(c.now.Steady-r.confirmedAt) * r.w.relativeSpeed()
+	if len(s.peerWork) >= minPeers {
+		c.queueStats(s.job.Queue.Name).peers.Add(work / s.peerWork[len(s.peerWork)/2])
+	}
+	i, _ := slices.BinarySearch(s.peerWork, work)
+	s.peerWork = slices.Insert(s.peerWork, i, work)
+}
+
+// recordProgressSpeed takes a speed sample of a run that has progressed by enough. A run that
+// resumed from a checkpoint, or was adopted, is not at its beginning when it is first reported.
+func (c *Cell) recordProgressSpeed(r *run, percent int, at Instant) {
+	if r.number != 1 && r.sampledAt == 0 {
+		r.sampledPercent, r.sampledAt = percent, at
+		return
+	}
+	if float64(percent-r.sampledPercent)/100 >= minSpeedShare {
+		c.addSpeedSample(r, percent, at)
+	}
+}
+
+// relativeSpeed returns the worker's speed relative to the usual one, 1 if it is unknown.
+func (w *worker) relativeSpeed() float64 {
+	factor, _ := w.speed.Value()
+	return factor
+}
+
+// workSpeed returns the speed by which run times on the worker are divided, relative to the
+// usual speed of its service: 1 on a fleet of like speeds.
+func (w *worker) workSpeed() float64 {
+	if w.factor == 0 {
+		return 1
+	}
+	return w.factor
+}
+
+// duration returns how long work that takes d on a worker of speed 1 takes on w.
+func (w *worker) duration(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / w.workSpeed())
+}
+
+// placementSpeed returns the speed that orders workers for a task. Small differences, which
+// run times leave out, count here too.
+func (w *worker) placementSpeed() float64 {
+	if w.factor > 0 {
+		return w.factor
+	}
+	return w.relativeSpeed()
+}
+
+// speed returns the speed at which a run works; a gang works at that of its slowest
+// member.
+func (r *run) speed() float64 {
+	slowest := r.w.workSpeed()
+	if r.task.step.spec.Gang {
+		for _, t := range r.task.step.tasks {
+			for _, member := range t.runs {
+				slowest = min(slowest, member.w.workSpeed())
+			}
+		}
+	}
+	return slowest
+}
+
+// checkSpeeds determines which services have workers of uneven speeds, and their usual
+// speed.
+func (c *Cell) checkSpeeds() {
+	if c.now.Steady-c.speedsCheckedAt < speedCheckInterval {
+		return
+	}
+	c.speedsCheckedAt = c.now.Steady
+	known, total := map[string][]float64{}, map[string]int{}
+	for _, w := range c.sortedWorkers {
+		if !w.listed {
+			continue
+		}
+		total[w.Service]++
+		if factor, ok := w.speed.Value(); ok {
+			known[w.Service] = append(known[w.Service], factor)
+		}
+	}
+	for service, speeds := range known {
+		if len(speeds) < minKnownSpeeds || float64(len(speeds)) < minKnownShare*float64(total[service]) {
+			continue
+		}
+		slices.Sort(speeds)
+		slow := speeds[int(slowQuantile*float64(len(speeds)))]
+		fast := speeds[int(fastQuantile*float64(len(speeds)))]
+		limit, wasUneven := unevenFactor, c.uneven[service] > 0
+		if wasUneven {
+			limit = evenFactor
+		}
+		uneven := fast >= limit*slow
+		if uneven {
+			c.uneven[service] = speeds[len(speeds)/2]
+		} else {
+			delete(c.uneven, service)
+		}
+		if uneven != wasUneven {
+			c.logInfo("speeds of workers", slog.String("service", service), slog.Bool("uneven", uneven), slog.Float64("slow", slow), slog.Float64("fast", fast), slog.Int("known", len(speeds)))
+		}
+	}
+	for _, w := range c.sortedWorkers {
+		w.setFactor(c.uneven[w.Service])
+	}
+}
+
+// setFactor sets the worker's speed relative to the usual one of its service, which is 0 on
+// a fleet of like speeds.
+func (w *worker) setFactor(usual float64) {
+	w.factor, w.speedBand = 0, 0
+	if usual == 0 {
+		return
+	}
+	w.factor = 1
+	if factor, known := w.speed.Value(); known {
+		w.factor = factor / usual
+	}
+	w.speedBand = int(math.Round(math.Log(w.factor) / math.Log(likeSpeed)))
+}
+
+// neededSpeed returns the speed that a worker needs for a task of the step, started now, to
+// end in time, whether its work is short or long. Both the objective and the rest of the
+// job grow with the work. The result is 0 if the step is late anyway, and infinite if a
+// part of its tasks will be late on any worker or all workers are alike.
+func (c *Cell) neededSpeed(s *step) float64 {
+	j := s.job
+	if c.uneven[j.Queue.Service] == 0 {
+		return math.Inf(1)
+	}
+	endBy := s.latestStart + s.spec.Estimate // if the work is as estimated
+	if c.now.Steady > s.latestStart+c.queueStats(j.Queue.Name).typicalDuration(s.spec.Estimate) {
+		return 0
+	}
+	rest := time.Duration(0)
+	if s.occ.due.IsZero() {
+		rest = max(0, j.objective-endBy)
+	}
+	growth := j.Queue.Slack*float64(j.path) - float64(rest)
+	needed := 0.0
+	for _, share := range []float64{earlyQuantile, cautiousQuantile} {
+		work := float64(c.queueStats(j.Queue.Name).quantileDuration(s.spec.Estimate, share))
+		left := float64(endBy-c.now.Steady-endDelay) + (work/float64(max(1, s.spec.Estimate))-1)*growth
+		if left <= 0 {
+			return math.Inf(1)
+		}
+		needed = max(needed, speedMargin*work/left)
+	}
+	return needed
+}
+
+// speedScore orders workers for a task that needs the given speed: first the slowest of
+// those that are fast enough, then the fastest of the others.
+func speedScore(speed, needed float64) float64 {
+	if speed >= needed {
+		return speedWeight * speed
+	}
+	return penaltyLate - speedWeight*speed
+}
+
+// adviceOrder returns the order in which to ask about workers for a step: on an uneven
+// fleet, those of the highest bands first for a gang, and for others first the slowest that
+// are fast enough.
+func (c *Cell) adviceOrder(s *step) func(w *worker) int {
+	if c.uneven[s.job.Queue.Service] == 0 {
+		return func(*worker) int { return 0 }
+	}
+	needed := c.neededSpeed(s)
+	return func(w *worker) int {
+		band := w.speedBand
+		if s.spec.Gang || w.workSpeed() < needed {
+			return lateOrder - band
+		}
+		return band
+	}
+}
+
+// chooseBand returns the assignments of a gang whose slowest member is as fast as possible,
+// those of the slowest needed band first: the gang does not end sooner on faster ones.
+// Workers with tickets are enough if the gang ends in time on them, or sooner than with
+// faster workers after a call for their tickets.
+func (c *Cell) chooseBand(s *step, assignments []assignment) []assignment {
+	ticketed := slices.DeleteFunc(slices.Clone(assignments), func(a assignment) bool { return !s.advice.hasTicket(a.w, c.now.Steady) })
+	all, allBand := fastestBand(assignments, len(s.tasks))
+	now, nowBand := fastestBand(ticketed, len(s.tasks))
+	if now == nil || all == nil || nowBand >= allBand {
+		if now != nil {
+			return now
+		}
+		return all
+	}
+	speed, faster := slowestSpeed(now), slowestSpeed(all)
+	duration := c.queueStats(s.job.Queue.Name).expectedDuration(s.spec.Estimate)
+	call := s.job.Queue.Advice.Duration(len(all)) + ticketLeadTime
+	if speed >= c.neededSpeed(s) || float64(duration)/speed <= float64(call)+float64(duration)/faster {
+		return now
+	}
+	return all
+}
+
+// fastestBand returns the assignments in the highest bands that together hold the gang,
+// those of the lowest of these bands first, and that band. It returns nil if there is not
+// enough room.
+func fastestBand(assignments []assignment, members int) ([]assignment, int) {
+	bands := map[int]int{}
+	highest, lowest := math.MinInt, math.MaxInt
+	for _, a := range assignments {
+		band := a.w.speedBand
+		bands[band] += a.n
+		highest, lowest = max(highest, band), min(lowest, band)
+	}
+	room := 0
+	for band := highest; band >= lowest; band-- {
+		if room += bands[band]; room < members {
+			continue
+		}
+		chosen := slices.DeleteFunc(slices.Clone(assignments), func(a assignment) bool { return a.w.speedBand < band })
+		slices.SortStableFunc(chosen, func(a, b assignment) int { return a.w.speedBand - b.w.speedBand })
+		return chosen, band
+	}
+	return nil, lowest
+}
+
+// slowestSpeed returns the speed of the slowest of the workers.
+func slowestSpeed(assignments []assignment) float64 {
+	slowest := math.Inf(1)
+	for _, a := range assignments {
+		slowest = min(slowest, a.w.workSpeed())
+	}
+	return slowest
+}
+
+// soonestOpenings returns those of the sorted openings with which a gang ends first: its
+// members take the first ones, and a slow worker among them delays all.
+func (c *Cell) soonestOpenings(s *step, openings []opening) []opening {
+	if c.uneven[s.job.Queue.Service] == 0 || len(openings) < len(s.tasks) {
+		return openings
+	}
+	var best []opening
+	bestEnd := Instant(math.MaxInt64)
+	seen := map[int]bool{}
+	for _, o := range openings {
+		band := o.cand.w.speedBand
+		if seen[band] {
+			continue
+		}
+		seen[band] = true
+		chosen := slices.DeleteFunc(slices.Clone(openings), func(o opening) bool { return o.cand.w.speedBand < band })
+		if len(chosen) < len(s.tasks) {
+			continue
+		}
+		if end := c.gangEnd(s, chosen); end < bestEnd {
+			best, bestEnd = chosen, end
+		}
+	}
+	return best
+}
+
+// gangEnd returns when a gang is expected to end that takes the first of the openings.
+func (c *Cell) gangEnd(s *step, openings []opening) Instant {
+	slowest := math.Inf(1)
+	for _, o := range openings[:len(s.tasks)] {
+		slowest = min(slowest, o.cand.w.workSpeed())
+	}
+	duration := c.queueStats(s.job.Queue.Name).expectedDuration(s.spec.Estimate)
+	return openings[len(s.tasks)-1].at + time.Duration(float64(duration)/slowest)
+}
+
+// waitsForFaster reports whether a gang that would be late on the workers that have room
+// should wait for faster ones, on which it ends in time.
+func (c *Cell) waitsForFaster(p *round, pool *servicePool, s *step, assignments []assignment) bool {
+	if c.uneven[s.job.Queue.Service] == 0 || p.reservationsFull() || c.now.Steady > s.latestStart {
+		return false
+	}
+	slowest := slowestSpeed(assignments)
+	if slowest >= c.neededSpeed(s) {
+		return false
+	}
+	openings := c.soonestOpenings(s, c.gangOpenings(pool, s))
+	if len(openings) < len(s.tasks) {
+		return false
+	}
+	duration := c.queueStats(s.job.Queue.Name).expectedDuration(s.spec.Estimate)
+	inTime := s.latestStart + s.spec.Estimate + time.Duration(float64(duration-s.spec.Estimate)*s.job.Queue.Slack)
+	end := c.gangEnd(s, openings)
+	return end < inTime && end < c.now.Steady+time.Duration(float64(duration)/slowest)
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/speed"
 )
 
 const (
@@ -59,8 +60,9 @@
 	leaseEnd      Instant // when all its leases have certainly expired unless renewed
 	pausedUntil   Instant // no new work before this time
 	reservedFrom  Instant // when a gang needs it, according to the last placement round
-	speed         float64 // average speed relative to the estimates
-	speedSamples  int     // samples in speed, at most maxSpeedSamples
+	speed         speed.Estimate
+	factor        float64 // speed relative to the usual one of an uneven service; 0 if speeds are alike
+	speedBand     int     // workers of one band have like speeds; higher is faster
 }
 
 // newWorker returns a worker that has not answered yet.
