--- a/cell/cell.go
+++ b/cell/cell.go
@@ -84,6 +84,8 @@
 	waiting         []*step                 // ready steps with tasks to start
 	pendingJobs     []*job                  // jobs that may have steps to become ready
 	statsByQueue    map[string]*queueStats
+	uneven          map[string]float64 // usual speed of the services with workers of uneven speeds
+	speedsCheckedAt Instant            // when the speeds were last compared
 	recovered       bool
 	recoverBy       Instant                    // when recovery ends at the latest
 	held            map[string][]*task         // tasks that may still have a run of an earlier owner, by worker
@@ -124,6 +126,7 @@
 	if c.statsByQueue == nil {
 		c.statsByQueue = map[string]*queueStats{}
 	}
+	c.uneven, c.speedsCheckedAt = map[string]float64{}, 0
 	c.commits = commitState{}
 	c.load = loadEstimate{}
 	c.recovered, c.listedOnce = false, false
@@ -234,6 +237,7 @@
 	c.checkPolicyAge()
 	c.checkRecovery()
 	c.refuseUnsent()
+	c.checkSpeeds()
 	c.estimateLoad()
 	c.forgetEnded()
 	c.logUse()
@@ -298,11 +302,13 @@
 	Cold      int    `json:"coldWorkers"`      // usable workers that are still slow after their start
 	Withheld  bool   `json:"startsWithheld"`   // the operators' requests were read too long ago to start anything
 	KeepsRoom bool   `json:"roomKept"`         // long starts are withheld because urgent demand rises
+	Uneven    int    `json:"unevenServices"`   // services with workers of uneven speeds
+	Speeds    int    `json:"knownSpeeds"`      // workers with a known speed
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom()}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom()}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
@@ -314,6 +320,9 @@
 		if w.listed && w.evacuated {
 			summary.Evacuated++
 		}
+		if _, known := w.speed.Value(); known {
+			summary.Speeds++
+		}
 	}
 	for _, tasks := range c.held {
 		summary.HeldTasks += len(tasks)
--- a/cell/loadestimate.go
+++ b/cell/loadestimate.go
@@ -8,16 +8,16 @@
 	"github.com/cowslipgap/cowslipgap/workload"
 )
 
-// minKnownShare is how many answers of the advice service are needed before a queue's
+// minAdviceAnswers is how many answers of the advice service are needed before a queue's
 // share of eligible workers bounds what fits.
-const minKnownShare = 8
+const minAdviceAnswers = 8
 
 // loadEstimate is the demand on the fleet. Running work is counted separately, as
 // it keeps its room whatever its rank.
 type loadEstimate struct {
 	running  map[teamService]scarcity.Demand
 	waiting  map[waitingKey]scarcity.Demand
-	capacity map[string]float64 // cores, by service
+	capacity map[string]float64 // cores of speed 1, by service
 	fleets   map[string]*scarcity.Fleet
 	listed   bool // the workers had been listed when it was computed
 }
@@ -78,7 +78,7 @@
 	r := scarcity.Request{Need: s.Need, Tasks: s.Count, MaxPerWorker: s.MaxPerWorker, Label: s.Label, Gang: s.Gang, Rank: rank}
 	stats := c.queueStats(q.Name)
 	r.Time = time.Duration(overrunFactor * float64(stats.expectedDuration(s.Estimate)))
-	if q.Advice != nil && stats.adviceSamples >= minKnownShare {
+	if q.Advice != nil && stats.adviceSamples >= minAdviceAnswers {
 		r.Eligible = stats.eligibleShare
 	}
 	return r
@@ -89,7 +89,7 @@
 	c.load = loadEstimate{running: map[teamService]scarcity.Demand{}, waiting: map[waitingKey]scarcity.Demand{}, capacity: map[string]float64{}, fleets: map[string]*scarcity.Fleet{}, listed: c.listedOnce}
 	for _, w := range c.sortedWorkers {
 		if w.counts(c.now.Steady) {
-			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000
+			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000 * w.workSpeed()
 		}
 	}
 	for _, j := range c.live {
