Jobs that last or are due later don't wait for room on single workers

Cause: the expected wait by holes, new with the estimate by room, refused a task that lasts when no worker has room at the moment of its submission; it used to be accepted and to start when there is room.

Change: such requests wait only for the work ahead over the capacity, as before, and are refused for room only if no free worker holds them.

TestLastingJobIsAcceptedOnAFullFleet was refused without the change.

--- a/cell/loadestimate.go
+++ b/cell/loadestimate.go
@@ -64,6 +64,7 @@
 			continue
 		}
 		r := c.request(&spec.Queue, &spec.Steps[i], rank)
+		r.Deferred = r.Deferred || spec.Repeat > 0
 		if fleet != nil {
 			wait = max(wait, fleet.Wait(r, ahead))
 		}
@@ -75,7 +76,7 @@
 // request returns what a step asks of the fleet. No rack is asked for: a step whose data
 // or members are on other racks takes longer, but does not wait for one rack.
 func (c *Cell) request(q *workload.Queue, s *workload.Step, rank int) scarcity.Request {
-	r := scarcity.Request{Need: s.Need, Tasks: s.Count, MaxPerWorker: s.MaxPerWorker, Label: s.Label, Gang: s.Gang, Rank: rank}
+	r := scarcity.Request{Need: s.Need, Tasks: s.Count, MaxPerWorker: s.MaxPerWorker, Label: s.Label, Gang: s.Gang, Deferred: s.LongRunning, Rank: rank}
 	stats := c.queueStats(q.Name)
 	r.Time = time.Duration(overrunFactor * float64(stats.expectedDuration(s.Estimate)))
 	if q.Advice != nil && stats.adviceSamples >= minKnownShare {
--- a/cell/scarcity_test.go
+++ b/cell/scarcity_test.go
@@ -171,6 +171,19 @@
 	}
 }
 
+// TestLastingJobIsAcceptedOnAFullFleet hands a job that lasts in while nothing is free.
+func TestLastingJobIsAcceptedOnAFullFleet(t *testing.T) {
+	f := memoryFleet(t, 1)
+	f.fillWorkers(2*time.Second, "", 48, 20*time.Second)
+	spec := quoteJob("ff00000000000000")
+	spec.Queue.Advice = nil
+	spec.Steps = []workload.Step{{Count: 1, Need: resource.Vector{MilliCPU: 4000}, LongRunning: true}}
+	j := f.submit(5*time.Second, spec)
+	f.runUntil(30 * time.Second)
+	require.True(t, j.accepted)
+	require.NotZero(t, j.startedAt)
+}
+
 // TestWorkOfAnotherServiceDoesNotDelay fills the workers of one service. Jobs of another
 // service, whose workers are free, are accepted.
 func TestWorkOfAnotherServiceDoesNotDelay(t *testing.T) {
--- a/scarcity/scarcity.go
+++ b/scarcity/scarcity.go
@@ -79,6 +79,7 @@
 	Label        string        // required label of the worker
 	Eligible     float64       // share of the workers that may run the tasks; 0: all may
 	Gang         bool          // the tasks run all at once or not at all
+	Deferred     bool          // it is due later or lasts, so the room of now does not matter
 	Rank         int           // reservations of a higher rank don't bind it
 	Time         time.Duration // run time of a task, with the margin that reservations ask for
 }
@@ -124,7 +125,7 @@
 	}
 	r.Tasks = most // the others follow in later waves
 	total := r.Total()
-	if ahead.Running.Now.Add(ahead.Tasks.Now).Add(total).Fits(f.Capacity) && f.holds(r, 0) {
+	if !r.Deferred && ahead.Running.Now.Add(ahead.Tasks.Now).Add(total).Fits(f.Capacity) && f.holds(r, 0) {
 		return 0
 	}
 	r.Time = 0 // reservations are taken up or renewed meanwhile
@@ -132,6 +133,9 @@
 	usable.MilliCPU = int64(packing * float64(usable.MilliCPU))
 	usable.MemoryMB = int64(packing * float64(usable.MemoryMB))
 	fluid := ahead.Running.Add(ahead.Tasks).Add(ahead.Gangs).Wait(total, usable)
+	if r.Deferred {
+		return fluid
+	}
 	wanted := ahead.Tasks.Now.Add(ahead.Gangs.Now).Add(total)
 	released, found := firstHorizon(func(h time.Duration) bool { return wanted.Fits(f.Holes(h).total) })
 	if found {
--- a/scarcity/scarcity_test.go
+++ b/scarcity/scarcity_test.go
@@ -50,6 +50,7 @@
 		{"half of the workers may run it", change(task(5, 33), func(r *Request) { r.Tasks, r.Eligible = 8, 0.5 }), Ahead{Running: running}, ends * 2 / 3, ends},
 		{"gangs ahead cannot use the room", task(5, 33), Ahead{Running: running, Gangs: gangs}, 0, 0},
 		{"tasks ahead use the room", task(5, 33), Ahead{Running: running, Tasks: gangs}, 2 * time.Second, 30 * time.Second},
+		{"a task that lasts may wait for room", change(task(5, 65), func(r *Request) { r.Deferred = true }), Ahead{Running: running}, 0, 0},
 		{"no worker is that large", task(33, 1), Ahead{}, Never, Never},
 		{"no worker has the label", change(task(1, 1), func(r *Request) { r.Label = "r1" }), Ahead{}, Never, Never},
 		{"the gang is wider than the fleet", change(task(20, 1), func(r *Request) { r.Tasks, r.Gang = 11, true }), Ahead{}, Never, Never},
