Take room back from less urgent runs that save their progress

Cause: an urgent gang that meets a fleet full of long bulk tasks starts after its latest start, or is refused, although the bulk tasks could resume later.

Change: when a ready urgent step would start too late by the expected releases, runs of queues of a lower priority whose steps save their progress are stopped: least work since the last checkpoint, then few workers, no job made late if it can be helped, no gang members, no task more than twice, within 1% of the fleet's core-seconds (package eviction, cell/preempt.go). The room is reserved for the step; the admission of a more urgent job counts on it. Stopped tasks resume from the checkpoint of their end; a stop is no attempt (the bulk jobs of the tests have one). Log "room taken back"; the summary counts runs and core-seconds. The remaining time of a resumed run no longer takes the progress of earlier runs for its own speed.

The simulated workers of simfleet_test.go now save progress: checkpoints in reports and at a stop, resumption with a restore time, and a check that a start carries only a checkpoint of its task (UNASKED, stricter). Work that a stop saved is no longer counted as wasted.

Not covered: steps with advice that are not gangs find victims only on workers that advice was given for; gangs are never victims.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -88,6 +88,7 @@
 	commits          commitState
 	lastHousekeeping Instant
 	load             loadEstimate
+	eviction         evictionState
 }
 
 // teamUse is the resource use of a team and the state of its rate limit.
@@ -118,6 +119,7 @@
 	}
 	c.commits = commitState{}
 	c.load = loadEstimate{}
+	c.eviction.restart(c.now.Steady)
 	c.recovered, c.listedOnce = false, false
 	c.held, c.heldUse = map[string][]*task{}, nil
 }
@@ -281,12 +283,14 @@
 	Running   int    `json:"runs"`
 	Workers   int    `json:"workers"`
 	Usable    int    `json:"usableWorkers"`
-	HeldTasks int    `json:"heldTasks"` // tasks that may still have a run of an earlier owner
+	HeldTasks int    `json:"heldTasks"`          // tasks that may still have a run of an earlier owner
+	Evicted   int    `json:"evictedRuns"`        // runs stopped to make room, since the process started
+	LostWork  int    `json:"evictedCoreSeconds"` // work thrown away for it, in core-seconds
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers)}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Evicted: c.eviction.runs, LostWork: int(c.eviction.lost)}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -192,12 +192,7 @@
 		c.logGangWait(s, "room is kept for others", p.reservingGangs)
 		return
 	}
-	var openings []opening
-	for _, cand := range pool.candidates {
-		if cand.reservedFrom == 0 && s.eligibleOn(cand.w) {
-			openings = c.openings(openings, s, cand)
-		}
-	}
+	openings := c.poolOpenings(pool, s)
 	if len(openings) < len(s.tasks) {
 		if s.advice.needed {
 			c.requestMoreAdvice(pool, s, false)
@@ -205,13 +200,10 @@
 		c.logGangWait(s, "too few workers may hold it", len(openings))
 		return
 	}
+	if c.takeRoomBack(p, pool, s, openings[len(s.tasks)-1].at, len(s.tasks)) {
+		openings = c.poolOpenings(pool, s)
+	}
 	p.reservingGangs++
-	slices.SortFunc(openings, func(a, b opening) int {
-		if d := cmp.Compare(a.at, b.at); d != 0 {
-			return d
-		}
-		return cmp.Compare(a.cand.w.ID, b.cand.w.ID)
-	})
 	at := openings[len(s.tasks)-1].at
 	s.roomExpectedAt = at
 	assignments, spare := assignOpenings(openings, len(s.tasks))
@@ -295,6 +287,24 @@
 	c.logInfo("gang waits", slog.String("step", s.name), slog.Int("members", len(s.tasks)), slog.String("why", why), slog.Int("n", n), slog.Int("rank", s.rank))
 }
 
+// poolOpenings returns the openings, sorted by time, on the workers that may run the step
+// and are not reserved.
+func (c *Cell) poolOpenings(pool *servicePool, s *step) []opening {
+	var openings []opening
+	for _, cand := range pool.candidates {
+		if cand.reservedFrom == 0 && s.eligibleOn(cand.w) {
+			openings = c.openings(openings, s, cand)
+		}
+	}
+	slices.SortFunc(openings, func(a, b opening) int {
+		if d := cmp.Compare(a.at, b.at); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.cand.w.ID, b.cand.w.ID)
+	})
+	return openings
+}
+
 // openings appends to list the times at which a worker is expected to have room for
 // one, two and more members of the gang, given the progress of its runs.
 func (c *Cell) openings(list []opening, s *step, cand *candidate) []opening {
@@ -363,6 +373,10 @@
 		return duration
 	}
 	age := c.now.Steady - r.confirmedAt
+	if r.resumed {
+		// The percentage includes work of earlier runs, so it gives no duration.
+		return max(0, time.Duration(float64(duration)*(1-r.doneShare()))-(c.now.Steady-r.progressAt))
+	}
 	if r.percent > 0 {
 		// The percentage is exact only at the time at which it last changed.
 		totalDuration := time.Duration(float64(r.progressAt-r.confirmedAt) * 100 / float64(r.percent))
--- a/cell/job.go
+++ b/cell/job.go
@@ -55,12 +55,14 @@
 	gangRemaining   time.Duration       // longest remaining work of a gang's members
 
 	advice         adviceState
-	notBefore      Instant       // do not place before; set after a refused start or a failed call
-	nextWaitLog    Instant       // when the step's wait is logged next
-	waitLogDelay   time.Duration // time between the last log of its wait and the next; 0 before the first
-	roomExpectedAt Instant       // when the workers are expected to have room for a waiting gang
-	latestStart    Instant       // latest start that meets the objective
-	rank           int           // its rank in the current placement round; lower comes first
+	notBefore      Instant         // do not place before; set after a refused start or a failed call
+	nextWaitLog    Instant         // when the step's wait is logged next
+	waitLogDelay   time.Duration   // time between the last log of its wait and the next; 0 before the first
+	roomExpectedAt Instant         // when the workers are expected to have room for a waiting gang
+	latestStart    Instant         // latest start that meets the objective
+	roomOn         map[*worker]int // workers whose runs were stopped for it, with the tasks that they then hold
+	roomCheckAt    Instant         // no search for runs to stop for it before
+	rank           int             // its rank in the current placement round; lower comes first
 }
 
 // task is one task of a step.
@@ -74,6 +76,7 @@
 	lastRun    uint64 // number of its last run, or the one after which its runs are numbered
 	runs       []*run
 	avoid      map[string]bool // workers on which it failed
+	evictions  int             // how often its run was stopped to make room
 	heldFor    string          // worker that may still execute a run that an earlier owner started; until that is known, no run starts
 }
 
@@ -98,6 +101,10 @@
 	confirmedAt Instant // when it was first known to be running
 	stopSentAt  Instant
 	stopAckedAt Instant
+	savedAt     Instant // when its last checkpoint was reported; 0 if none was
+	saved       string  // that checkpoint
+	lost        float64 // core-seconds charged for its stop, if it was stopped to make room
+	resumed     bool    // it was started from a checkpoint
 	percent     int     // reported progress
 	progressAt  Instant // when percent last changed
 	// progressClock is the worker's clock in the first report with the current percent; 0
--- a/cell/loadestimate.go
+++ b/cell/loadestimate.go
@@ -15,11 +15,12 @@
 // loadEstimate is the demand on the fleet. Running work is counted separately, as
 // it keeps its room whatever its rank.
 type loadEstimate struct {
-	running  map[teamService]scarcity.Demand
-	waiting  map[waitingKey]scarcity.Demand
-	capacity map[string]float64 // cores, by service
-	fleets   map[string]*scarcity.Fleet
-	listed   bool // the workers had been listed when it was computed
+	running   map[teamService]scarcity.Demand
+	waiting   map[waitingKey]scarcity.Demand
+	capacity  map[string]float64 // cores, by service
+	fleets    map[string]*scarcity.Fleet
+	evictable map[evictableKey]*evictableRoom
+	listed    bool // the workers had been listed when it was computed
 }
 
 // teamService identifies the running work of a team on the workers of a service.
@@ -66,7 +67,11 @@
 		r := c.request(&spec.Queue, &spec.Steps[i], rank)
 		r.Deferred = r.Deferred || spec.Repeat > 0
 		if fleet != nil {
-			wait = max(wait, fleet.Wait(r, ahead))
+			forRoom := fleet.Wait(r, ahead)
+			if forRoom > c.StopTimeout && rank == spec.Queue.Priority && c.fitsAfterEviction(r, spec.Queue.Service, rank, ahead) {
+				forRoom = c.StopTimeout
+			}
+			wait = max(wait, forRoom)
 		}
 		wait = max(wait, team.Wait(r.Total(), ceiling))
 	}
@@ -87,12 +92,17 @@
 
 // estimateLoad computes the remaining work of all accepted jobs.
 func (c *Cell) estimateLoad() {
-	c.load = loadEstimate{running: map[teamService]scarcity.Demand{}, waiting: map[waitingKey]scarcity.Demand{}, capacity: map[string]float64{}, fleets: map[string]*scarcity.Fleet{}, listed: c.listedOnce}
+	c.load = loadEstimate{running: map[teamService]scarcity.Demand{}, waiting: map[waitingKey]scarcity.Demand{}, capacity: map[string]float64{}, fleets: map[string]*scarcity.Fleet{}, evictable: map[evictableKey]*evictableRoom{}, listed: c.listedOnce}
 	for _, w := range c.sortedWorkers {
 		if w.counts(c.now.Steady) {
 			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000
 		}
 	}
+	cores := 0.0
+	for _, n := range c.load.capacity {
+		cores += n
+	}
+	c.eviction.refill(c.now.Steady, cores)
 	for _, j := range c.live {
 		if !j.progress.State.Final() {
 			c.addLoad(j)
--- a/cell/place.go
+++ b/cell/place.go
@@ -49,12 +49,17 @@
 	totalMilliCPU    int64                      // processors of all usable workers, in thousandths
 	reservingGangs   int                        // gangs for which workers are reserved
 	reservedQuota    map[string]resource.Vector // quota reserved for gangs, by team
+	roomChecks       int                        // steps for which room was looked for on workers with less urgent runs
 }
 
 // servicePool holds the usable workers of a service.
 type servicePool struct {
 	candidates []*candidate
 	maxFree    resource.Vector // maximum free room on any worker, per dimension
+	// lowestPriority is the lowest priority of runs that save their progress, once
+	// prioritiesKnown is set.
+	lowestPriority  int
+	prioritiesKnown bool
 }
 
 // newRound collects the usable workers for a placement round.
@@ -165,6 +170,7 @@
 func (c *Cell) placeTasks(p *round, pool *servicePool, s *step) {
 	need := s.need()
 	if !need.Fits(pool.maxFree) {
+		c.takeRoomBackForTasks(p, pool, s, s.unstartedTasks())
 		return // no worker has room, the usual case on a full fleet
 	}
 	allowed := c.remainingQuota(p, s)
@@ -204,6 +210,7 @@
 		cand.take(need)
 	}
 	c.logPlaced(s, placed, left)
+	c.takeRoomBackForTasks(p, pool, s, left)
 	if left > 0 && s.advice.needed {
 		c.requestAdvice(pool, s, left)
 	}
--- a/cell/report.go
+++ b/cell/report.go
@@ -77,6 +77,9 @@
 	s := t.step
 	if r != nil {
 		c.recordResult(r, result.Outcome)
+		if result.Outcome == Stopped && result.Checkpoint != "" {
+			c.refundEviction(r)
+		}
 		c.dropRun(r)
 	}
 	if s.job.Job == nil || s.job.progress.State.Final() {
@@ -227,6 +230,9 @@
 	if entry.Checkpoint != "" && s.job.Job != nil {
 		r.task.checkpoint = entry.Checkpoint
 		s.checkpoint = entry.Checkpoint
+		if entry.Checkpoint != r.saved {
+			r.saved, r.savedAt = entry.Checkpoint, at
+		}
 	}
 	c.markActive(s.job)
 	if s.job.progress.State.Final() || r.task.done {
--- a/cell/run.go
+++ b/cell/run.go
@@ -56,6 +56,7 @@
 	if s.spec.Gang {
 		checkpoint = s.checkpoint
 	}
+	r.saved, r.resumed = checkpoint, checkpoint != ""
 	c.emit(Start{
 		Command: c.command(w), Task: t.name, Run: r.number, Spec: s.job.Spec, Checkpoint: checkpoint,
 		Ticket: s.advice.ticketFor(w), LeaseUntil: w.grantLease(c.now.Steady, c.leaseLength()),
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -50,12 +50,14 @@
 	teams             map[string]Team
 	usedByTeam        map[string]int64 // processors that a team's runs really use, in thousandths
 	lateStartShare    float64          // share of starts that are not answered but executed late
+	stopDelay         time.Duration    // by which stops are carried out late and not answered
+	stopsLost         bool             // stops are not carried out
 	storeDown         bool
 	storeUnreachable  map[*Cell]bool // owners that the store does not answer
 	violations        []string
 	onUpdate          func(c *Cell, event any, effects []any, took time.Duration) // called after each Update, if set
 	starts            int
-	wastedCoreSeconds float64 // core-seconds spent on runs that did not end as done
+	wastedCoreSeconds float64 // core-seconds spent on runs that did not end as done, less what they saved
 }
 
 type simStore struct {
@@ -76,9 +78,10 @@
 	startedAt     Instant // when its first task started
 	endedAt       Instant
 	state         workload.State
-	ackedDone     map[string]bool // done tasks whose result was acknowledged
-	done          map[string]bool // done tasks, acknowledged or not
-	ackedFailures map[string]int  // number of acknowledged failed runs, by task
+	ackedDone     map[string]bool               // done tasks whose result was acknowledged
+	done          map[string]bool               // done tasks, acknowledged or not
+	ackedFailures map[string]int                // number of acknowledged failed runs, by task
+	checkpoints   map[string]map[string]float64 // share of the work done by checkpoint, by task
 }
 
 type simWorker struct {
@@ -106,6 +109,9 @@
 	startedAt Instant
 	waiting   bool // waits for the other members of its gang
 	faulty    bool
+	total     time.Duration // work of the whole task
+	resumed   time.Duration // of that, saved by an earlier run
+	saves     bool          // it saves its progress
 }
 
 type event struct {
@@ -145,6 +151,8 @@
 	simCommandTimeout = 700 * time.Millisecond
 	simMaxLease       = 6 * time.Second
 	simGangTimeout    = 3 * time.Second
+	simCheckpointTime = time.Second // between two checkpoints
+	simRestoreTime    = 100 * time.Millisecond
 	simRoundInterval  = 5 * time.Millisecond
 	simListInterval   = 400 * time.Millisecond
 )
@@ -427,6 +435,15 @@
 	step := j.spec.Steps[id.Step]
 	r := &simRun{task: id, number: e.Run, need: step.Need, startedAt: f.now, faulty: j.faulty || w.failing}
 	r.work = time.Duration(float64(j.actual[e.Task]) / w.speed)
+	r.total, r.saves = r.work, step.Checkpointing && !step.Gang
+	if e.Checkpoint != "" {
+		saved, known := j.checkpoints[e.Task][e.Checkpoint]
+		if !known {
+			f.violate("UNASKED", "task %s starts with an unknown checkpoint %q", e.Task, e.Checkpoint)
+		}
+		r.resumed = time.Duration(saved * float64(r.total))
+		r.work = r.total - r.resumed + simRestoreTime
+	}
 	f.checkStart(w, j, e, r)
 	w.runs[e.Task] = r
 	w.lease = max(w.lease, min(e.LeaseUntil, f.now+simMaxLease))
@@ -455,6 +472,37 @@
 	})
 }
 
+// progress returns the share of its task that a run has done.
+func (r *simRun) progress(now Instant) float64 {
+	done := now - r.startedAt
+	if r.resumed > 0 {
+		done = r.resumed + max(0, done-simRestoreTime)
+	}
+	return min(1, float64(done)/float64(max(1, r.total)))
+}
+
+// checkpoint returns the checkpoint that a run has made at the given time, "" if none.
+func (f *simFleet) checkpoint(name string, r *simRun, at Instant) string {
+	if !r.saves || at <= r.startedAt {
+		return ""
+	}
+	j, saved := f.jobs[r.task.Job], r.progress(at)
+	value := fmt.Sprintf("%s-%.4f", name, saved)
+	if j.checkpoints == nil {
+		j.checkpoints = map[string]map[string]float64{}
+	}
+	if j.checkpoints[name] == nil {
+		j.checkpoints[name] = map[string]float64{}
+	}
+	j.checkpoints[name][value] = saved
+	return value
+}
+
+// lastCheckpoint returns the last checkpoint that a run has made while it worked.
+func (f *simFleet) lastCheckpoint(name string, r *simRun) string {
+	return f.checkpoint(name, r, r.startedAt+(f.now-r.startedAt).Truncate(simCheckpointTime))
+}
+
 func (r *simRun) outcome() RunOutcome {
 	if r.faulty {
 		return Failed
@@ -556,6 +604,7 @@
 	delete(w.runs, name)
 	j := f.jobs[r.task.Job]
 	f.usedByTeam[j.spec.Team] -= r.need.MilliCPU
+	saved := ""
 	if outcome == Done {
 		j.done[name] = true
 		if step := j.spec.Steps[r.task.Step]; step.Gang {
@@ -566,11 +615,19 @@
 			}
 		}
 	} else {
-		f.wastedCoreSeconds += (f.now - r.startedAt).Seconds() * float64(r.need.MilliCPU) / 1000
+		lost := f.now - r.startedAt
+		if r.saves && outcome == Stopped {
+			lost = 0
+			saved = f.checkpoint(name, r, f.now)
+		}
+		f.wastedCoreSeconds += lost.Seconds() * float64(r.need.MilliCPU) / 1000
+	}
+	if r.resumed > 0 {
+		f.wastedCoreSeconds += simRestoreTime.Seconds() * float64(r.need.MilliCPU) / 1000
 	}
 	w.lastSeq++
 	w.highestBarredRun[name] = max(w.highestBarredRun[name], r.number)
-	w.ended = append(w.ended, RunResult{Seq: w.lastSeq, Task: name, Run: r.number, Outcome: outcome})
+	w.ended = append(w.ended, RunResult{Seq: w.lastSeq, Task: name, Run: r.number, Outcome: outcome, Checkpoint: saved})
 	if step := j.spec.Steps[r.task.Step]; step.Gang && outcome != Done && outcome != GangAborted {
 		f.abortGang(r)
 	}
@@ -615,15 +672,27 @@
 	switch {
 	case w == nil || w.unreachable(c):
 		f.after(simCommandTimeout, func() { answer(NoAnswer) })
+	case f.stopsLost:
+		f.after(simCommandTimeout, func() { answer(NoAnswer) })
+	case f.stopDelay > 0:
+		f.after(f.stopDelay, func() { f.executeStop(w, e) })
+		f.after(simCommandTimeout, func() { answer(NoAnswer) })
 	case e.Token < w.token:
 		answer(Fenced)
 	default:
+		f.executeStop(w, e)
+		answer(None)
+	}
+}
+
+// executeStop stops a run, or bars it if it is not there.
+func (f *simFleet) executeStop(w *simWorker, e Stop) {
+	if e.Token >= w.token {
 		w.token = e.Token
 		w.highestBarredRun[e.Task] = max(w.highestBarredRun[e.Task], e.Run)
 		if r := w.runs[e.Task]; r != nil && r.number == e.Run {
 			f.after(100*time.Millisecond, func() { f.endRun(w, e.Task, r, Stopped) })
 		}
-		answer(None)
 	}
 }
 
@@ -663,7 +732,10 @@
 			if !r.waiting && r.work > 0 {
 				percent = min(100, int(100*(f.now-r.startedAt)/r.work))
 			}
-			report.Running = append(report.Running, RunningTask{Task: name, Run: r.number, Percent: percent})
+			if r.resumed > 0 {
+				percent = int(100 * r.progress(f.now))
+			}
+			report.Running = append(report.Running, RunningTask{Task: name, Run: r.number, Percent: percent, Checkpoint: f.lastCheckpoint(name, r)})
 		}
 		f.after(simNetworkDelay, func() {
 			f.send(c, PollResult{Worker: e.Worker, Sent: sent, Received: f.now, Report: report})
