--- a/cell/cell.go
+++ b/cell/cell.go
@@ -98,6 +98,7 @@
 	reservedMilliCPU int64 // processors that the last placement round reserved for gangs, in thousandths
 	load             loadEstimate
 	demand           demandForecast
+	eviction         evictionState
 }
 
 // teamUse is the resource use of a team and the state of its rate limit.
@@ -129,6 +130,7 @@
 	c.uneven, c.speedsCheckedAt = map[string]float64{}, 0
 	c.commits = commitState{}
 	c.load = loadEstimate{}
+	c.eviction.restart(c.now.Steady)
 	c.recovered, c.listedOnce = false, false
 	c.held, c.heldUse = map[string][]*task{}, nil
 }
@@ -297,18 +299,20 @@
 	Running   int    `json:"runs"`
 	Workers   int    `json:"workers"`
 	Usable    int    `json:"usableWorkers"`
-	HeldTasks int    `json:"heldTasks"`        // tasks that may still have a run of an earlier owner
-	Evacuated int    `json:"evacuatedWorkers"` // listed workers in zones that are being evacuated
-	Cold      int    `json:"coldWorkers"`      // usable workers that are still slow after their start
-	Withheld  bool   `json:"startsWithheld"`   // the operators' requests were read too long ago to start anything
-	KeepsRoom bool   `json:"roomKept"`         // long starts are withheld because urgent demand rises
-	Uneven    int    `json:"unevenServices"`   // services with workers of uneven speeds
-	Speeds    int    `json:"knownSpeeds"`      // workers with a known speed
+	HeldTasks int    `json:"heldTasks"`          // tasks that may still have a run of an earlier owner
+	Evacuated int    `json:"evacuatedWorkers"`   // listed workers in zones that are being evacuated
+	Cold      int    `json:"coldWorkers"`        // usable workers that are still slow after their start
+	Withheld  bool   `json:"startsWithheld"`     // the operators' requests were read too long ago to start anything
+	KeepsRoom bool   `json:"roomKept"`           // long starts are withheld because urgent demand rises
+	Uneven    int    `json:"unevenServices"`     // services with workers of uneven speeds
+	Speeds    int    `json:"knownSpeeds"`        // workers with a known speed
+	Evicted   int    `json:"evictedRuns"`        // runs stopped to make room, since the process started
+	LostWork  int    `json:"evictedCoreSeconds"` // work thrown away for it, in core-seconds
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom()}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom(), Evicted: c.eviction.runs, LostWork: int(c.eviction.lost)}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -210,6 +210,11 @@
 		c.logGangWait(s, "too few workers may hold it", len(openings))
 		return
 	}
+	if c.takeRoomBack(p, pool, s, openings[len(s.tasks)-1].at, len(s.tasks)) {
+		if openings = c.soonestOpenings(s, c.gangOpenings(pool, s)); len(openings) < len(s.tasks) {
+			return
+		}
+	}
 	p.reservingGangs++
 	at := openings[len(s.tasks)-1].at
 	s.roomExpectedAt = at
@@ -385,6 +390,10 @@
 		return r.w.duration(stats.expectedDuration(s.spec.Estimate))
 	}
 	age := c.now.Steady - r.confirmedAt
+	if r.resumed {
+		// The percentage includes work of earlier runs, so it gives no duration.
+		return max(0, time.Duration(float64(r.w.duration(stats.expectedDuration(s.spec.Estimate)))*(1-r.doneShare()))-(c.now.Steady-r.progressAt))
+	}
 	if r.percent > 0 {
 		// The percentage is exact only at the time at which it last changed.
 		totalDuration := time.Duration(float64(r.progressAt-r.confirmedAt) * 100 / float64(r.percent))
--- a/cell/loadestimate.go
+++ b/cell/loadestimate.go
@@ -15,11 +15,12 @@
 // loadEstimate is the demand on the fleet. Running work is counted separately, as
 // it keeps its room whatever its rank.
 type loadEstimate struct {
-	running  map[teamService]scarcity.Demand
-	waiting  map[waitingKey]scarcity.Demand
-	capacity map[string]float64 // cores of speed 1, by service
-	fleets   map[string]*scarcity.Fleet
-	listed   bool // the workers had been listed when it was computed
+	running   map[teamService]scarcity.Demand
+	waiting   map[waitingKey]scarcity.Demand
+	capacity  map[string]float64 // cores of speed 1, by service
+	fleets    map[string]*scarcity.Fleet
+	evictable map[evictableKey]*evictableRoom
+	listed    bool // the workers had been listed when it was computed
 }
 
 // teamService identifies the running work of a team on the workers of a service.
@@ -64,8 +65,13 @@
 			continue
 		}
 		r := c.request(&spec.Queue, &spec.Steps[i], rank)
+		r.Deferred = r.Deferred || spec.Repeat > 0
 		if fleet != nil {
-			wait = max(wait, fleet.Wait(r, ahead))
+			forRoom := fleet.Wait(r, ahead)
+			if forRoom > c.StopTimeout && rank == spec.Queue.Priority && c.fitsAfterEviction(r, spec.Queue.Service, rank, ahead) {
+				forRoom = c.StopTimeout
+			}
+			wait = max(wait, forRoom)
 		}
 		wait = max(wait, team.Wait(r.Total(), ceiling))
 	}
@@ -75,7 +81,7 @@
 // request returns what a step asks of the fleet. No rack is asked for: a step whose data
 // or members are on other racks takes longer, but does not wait for one rack.
 func (c *Cell) request(q *workload.Queue, s *workload.Step, rank int) scarcity.Request {
-	r := scarcity.Request{Need: s.Need, Tasks: s.Count, MaxPerWorker: s.MaxPerWorker, Label: s.Label, Gang: s.Gang, Rank: rank}
+	r := scarcity.Request{Need: s.Need, Tasks: s.Count, MaxPerWorker: s.MaxPerWorker, Label: s.Label, Gang: s.Gang, Deferred: s.LongRunning, Rank: rank}
 	stats := c.queueStats(q.Name)
 	r.Time = time.Duration(overrunFactor * float64(stats.expectedDuration(s.Estimate)))
 	if q.Advice != nil && stats.adviceSamples >= minAdviceAnswers {
@@ -86,12 +92,17 @@
 
 // estimateLoad computes the remaining work of all accepted jobs.
 func (c *Cell) estimateLoad() {
-	c.load = loadEstimate{running: map[teamService]scarcity.Demand{}, waiting: map[waitingKey]scarcity.Demand{}, capacity: map[string]float64{}, fleets: map[string]*scarcity.Fleet{}, listed: c.listedOnce}
+	c.load = loadEstimate{running: map[teamService]scarcity.Demand{}, waiting: map[waitingKey]scarcity.Demand{}, capacity: map[string]float64{}, fleets: map[string]*scarcity.Fleet{}, evictable: map[evictableKey]*evictableRoom{}, listed: c.listedOnce}
 	for _, w := range c.sortedWorkers {
 		if w.counts(c.now.Steady) {
 			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000 * w.workSpeed()
 		}
 	}
+	cores := 0.0
+	for _, n := range c.load.capacity {
+		cores += n
+	}
+	c.eviction.refill(c.now.Steady, cores)
 	for _, j := range c.live {
 		if !j.progress.State.Final() {
 			c.addLoad(j)
--- a/cell/place.go
+++ b/cell/place.go
@@ -50,6 +50,7 @@
 	totalMilliCPU    int64                      // processors of all usable workers, in thousandths
 	reservingGangs   int                        // gangs for which workers are reserved
 	reservedQuota    map[string]resource.Vector // quota reserved for gangs, by team
+	roomChecks       int                        // steps for which room was looked for on workers with less urgent runs
 }
 
 // servicePool holds the usable workers of a service.
@@ -60,6 +61,10 @@
 	// of a processor; longRoomKnown is whether the round has computed it.
 	longRoom      int64
 	longRoomKnown bool
+	// lowestPriority is the lowest priority of runs that save their progress, once
+	// prioritiesKnown is set.
+	lowestPriority  int
+	prioritiesKnown bool
 }
 
 // newRound collects the usable workers for a placement round.
@@ -171,6 +176,7 @@
 func (c *Cell) placeTasks(p *round, pool *servicePool, s *step) {
 	need := s.need()
 	if !need.Fits(pool.maxFree) {
+		c.takeRoomBackForTasks(p, pool, s, s.unstartedTasks())
 		return // no worker has room, the usual case on a full fleet
 	}
 	allowed := min(c.remainingQuota(p, s), c.longStartsAllowed(pool, s.job.Queue.Service, s))
@@ -212,6 +218,7 @@
 	}
 	c.takeLongRoom(pool, s, placed)
 	c.logPlaced(s, placed, left)
+	c.takeRoomBackForTasks(p, pool, s, left)
 	if left > 0 && s.advice.needed {
 		c.requestAdvice(pool, s, left)
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -58,6 +58,7 @@
 	}
 	cmd := c.command(w)
 	cmd.NotAfter = c.startLimit()
+	r.saved, r.resumed = checkpoint, checkpoint != ""
 	c.emit(Start{
 		Command: cmd, Task: t.name, Run: r.number, Spec: s.job.Spec, Checkpoint: checkpoint,
 		Ticket: s.advice.ticketFor(w), LeaseUntil: w.grantLease(c.now.Steady, c.leaseLength()),
