Fair share of waiting teams on a crowded fleet

Cause: order and admission knew a team's rate and ceiling only, so a large team inside both took all room that small teams waited for.

Change: within a rank, urgent steps of teams below their share go first when a service has too little room for what waits (cell/share.go; fairshare.Ledger for the decayed dominant share, weights from the teams' rates). Admission follows: a team below its share does not wait for the waiting work of one above it, which in turn waits on what the others leave. Jobs beyond the rate keep their rank and do not count as use. Metric teamsAboveShare.

The strict rule "no step of a team below its share waits for one above it" is narrowed to urgent steps, as the strict one made accepted jobs late; the property test checks the narrowed one.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -246,7 +246,7 @@
 		}
 	}
 	for key, d := range c.load.waiting {
-		if key.rank > rank {
+		if key.rank > rank || key.rank == rank && c.yields(key.team, spec.Team) {
 			continue
 		}
 		fleet.add(d)
@@ -255,6 +255,7 @@
 		}
 	}
 	wait := fleet.timeToFree(maxStepCores(spec), capacity*packingEfficiency)
+	wait = max(wait, c.shareWait(teamRank{spec.Team, rank}, team, maxStepCores(spec), capacity*packingEfficiency))
 	if ceiling := c.policy[spec.Team].Ceiling.MilliCPU; ceiling > 0 {
 		wait = max(wait, team.timeToFree(maxStepCores(spec), float64(ceiling)/1000))
 	}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -29,6 +29,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/cowslipgap/cowslipgap/fairshare"
 	"github.com/cowslipgap/cowslipgap/promise"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/workload"
@@ -89,7 +90,10 @@
 	commits          commitState
 	lastHousekeeping Instant
 	load             loadEstimate
-	promises         promise.Book // refused callers
+	promises         promise.Book     // refused callers
+	shares           fairshare.Ledger // use of the fleet by jobs within their team's rate
+	intakes          map[teamRank]intake
+	aboveShare       map[string]bool // teams above their share in the last round; empty if the fleet was not crowded
 }
 
 // teamUse is the resource use of a team and the state of its rate limit.
@@ -120,7 +124,8 @@
 	}
 	c.commits = commitState{}
 	c.load = loadEstimate{}
-	c.promises = promise.Book{}
+	c.promises, c.shares = promise.Book{}, fairshare.Ledger{}
+	c.aboveShare, c.intakes = map[string]bool{}, map[teamRank]intake{}
 	c.recovered, c.listedOnce = false, false
 	c.held, c.heldUse = map[string][]*task{}, nil
 }
@@ -277,21 +282,22 @@
 
 // Summary holds the main counts of a cell.
 type Summary struct {
-	Owner     bool   `json:"owner"`
-	Token     uint64 `json:"token"`
-	Live      int    `json:"liveJobs"`
-	Ended     int    `json:"endedJobs"`
-	Waiting   int    `json:"waitingSteps"`
-	Running   int    `json:"runs"`
-	Workers   int    `json:"workers"`
-	Usable    int    `json:"usableWorkers"`
-	HeldTasks int    `json:"heldTasks"`       // tasks that may still have a run of an earlier owner
-	Promised  int    `json:"promisedCallers"` // refused callers that may come back
+	Owner      bool   `json:"owner"`
+	Token      uint64 `json:"token"`
+	Live       int    `json:"liveJobs"`
+	Ended      int    `json:"endedJobs"`
+	Waiting    int    `json:"waitingSteps"`
+	Running    int    `json:"runs"`
+	Workers    int    `json:"workers"`
+	Usable     int    `json:"usableWorkers"`
+	HeldTasks  int    `json:"heldTasks"`       // tasks that may still have a run of an earlier owner
+	Promised   int    `json:"promisedCallers"` // refused callers that may come back
+	AboveShare int    `json:"teamsAboveShare"` // teams whose waiting steps give way to others'
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Promised: c.promises.Len()}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Promised: c.promises.Len(), AboveShare: len(c.aboveShare)}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
--- a/cell/place.go
+++ b/cell/place.go
@@ -267,6 +267,7 @@
 func (c *Cell) chargeTeam(s *step, sign int64) {
 	use := c.team(s.job.team())
 	use.used = use.used.Add(s.spec.Need.Times(sign))
+	c.chargeShare(s, sign)
 }
 
 // team returns the job's team. It also works after the job has ended.
--- a/cell/promises.go
+++ b/cell/promises.go
@@ -87,6 +87,9 @@
 	switch r.reason {
 	case "":
 		c.promises.Redeem(spec.ID, c.now.Steady)
+		if !r.late && !r.beyondRate {
+			c.recordIntake(teamRank{spec.Team, r.rank}, c.jobWork(spec))
+		}
 	case reasonLate, reasonStoreOut, reasonUseless:
 		c.promises.Redeem(spec.ID, c.now.Steady)
 		if r.reason == reasonLate && !r.beyondRate {
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// sortWaiting removes the steps that no longer wait and sorts the others by rank, then
-// by latest start.
+// sortWaiting removes the steps that no longer wait and sorts the others by rank, on a
+// crowded fleet by their teams' shares, then by latest start.
 func (c *Cell) sortWaiting() {
 	kept := c.waiting[:0]
 	for _, s := range c.waiting {
@@ -99,6 +99,7 @@
 		}
 		return cmp.Compare(a.latestStart, b.latestStart)
 	})
+	c.orderByShare(c.waiting)
 }
 
 // queueReadySteps queues the steps whose dependencies are done and whose occurrence is
