--- a/cell/admission.go
+++ b/cell/admission.go
@@ -44,18 +44,20 @@
 	}
 	c.recordArrival(e.Job, e.Zone)
 	decision := c.decideAdmission(e.Job)
+	c.recordPromise(e.Job, decision)
 	c.logInfo("job "+decision.outcome(), slog.String("id", e.Job.ID), slog.String("queue", e.Job.Queue.Name),
 		slog.String("team", e.Job.Team), slog.String("reason", decision.reason), slog.Duration("retryAfter", decision.retryAfter),
 		slog.Duration("wait", decision.wait), slog.Duration("slack", decision.slack), slog.Float64("cores", decision.cores), slog.Bool("beyondRate", decision.beyondRate),
+		slog.Duration("sinceFirst", c.now.Steady-decision.firstSeen), slog.Bool("late", decision.late),
 		slog.Duration("commitAge", c.now.Steady-c.commits.confirmedAt))
 	if decision.reason != "" {
 		c.emit(Answer{Reply: e.Reply, Verdict: Refused, RetryAfter: decision.retryAfter, Reason: decision.reason})
 		return
 	}
-	e.Job.ReceivedAt = c.now.Wall
+	e.Job.ReceivedAt = c.now.Wall.Add(decision.firstSeen - c.now.Steady)
 	j := newJob(e.Job, workload.Progress{Team: e.Job.Team}, 0)
-	j.receivedAt = c.now.Steady
-	j.beyondRate = decision.beyondRate
+	j.receivedAt, j.acceptedAt = decision.firstSeen, c.now.Steady
+	j.beyondRate, j.acceptedLate = decision.beyondRate, decision.late
 	if !decision.beyondRate {
 		c.team(e.Job.Team).allowance--
 	}
@@ -80,11 +82,12 @@
 			kept = append(kept, j)
 			continue
 		}
-		wait := retryDelay(j.id, minRetryDelay)
+		wait := OutageDelay(j.Job, commitAge, j.receivedAt-c.now.Steady)
+		c.promiseReturn(j.Job, j.receivedAt, c.rank(j.occurrences[0].steps[0]), wait)
 		for _, reply := range j.acceptReplies {
-			c.emit(Answer{Reply: reply, Verdict: Refused, RetryAfter: wait, Reason: "the store does not answer"})
+			c.emit(Answer{Reply: reply, Verdict: Refused, RetryAfter: wait, Reason: reasonStoreOut})
 		}
-		c.logInfo("job refused", slog.String("id", j.id), slog.String("reason", "the store does not answer"), slog.Duration("commitAge", commitAge), slog.Duration("retryAfter", wait))
+		c.logInfo("job refused", slog.String("id", j.id), slog.String("reason", reasonStoreOut), slog.Duration("commitAge", commitAge), slog.Duration("retryAfter", wait))
 		if !j.beyondRate {
 			c.team(j.Team).allowance++
 		}
@@ -101,8 +104,11 @@
 	retryAfter time.Duration
 	wait       time.Duration // expected wait
 	slack      time.Duration // wait that its objective allows
-	cores      float64       // capacity of the service
-	beyondRate bool          // the team exceeds its rate
+	firstSeen  Instant       // when it was first submitted
+	rank       int
+	late       bool    // it is accepted although it would miss its objective
+	cores      float64 // capacity of the service
+	beyondRate bool    // the team exceeds its rate
 }
 
 func (r admissionDecision) outcome() string {
@@ -114,13 +120,18 @@
 
 // decideAdmission decides whether to accept a submitted job.
 func (c *Cell) decideAdmission(spec *workload.Job) admissionDecision {
-	r := admissionDecision{cores: c.load.capacity[spec.Queue.Service]}
+	r := admissionDecision{cores: c.load.capacity[spec.Queue.Service], firstSeen: c.now.Steady, rank: spec.Queue.Priority}
+	if caller, ok := c.promises.Lookup(spec.ID, c.now.Steady); ok {
+		r.firstSeen = caller.FirstSeen
+	}
 	refuse := func(reason string, wait time.Duration) admissionDecision {
 		r.reason, r.retryAfter = reason, retryDelay(spec.ID, wait)
 		return r
 	}
 	if commitAge := c.now.Steady - c.commits.confirmedAt; commitAge > maxCommitAge {
-		return refuse("the store does not answer", minRetryDelay)
+		r.reason = reasonStoreOut
+		r.retryAfter = OutageDelay(spec, commitAge, r.firstSeen-c.now.Steady)
+		return r
 	}
 	if c.policyExpiredBy(maxCommitAge) {
 		return refuse("the operators' requests cannot be read", minRetryDelay)
@@ -143,22 +154,28 @@
 	if spec.Queue.Advice != nil {
 		r.slack -= spec.Queue.Advice.Duration(typicalCallWorkers)
 	}
+	r.slack -= c.now.Steady - r.firstSeen
 	r.beyondRate = !c.withinRate(spec.Team)
-	rank := spec.Queue.Priority
 	if r.beyondRate {
-		rank += rankBeyondRate
-	}
-	r.wait = c.expectedWait(spec, rank)
-	if spec.Queue.Advice != nil && spec.Queue.Advice.Duration(1) >= longCall {
-		r.wait = max(r.wait, c.adviceQueueTime(rank))
+		r.rank += rankBeyondRate
 	}
-	r.wait += c.storeDelay()
+	r.wait = c.waitAt(spec, r, r.rank, c.now.Steady+r.slack)
 	if r.wait > r.slack {
-		return refuse("it would be late", r.wait-r.slack)
+		c.decideLate(spec, &r)
 	}
 	return r
 }
 
+// waitAt estimates how long the job would wait at the given rank, behind the accepted
+// jobs and the callers that are expected back by the given time.
+func (c *Cell) waitAt(spec *workload.Job, r admissionDecision, rank int, until Instant) time.Duration {
+	wait := c.expectedWait(spec, rank, c.promisedAhead(spec, r.firstSeen, rank, until))
+	if spec.Queue.Advice != nil && spec.Queue.Advice.Duration(1) >= longCall {
+		wait = max(wait, c.adviceQueueTime(rank))
+	}
+	return wait + c.storeDelay()
+}
+
 // storeDelay estimates how much longer than usual a job waits for a slow store: for
 // its own commitsPerJob commits and for the commits of the jobs ahead of it.
 func (c *Cell) storeDelay() time.Duration {
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -30,6 +30,8 @@
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/evacuation"
+	"github.com/cowslipgap/cowslipgap/fairshare"
+	"github.com/cowslipgap/cowslipgap/promise"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/workload"
 )
@@ -99,6 +101,10 @@
 	load             loadEstimate
 	demand           demandForecast
 	eviction         evictionState
+	promises         promise.Book     // refused callers
+	shares           fairshare.Ledger // use of the fleet by jobs within their team's rate
+	intakes          map[teamRank]intake
+	aboveShare       map[string]bool // teams above their share in the last round; empty if the fleet was not crowded
 }
 
 // teamUse is the resource use of a team and the state of its rate limit.
@@ -131,6 +137,8 @@
 	c.commits = commitState{}
 	c.load = loadEstimate{}
 	c.eviction.restart(c.now.Steady)
+	c.promises, c.shares = promise.Book{}, fairshare.Ledger{}
+	c.aboveShare, c.intakes = map[string]bool{}, map[teamRank]intake{}
 	c.recovered, c.listedOnce = false, false
 	c.held, c.heldUse = map[string][]*task{}, nil
 }
@@ -241,6 +249,7 @@
 	c.refuseUnsent()
 	c.checkSpeeds()
 	c.estimateLoad()
+	c.promises.Expire(c.now.Steady)
 	c.forgetEnded()
 	c.logUse()
 }
@@ -291,28 +300,30 @@
 
 // Summary holds the main counts of a cell.
 type Summary struct {
-	Owner     bool   `json:"owner"`
-	Token     uint64 `json:"token"`
-	Live      int    `json:"liveJobs"`
-	Ended     int    `json:"endedJobs"`
-	Waiting   int    `json:"waitingSteps"`
-	Running   int    `json:"runs"`
-	Workers   int    `json:"workers"`
-	Usable    int    `json:"usableWorkers"`
-	HeldTasks int    `json:"heldTasks"`          // tasks that may still have a run of an earlier owner
-	Evacuated int    `json:"evacuatedWorkers"`   // listed workers in zones that are being evacuated
-	Cold      int    `json:"coldWorkers"`        // usable workers that are still slow after their start
-	Withheld  bool   `json:"startsWithheld"`     // the operators' requests were read too long ago to start anything
-	KeepsRoom bool   `json:"roomKept"`           // long starts are withheld because urgent demand rises
-	Uneven    int    `json:"unevenServices"`     // services with workers of uneven speeds
-	Speeds    int    `json:"knownSpeeds"`        // workers with a known speed
-	Evicted   int    `json:"evictedRuns"`        // runs stopped to make room, since the process started
-	LostWork  int    `json:"evictedCoreSeconds"` // work thrown away for it, in core-seconds
+	Owner      bool   `json:"owner"`
+	Token      uint64 `json:"token"`
+	Live       int    `json:"liveJobs"`
+	Ended      int    `json:"endedJobs"`
+	Waiting    int    `json:"waitingSteps"`
+	Running    int    `json:"runs"`
+	Workers    int    `json:"workers"`
+	Usable     int    `json:"usableWorkers"`
+	HeldTasks  int    `json:"heldTasks"`          // tasks that may still have a run of an earlier owner
+	Evacuated  int    `json:"evacuatedWorkers"`   // listed workers in zones that are being evacuated
+	Cold       int    `json:"coldWorkers"`        // usable workers that are still slow after their start
+	Withheld   bool   `json:"startsWithheld"`     // the operators' requests were read too long ago to start anything
+	KeepsRoom  bool   `json:"roomKept"`           // long starts are withheld because urgent demand rises
+	Uneven     int    `json:"unevenServices"`     // services with workers of uneven speeds
+	Speeds     int    `json:"knownSpeeds"`        // workers with a known speed
+	Evicted    int    `json:"evictedRuns"`        // runs stopped to make room, since the process started
+	LostWork   int    `json:"evictedCoreSeconds"` // work thrown away for it, in core-seconds
+	Promised   int    `json:"promisedCallers"`    // refused callers that may come back
+	AboveShare int    `json:"teamsAboveShare"`    // teams whose waiting steps give way to others'
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom(), Evicted: c.eviction.runs, LostWork: int(c.eviction.lost)}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom(), Evicted: c.eviction.runs, LostWork: int(c.eviction.lost), Promised: c.promises.Len(), AboveShare: len(c.aboveShare)}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
--- a/cell/loadestimate.go
+++ b/cell/loadestimate.go
@@ -33,11 +33,11 @@
 	gang bool
 }
 
-// expectedWait estimates how long a job would wait behind the accepted jobs: for room on
-// the workers of its service, and for its team's ceiling.
-func (c *Cell) expectedWait(spec *workload.Job, rank int) time.Duration {
-	var ahead scarcity.Ahead
-	var team scarcity.Demand
+// expectedWait estimates how long a job would wait behind the accepted jobs and those of
+// the callers that come before it: for room on the workers of its service, for its team's
+// share and for its team's ceiling.
+func (c *Cell) expectedWait(spec *workload.Job, rank int, promised promisedDemand) time.Duration {
+	ahead, team := scarcity.Ahead{Tasks: promised.fleet}, promised.team
 	add := func(key teamService, d scarcity.Demand, sum *scarcity.Demand) {
 		if key.service == spec.Queue.Service {
 			*sum = sum.Add(d)
@@ -51,7 +51,7 @@
 	}
 	for key, d := range c.load.waiting {
 		switch {
-		case key.rank > rank:
+		case key.rank > rank || key.rank == rank && c.teamYields(key.team, spec.Team):
 		case key.gang:
 			add(key.teamService, d, &ahead.Gangs)
 		default:
@@ -59,7 +59,7 @@
 		}
 	}
 	fleet, ceiling := c.fleet(spec.Queue.Service), c.policy[spec.Team].Ceiling
-	wait := time.Duration(0)
+	wait := c.shareWait(spec, rank, team)
 	for i := range spec.Steps {
 		if spec.Steps[i].UsesIdleCPU {
 			continue
@@ -220,7 +220,7 @@
 			// The capacity of these workers is not counted either.
 		case len(t.runs) > 0:
 			running = running.Add(scarcity.Demand{Now: need, Work: work(1 - t.runs[0].doneShare())})
-		case s.ready || j.receivedAt == c.now.Steady:
+		case s.ready || j.acceptedAt == c.now.Steady:
 			waiting = waiting.Add(scarcity.Demand{Now: need, Work: work(1)})
 		default:
 			waiting.Work = waiting.Work.Add(work(1))
--- a/scarcity/scarcity.go
+++ b/scarcity/scarcity.go
@@ -22,9 +22,9 @@
 )
 
 const (
-	// packing is the share of each resource that placement can use when much work waits;
+	// Packing is the share of each resource that placement can use when much work waits;
 	// the rest is lost to fragmentation.
-	packing = 0.85
+	Packing = 0.85
 	// eligibleDeviations is by how many standard deviations the number of eligible workers
 	// may exceed the average before a request counts as impossible.
 	eligibleDeviations = 4
@@ -130,8 +130,8 @@
 	}
 	r.Time = 0 // reservations are taken up or renewed meanwhile
 	usable := f.Capacity
-	usable.MilliCPU = int64(packing * float64(usable.MilliCPU))
-	usable.MemoryMB = int64(packing * float64(usable.MemoryMB))
+	usable.MilliCPU = int64(Packing * float64(usable.MilliCPU))
+	usable.MemoryMB = int64(Packing * float64(usable.MemoryMB))
 	fluid := ahead.Running.Add(ahead.Tasks).Add(ahead.Gangs).Wait(total, usable)
 	if r.Deferred {
 		return fluid
