--- a/meter/traffic.go
+++ b/meter/traffic.go
@@ -12,8 +12,10 @@
 	byPurpose map[string]TrafficSummary
 }
 
-// Conn returns a connection whose reads and writes are counted, each as one message.
+// Conn counts a connection as opened, and returns it so that its reads and writes are
+// counted, each as one message.
 func (t *Traffic) Conn(purpose string, conn net.Conn) net.Conn {
+	t.update(purpose, TrafficSummary{Opened: 1})
 	return &countedConn{Conn: conn, traffic: t, purpose: purpose}
 }
 
@@ -41,19 +43,26 @@
 	Messages      int64 `json:"messages"`
 	BytesSent     int64 `json:"bytesSent"`
 	BytesReceived int64 `json:"bytesReceived"`
+	Opened        int64 `json:"connectionsOpened"` // only of purposes that Conn counts
 }
 
 // Add counts a message with the bytes sent and received.
 func (t *Traffic) Add(purpose string, sent, received int) {
+	t.update(purpose, TrafficSummary{Messages: 1, BytesSent: int64(sent), BytesReceived: int64(received)})
+}
+
+// update adds to the counts of a purpose.
+func (t *Traffic) update(purpose string, more TrafficSummary) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.byPurpose == nil {
 		t.byPurpose = map[string]TrafficSummary{}
 	}
 	c := t.byPurpose[purpose]
-	c.Messages++
-	c.BytesSent += int64(sent)
-	c.BytesReceived += int64(received)
+	c.Messages += more.Messages
+	c.BytesSent += more.BytesSent
+	c.BytesReceived += more.BytesReceived
+	c.Opened += more.Opened
 	t.byPurpose[purpose] = c
 }
 
