--- a/cell/job.go
+++ b/cell/job.go
@@ -16,6 +16,7 @@
 	storing        bool           // the job's row has been sent to the store
 	hasProgressRow bool           // the job's progress row is stored, or in a commit that is not confirmed yet
 	dirty          bool           // queued for the next commit
+	mark           uint64         // commitState.marked when it was last queued
 	receivedAt     Instant        // when it was first submitted
 	acceptedAt     Instant        // when this owner accepted it; 0 if an earlier one did
 	objective      Instant        // when the job should be complete
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -52,6 +52,9 @@
 	lastProcessed uint64            // sequence number of the last result processed
 	lastStored    uint64            // sequence number of the last result whose effect is stored
 	lastAcked     uint64            // sequence number of the last result acknowledged
+	unstored      bool              // in commitState.unstored
+	ackable       uint64            // sequence number of the result that the next commit may store
+	markedAt      uint64            // commitState.marked when ackable was processed
 	ackInFlight   uint64            // sequence number that the poll in flight acknowledges
 	incarnation   int               // number of known restarts
 	restartSeenAt Instant           // when the last restart became known
@@ -63,8 +66,9 @@
 	reservedFrom  Instant // when a gang needs it, according to the last placement round
 	reservedRank  int     // rank of that gang
 	speed         speed.Estimate
-	factor        float64 // speed relative to the usual one of an uneven service; 0 if speeds are alike
-	speedBand     int     // workers of one band have like speeds; higher is faster
+	factor        float64    // speed relative to the usual one of an uneven service; 0 if speeds are alike
+	speedBand     int        // workers of one band have like speeds; higher is faster
+	candidate     *candidate // in the last placement round; nil if it was not usable
 }
 
 // newWorker returns a worker that has not answered yet.
@@ -76,6 +80,7 @@
 func (c *Cell) addWorker(w *worker) {
 	at, known := c.workerIndex(w.ID)
 	if known {
+		c.sortedWorkers[at].candidate = nil
 		c.sortedWorkers[at] = w
 	} else {
 		c.sortedWorkers = slices.Insert(c.sortedWorkers, at, w)
@@ -89,6 +94,7 @@
 		c.sortedWorkers = slices.Delete(c.sortedWorkers, at, at+1)
 	}
 	delete(c.workers, w.ID)
+	w.candidate = nil
 }
 
 // workerIndex returns the index in sortedWorkers at which a worker is or would be,
