--- a/cell/advice.go
+++ b/cell/advice.go
@@ -34,7 +34,7 @@
 	mediumCall = 500 * time.Millisecond
 	// mediumShare is the share of the hosts that medium calls get while both they and
 	// longer ones wait for a host.
-	mediumShare = 0.15
+	mediumShare = 0.25
 	// deniedWindow is how long a call that found no host counts as waiting.
 	deniedWindow = 200 * time.Millisecond
 	// maxWorkersPerCall is the maximum number of workers that the service accepts in
@@ -83,6 +83,7 @@
 	askedAt       Instant                 // when the last call was sent
 	answers       map[*worker]eligibility // workers that the service has answered for
 	tickets       map[*worker]ticket
+	eligible      []*worker // workers that an answer has allowed, sorted by ID
 }
 
 // asking reports whether a call is in flight.
@@ -180,13 +181,13 @@
 	stats := c.queueStats(s.job.Queue.Name)
 	horizon := c.now.Steady + s.job.Queue.Advice.Duration(1) + s.job.Queue.Advice.Validity
 	var candidates []adviceCandidate
-	for _, cand := range pool.candidates {
+	pool.scanFrom(s, func(cand *candidate) bool {
 		if s.room(cand.w, cand.free) > 0 || s.room(cand.w, cand.w.Capacity) == 0 || !cand.w.hasLabel(s.spec.Label) || s.advice.hasTicket(cand.w, c.now.Steady) {
-			continue
+			return true
 		}
 		eligible, known := s.advice.lookup(cand.w)
 		if known && !eligible {
-			continue
+			return true
 		}
 		free := cand.free
 		for _, rel := range c.releases(cand) {
@@ -196,45 +197,50 @@
 		}
 		expected := float64(s.room(cand.w, free))
 		if expected == 0 {
-			continue
+			return true
 		}
 		if !known {
 			expected *= stats.eligibleShare
 		}
 		candidates = append(candidates, adviceCandidate{cand.w, expected})
-	}
+		return len(candidates) < maxAdviceScan
+	})
 	slices.SortStableFunc(candidates, func(a, b adviceCandidate) int { return cmp.Compare(b.expectedTasks, a.expectedTasks) })
 	return candidates
 }
 
-// adviceCandidates returns the workers with room to ask about, those with the most
-// expected tasks first.
+// adviceCandidates returns the workers with room to ask about, those with the most expected
+// tasks first; on an uneven fleet, those of suitable speeds come before them.
 func (c *Cell) adviceCandidates(pool *servicePool, s *step) []adviceCandidate {
 	stats := c.queueStats(s.job.Queue.Name)
 	duration := stats.expectedDuration(s.spec.Estimate)
+	order := c.adviceOrder(s)
 	var candidates []adviceCandidate
-	for _, cand := range pool.candidates {
+	pool.scanFrom(s, func(cand *candidate) bool {
 		if !cand.w.hasLabel(s.spec.Label) {
-			continue
+			return true
 		}
-		if !s.spec.Gang && (s.advice.hasTicket(cand.w, c.now.Steady) || s.blockedByReservation(cand, c.now.Steady, duration)) {
-			continue
-		}
-		eligible, known := s.advice.lookup(cand.w)
-		if known && !eligible {
-			continue
+		if !s.spec.Gang && (s.advice.hasTicket(cand.w, c.now.Steady) || s.blockedByReservation(cand, c.now.Steady, cand.w.duration(duration))) {
+			return true
 		}
 		n := s.room(cand.w, cand.free)
 		if n == 0 {
-			continue
+			return true
+		}
+		eligible, known := s.advice.lookup(cand.w)
+		if known && !eligible {
+			return true
 		}
 		expected := float64(n)
 		if !known {
 			expected *= stats.eligibleShare
 		}
 		candidates = append(candidates, adviceCandidate{cand.w, expected})
-	}
-	slices.SortStableFunc(candidates, func(a, b adviceCandidate) int { return cmp.Compare(b.expectedTasks, a.expectedTasks) })
+		return len(candidates) < maxAdviceScan
+	})
+	slices.SortStableFunc(candidates, func(a, b adviceCandidate) int {
+		return cmp.Or(order(a.w)-order(b.w), cmp.Compare(b.expectedTasks, a.expectedTasks))
+	})
 	return candidates
 }
 
@@ -251,22 +257,22 @@
 		missing *= adviceSurplus // other gangs take part of the room that a worker has when it is empty
 	}
 	var unasked []assignment
-	for _, cand := range pool.candidates {
-		eligible, known := s.advice.lookup(cand.w)
-		if known && !eligible || !cand.w.hasLabel(s.spec.Label) {
-			continue
-		}
+	pool.scanFrom(s, func(cand *candidate) bool {
 		n := s.room(cand.w, cand.free)
 		if !withRoom {
 			n = s.room(cand.w, cand.w.Capacity)
 		}
-		switch {
-		case known:
+		if n == 0 || !cand.w.hasLabel(s.spec.Label) {
+			return true
+		}
+		switch eligible, known := s.advice.lookup(cand.w); {
+		case eligible:
 			missing -= float64(n)
-		case n > 0:
+		case !known:
 			unasked = append(unasked, assignment{cand, n})
 		}
-	}
+		return len(unasked) < maxAdviceScan
+	})
 	if missing <= 0 && c.parallelCalls() == 1 {
 		return
 	}
@@ -325,11 +331,49 @@
 	}
 }
 
-// chooseHost returns the host to call from, or "" if all are busy. A third of the
-// hosts that are not backing off make long calls only. The others make long calls
-// as long as enough hosts remain for short calls, so that no short call waits
-// behind a long one.
+// callClass orders calls to the advice service by their duration.
+type callClass int
+
+const (
+	shortClass callClass = iota
+	mediumClass
+	longClass
+	callClasses // number of classes
+)
+
+// classOf returns the class of a call about the given number of workers.
+func classOf(advice *workload.Advice, workers int) callClass {
+	switch duration := advice.Duration(workers); {
+	case duration < longCall:
+		return shortClass
+	case duration <= mediumCall:
+		return mediumClass
+	default:
+		return longClass
+	}
+}
+
+// chooseHost returns the host to call from, or "" if all are busy. Once they are, they
+// stay so until the end of the placement round.
 func (c *Cell) chooseHost(advice *workload.Advice, workers int) string {
+	class := classOf(advice, workers)
+	if c.allHostsBusy[class] {
+		return ""
+	}
+	host := c.findHost(class)
+	c.allHostsBusy[class] = host == ""
+	if host == "" {
+		c.deniedAt[class] = c.now.Steady
+	}
+	return host
+}
+
+// findHost returns the host to make a call of the class from, or "" if all are busy. A
+// third of the hosts that are not backing off make no short calls. The others make longer
+// calls as long as enough hosts remain for short calls, so that no short call waits
+// behind a long one. Medium and long calls divide the hosts while both wait for one:
+// gangs would else keep all other steps from asking, or these all gangs.
+func (c *Cell) findHost(class callClass) string {
 	hosts := c.hosts
 	if len(c.backoffs) > 0 {
 		hosts = slices.DeleteFunc(slices.Clone(hosts), c.backingOff)
@@ -339,12 +383,11 @@
 	}
 	split := max(1, len(hosts)/3)
 	longOnly, others := hosts[:split], hosts[split:]
-	if advice.Duration(workers) < longCall {
+	if class == shortClass {
 		return c.leastBusy(others, maxCallsPerHost)
 	}
-	medium := advice.Duration(workers) <= mediumCall
 	quota := mediumShare * float64(len(hosts))
-	if medium && float64(len(c.mediumCalls)) >= quota && c.recentlyDenied(c.longDeniedAt) {
+	if class == mediumClass && float64(len(c.mediumCalls)) >= quota && c.recentlyDenied(longClass) {
 		return ""
 	}
 	if host := c.leastBusy(longOnly, 1); host != "" {
@@ -357,25 +400,18 @@
 		}
 	}
 	reserve := max(1, c.shortCallHosts())
-	if !medium && c.recentlyDenied(c.mediumDeniedAt) {
+	if class == longClass && c.recentlyDenied(mediumClass) {
 		reserve += max(0, quota-float64(len(c.mediumCalls)))
 	}
-	host := ""
-	if float64(available) >= reserve {
-		host = c.leastBusy(others, 1)
-	}
-	switch {
-	case host == "" && medium:
-		c.mediumDeniedAt = c.now.Steady
-	case host == "":
-		c.longDeniedAt = c.now.Steady
+	if float64(available) < reserve {
+		return ""
 	}
-	return host
+	return c.leastBusy(others, 1)
 }
 
-// recentlyDenied reports whether a call that found no host at the given time still counts
-// as waiting.
-func (c *Cell) recentlyDenied(at Instant) bool {
+// recentlyDenied reports whether a call of the class found no host a short while ago.
+func (c *Cell) recentlyDenied(class callClass) bool {
+	at := c.deniedAt[class]
 	return at > 0 && c.now.Steady-at < deniedWindow
 }
 
@@ -497,6 +533,7 @@
 		}
 		s.advice.answers[w] = eligibility{eligible: text != "", startedAt: w.StartedAt}
 		if text != "" {
+			s.advice.addEligible(w)
 			s.advice.tickets[w] = ticket{text: text, validUntil: c.now.Steady + e.Validity - ticketMargin, startedAt: w.StartedAt}
 		}
 	}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -29,6 +29,9 @@
 	"log/slog"
 	"time"
 
+	"github.com/cowslipgap/cowslipgap/evacuation"
+	"github.com/cowslipgap/cowslipgap/fairshare"
+	"github.com/cowslipgap/cowslipgap/promise"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/workload"
 )
@@ -51,6 +54,7 @@
 	MaxLease        time.Duration // maximum lease that a worker grants
 	StopTimeout     time.Duration // maximum time that stopping a run takes
 	StatusRetention time.Duration // how long the state of an ended job is kept
+	MaxPolicyAge    time.Duration // age of the last reading of the policy above which nothing starts; 0: any age
 }
 
 // Cell is the state of one cell on one host. While the host does not own the cell,
@@ -70,18 +74,23 @@
 	sortedWorkers   []*worker // all workers, sorted by ID
 	teams           map[string]*teamUse
 	policy          map[string]Team
+	evacuated       evacuation.Orders
+	policyReadAt    Instant                 // when the policy was last read, or confirmed as current
+	startsWithheld  bool                    // the policy is too old to start anything
 	hosts           []string                // hosts that can call the advice service
 	callsInFlight   map[string]int          // calls to the advice service in flight, by host
 	longCalls       map[string]string       // step of the long call in flight, by host
 	backoffs        map[string]*hostBackoff // hosts whose last call failed
+	allHostsBusy    [callClasses]bool       // in this placement round, by class of the call
+	deniedAt        [callClasses]Instant    // when a call last found no host, by class
 	shortCallLoad   float64                 // average number of hosts busy with short calls
 	shortCallLoadAt Instant                 // when shortCallLoad was computed
 	mediumCalls     map[string]bool         // hosts whose long call is a medium one
-	mediumDeniedAt  Instant                 // when a medium call last found no host
-	longDeniedAt    Instant                 // when a longer call last found no host
 	waiting         []*step                 // ready steps with tasks to start
 	pendingJobs     []*job                  // jobs that may have steps to become ready
 	statsByQueue    map[string]*queueStats
+	uneven          map[string]float64 // usual speed of the services with workers of uneven speeds
+	speedsCheckedAt Instant            // when the speeds were last compared
 	recovered       bool
 	recoverBy       Instant                    // when recovery ends at the latest
 	held            map[string][]*task         // tasks that may still have a run of an earlier owner, by worker
@@ -93,6 +102,12 @@
 	useLoggedAt      Instant
 	reservedMilliCPU int64 // processors that the last placement round reserved for gangs, in thousandths
 	load             loadEstimate
+	demand           demandForecast
+	eviction         evictionState
+	promises         promise.Book     // refused callers
+	shares           fairshare.Ledger // use of the fleet by jobs within their team's rate
+	intakes          map[teamRank]intake
+	aboveShare       map[string]bool // teams above their share in the last round; empty if the fleet was not crowded
 }
 
 // teamUse is the resource use of a team and the state of its rate limit.
@@ -122,8 +137,12 @@
 	if c.statsByQueue == nil {
 		c.statsByQueue = map[string]*queueStats{}
 	}
+	c.uneven, c.speedsCheckedAt = map[string]float64{}, 0
 	c.commits = commitState{}
 	c.load = loadEstimate{}
+	c.eviction.restart(c.now.Steady)
+	c.promises, c.shares = promise.Book{}, fairshare.Ledger{}
+	c.aboveShare, c.intakes = map[string]bool{}, map[teamRank]intake{}
 	c.recovered, c.listedOnce = false, false
 	c.held, c.heldUse = map[string][]*task{}, nil
 }
@@ -139,7 +158,9 @@
 	c.effects = c.effects[:0]
 	switch e := event.(type) {
 	case Policy:
-		c.policy = e.Teams
+		c.setPolicy(e)
+	case PolicyConfirmed:
+		c.policyReadAt = max(c.policyReadAt, e.ReadAt)
 	case AdviceHosts:
 		c.hosts = e.Hosts
 	case Claimed:
@@ -227,9 +248,12 @@
 func (c *Cell) housekeeping() {
 	c.expireWorkers()
 	c.checkRuns()
+	c.checkPolicyAge()
 	c.checkRecovery()
 	c.refuseUnsent()
+	c.checkSpeeds()
 	c.estimateLoad()
+	c.promises.Expire(c.now.Steady)
 	c.forgetEnded()
 	c.logUse()
 }
@@ -280,24 +304,43 @@
 
 // Summary holds the main counts of a cell.
 type Summary struct {
-	Owner     bool   `json:"owner"`
-	Token     uint64 `json:"token"`
-	Live      int    `json:"liveJobs"`
-	Ended     int    `json:"endedJobs"`
-	Waiting   int    `json:"waitingSteps"`
-	Running   int    `json:"runs"`
-	Workers   int    `json:"workers"`
-	Usable    int    `json:"usableWorkers"`
-	HeldTasks int    `json:"heldTasks"` // tasks that may still have a run of an earlier owner
+	Owner      bool   `json:"owner"`
+	Token      uint64 `json:"token"`
+	Live       int    `json:"liveJobs"`
+	Ended      int    `json:"endedJobs"`
+	Waiting    int    `json:"waitingSteps"`
+	Running    int    `json:"runs"`
+	Workers    int    `json:"workers"`
+	Usable     int    `json:"usableWorkers"`
+	HeldTasks  int    `json:"heldTasks"`          // tasks that may still have a run of an earlier owner
+	Evacuated  int    `json:"evacuatedWorkers"`   // listed workers in zones that are being evacuated
+	Cold       int    `json:"coldWorkers"`        // usable workers that are still slow after their start
+	Withheld   bool   `json:"startsWithheld"`     // the operators' requests were read too long ago to start anything
+	KeepsRoom  bool   `json:"roomKept"`           // long starts are withheld because urgent demand rises
+	Uneven     int    `json:"unevenServices"`     // services with workers of uneven speeds
+	Speeds     int    `json:"knownSpeeds"`        // workers with a known speed
+	Evicted    int    `json:"evictedRuns"`        // runs stopped to make room, since the process started
+	LostWork   int    `json:"evictedCoreSeconds"` // work thrown away for it, in core-seconds
+	Promised   int    `json:"promisedCallers"`    // refused callers that may come back
+	AboveShare int    `json:"teamsAboveShare"`    // teams whose waiting steps give way to others'
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers)}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom(), Evicted: c.eviction.runs, LostWork: int(c.eviction.lost), Promised: c.promises.Len(), AboveShare: len(c.aboveShare)}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
 			summary.Usable++
+			if w.cold(c.now.Steady) {
+				summary.Cold++
+			}
+		}
+		if w.listed && w.evacuated {
+			summary.Evacuated++
+		}
+		if _, known := w.speed.Value(); known {
+			summary.Speeds++
 		}
 	}
 	for _, tasks := range c.held {
--- a/cell/fullfleet_test.go
+++ b/cell/fullfleet_test.go
@@ -90,7 +90,7 @@
 			if r, ok := effect.(LogRecord); ok && (r.Text == "advice" || r.Text == "placed" || r.Text == "gang waits") {
 				id := strings.Split(r.Attrs[0].Value.String(), ".")[0]
 				if j := f.jobs[id]; j != nil && j.spec.Queue.Name == "gang" {
-					events[r.Attrs[0].Value.String()] = append(events[r.Attrs[0].Value.String()], fmt.Sprintf("%.1f %s %v", (f.now - j.submittedAt).Seconds(), r.Text, r.Attrs[1:]))
+					events[r.Attrs[0].Value.String()] = append(events[r.Attrs[0].Value.String()], fmt.Sprintf("%.1f %s %v", (f.now-j.submittedAt).Seconds(), r.Text, r.Attrs[1:]))
 				}
 			}
 			if r, ok := effect.(LogRecord); ok && r.Text == "fleet use" && f.now < 60*time.Second {
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -28,7 +28,8 @@
 	// a job waits for up to 3 s although there is room for it.
 	quotaReserveHorizon = 2 * time.Second
 	// reserveHorizon bounds the expected time until there is room for a gang for which workers
-	// are reserved.
+	// are reserved. Others use them until then. For a gang that waits longer, the bound is half
+	// of its wait.
 	reserveHorizon = time.Second
 	// overrunFactor is applied to the expected duration of a run when deciding
 	// whether it ends before a reservation begins.
@@ -75,6 +76,7 @@
 			next++
 		}
 	}
+	c.takeLongRoom(pool, s, next)
 	c.logPlaced(s, next, 0)
 }
 
@@ -91,8 +93,12 @@
 		c.logGangWait(s, "the team is at its ceiling", allowed)
 		return nil, false
 	}
+	if allowed := c.longStartsAllowed(pool, s.job.Queue.Service, s); allowed < len(s.tasks) {
+		c.logGangWait(s, "room is kept for urgent demand", allowed)
+		return nil, false
+	}
 	assignments, spare := c.assignMembers(pool, s)
-	if memberCount(assignments) < len(s.tasks) {
+	if memberCount(assignments) < len(s.tasks) || c.waitsForFaster(p, pool, s, assignments) {
 		c.reserveForGang(p, pool, s)
 		return nil, false
 	}
@@ -114,7 +120,7 @@
 // hold it if they were empty. No quota is reserved for a gang that cannot run.
 func (c *Cell) fitsOnEmptyWorkers(pool *servicePool, s *step) bool {
 	members := 0
-	for _, cand := range pool.candidates {
+	for _, cand := range pool.mayRunOn(s) {
 		if s.eligibleOn(cand.w) {
 			members += s.room(cand.w, cand.w.Capacity)
 		}
@@ -126,20 +132,21 @@
 }
 
 // assignMembers assigns the members to workers with room. It prefers workers with a
-// ticket, then as few workers as possible. If there is not enough room, not all
+// ticket, then as few workers as possible, and on an uneven fleet workers of like speed
+// before all. If there is not enough room, not all
 // members are assigned; otherwise it also returns spare assignments.
 func (c *Cell) assignMembers(pool *servicePool, s *step) (assignments, spare []assignment) {
 	duration := c.queueStats(s.job.Queue.Name).expectedDuration(s.spec.Estimate)
-	for _, cand := range pool.candidates {
-		if n := s.room(cand.w, cand.free); n > 0 && !cand.blocks(c.now.Steady, duration) && s.eligibleOn(cand.w) {
+	for _, cand := range pool.mayRunOn(s) {
+		if n := s.room(cand.w, cand.free); n > 0 && !cand.blocks(c.now.Steady, cand.w.duration(duration)) && s.eligibleOn(cand.w) {
 			assignments = append(assignments, assignment{cand, n})
 		}
 	}
 	preference := func(w *worker) int {
 		if s.advice.hasTicket(w, c.now.Steady) {
-			return 2 * s.workerPenalty(w)
+			return 2 * s.workerPenalty(w, c.now.Steady)
 		}
-		return 2*s.workerPenalty(w) + 1
+		return 2*s.workerPenalty(w, c.now.Steady) + 1
 	}
 	slices.SortStableFunc(assignments, func(a, b assignment) int {
 		return cmp.Or(cmp.Compare(preference(a.w), preference(b.w)), cmp.Compare(b.n, a.n))
@@ -148,6 +155,10 @@
 		if onRack := singleRack(assignments, len(s.tasks)); onRack != nil {
 			assignments = onRack
 		}
+	} else if c.uneven[s.job.Queue.Service] > 0 {
+		if inBand := c.chooseBand(s, assignments); inBand != nil {
+			assignments = inBand
+		}
 	}
 	return splitSpare(assignments, len(s.tasks))
 }
@@ -188,19 +199,14 @@
 // tickets for them in time.
 func (c *Cell) reserveForGang(p *round, pool *servicePool, s *step) {
 	s.roomExpectedAt = math.MaxInt64
-	if p.reservingGangs >= maxReservingGangs || float64(p.reservedMilliCPU) > maxReservedShare*float64(p.totalMilliCPU) {
+	if p.reservationsFull() {
 		if s.advice.needed && c.chooseHost(s.job.Queue.Advice, 1) != "" && c.fitsIfUnknownEligible(pool, s) {
 			c.requestMoreAdvice(pool, s, true)
 		}
 		c.logGangWait(s, "room is kept for others", p.reservingGangs)
 		return
 	}
-	var openings []opening
-	for _, cand := range pool.candidates {
-		if cand.reservedFrom == 0 && s.eligibleOn(cand.w) {
-			openings = c.openings(openings, s, cand)
-		}
-	}
+	openings := c.soonestOpenings(s, c.gangOpenings(pool, s))
 	if len(openings) < len(s.tasks) {
 		if s.advice.needed {
 			c.requestMoreAdvice(pool, s, false)
@@ -208,17 +214,19 @@
 		c.logGangWait(s, "too few workers may hold it", len(openings))
 		return
 	}
-	p.reservingGangs++
-	slices.SortFunc(openings, func(a, b opening) int {
-		if d := cmp.Compare(a.at, b.at); d != 0 {
-			return d
+	if c.takeRoomBack(p, pool, s, openings[len(s.tasks)-1].at, len(s.tasks)) {
+		if openings = c.soonestOpenings(s, c.gangOpenings(pool, s)); len(openings) < len(s.tasks) {
+			return
 		}
-		return cmp.Compare(a.cand.w.ID, b.cand.w.ID)
-	})
+	}
+	p.reservingGangs++
 	at := openings[len(s.tasks)-1].at
 	s.roomExpectedAt = at
-	if at > c.now.Steady+reserveHorizon {
+	if at > c.now.Steady+max(reserveHorizon, (c.now.Steady-s.job.receivedAt)/2) {
 		c.logGangWait(s, "room for it is far off", int((at - c.now.Steady).Milliseconds()))
+		if s.advice.needed {
+			c.requestMoreAdvice(pool, s, true)
+		}
 		return
 	}
 	assignments, spare := assignOpenings(openings, len(s.tasks))
@@ -238,6 +246,29 @@
 	}
 }
 
+// reservationsFull reports whether no more workers may be reserved for gangs.
+func (p *round) reservationsFull() bool {
+	return p.reservingGangs >= maxReservingGangs || float64(p.reservedMilliCPU) > maxReservedShare*float64(p.totalMilliCPU)
+}
+
+// gangOpenings returns the openings for a gang on all workers that may hold it, sorted by
+// time.
+func (c *Cell) gangOpenings(pool *servicePool, s *step) []opening {
+	var openings []opening
+	for _, cand := range pool.mayRunOn(s) {
+		if cand.reservedFrom == 0 && s.eligibleOn(cand.w) {
+			openings = c.openings(openings, s, cand)
+		}
+	}
+	slices.SortFunc(openings, func(a, b opening) int {
+		if d := cmp.Compare(a.at, b.at); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.cand.w.ID, b.cand.w.ID)
+	})
+	return openings
+}
+
 // opening is a time from which a worker has room for one more member.
 type opening struct {
 	at   Instant
@@ -270,11 +301,14 @@
 	members := 0
 	for _, cand := range pool.candidates {
 		eligible, known := s.advice.lookup(cand.w)
-		if (eligible || !known) && !cand.blocks(c.now.Steady, duration) && cand.w.hasLabel(s.spec.Label) {
+		if (eligible || !known) && !cand.blocks(c.now.Steady, cand.w.duration(duration)) && cand.w.hasLabel(s.spec.Label) {
 			members += s.room(cand.w, cand.free)
 		}
+		if members >= len(s.tasks) {
+			return true
+		}
 	}
-	return members >= len(s.tasks)
+	return false
 }
 
 // logAdviceWait logs a gang's wait for the advice service, or for a host to call it
@@ -367,15 +401,20 @@
 	s := r.task.step
 	stats := c.queueStats(s.job.Queue.Name)
 	if r.confirmedAt == 0 {
-		return stats.expectedDuration(s.spec.Estimate)
+		return r.w.duration(stats.expectedDuration(s.spec.Estimate))
 	}
 	age := c.now.Steady - r.confirmedAt
+	if r.resumed {
+		// The percentage includes work of earlier runs, so it gives no duration.
+		return max(0, time.Duration(float64(r.w.duration(stats.expectedDuration(s.spec.Estimate)))*(1-r.doneShare()))-(c.now.Steady-r.progressAt))
+	}
 	if r.percent > 0 {
 		// The percentage is exact only at the time at which it last changed.
 		totalDuration := time.Duration(float64(r.progressAt-r.confirmedAt) * 100 / float64(r.percent))
 		return max(0, totalDuration-age)
 	}
-	return stats.remainingDuration(s.spec.Estimate, age)
+	done := time.Duration(float64(age) * r.w.workSpeed())
+	return r.w.duration(stats.remainingDuration(s.spec.Estimate, done))
 }
 
 // reserve reserves workers for a gang from the given time on. Later steps may use
@@ -412,12 +451,15 @@
 }
 
 // workerPenalty orders workers for a gang: workers on another rack than its data come
-// last and, within the same rack preference, those on which its first member has
-// failed.
-func (s *step) workerPenalty(w *worker) int {
+// last; within the same rack preference, those that are still slow after their start,
+// then those on which its first member has failed.
+func (s *step) workerPenalty(w *worker, now Instant) int {
 	penalty := 0
 	if s.spec.Rack != "" && w.Rack != s.spec.Rack {
-		penalty = 2
+		penalty = 4
+	}
+	if w.cold(now) {
+		penalty += 2
 	}
 	if s.tasks[0].avoid[w.ID] {
 		penalty++
--- a/cell/job.go
+++ b/cell/job.go
@@ -16,14 +16,18 @@
 	storing        bool           // the job's row has been sent to the store
 	hasProgressRow bool           // the job's progress row is stored, or in a commit that is not confirmed yet
 	dirty          bool           // queued for the next commit
-	receivedAt     Instant
-	objective      Instant // when the job should be complete
+	mark           uint64         // commitState.marked when it was last queued
+	receivedAt     Instant        // when it was first submitted
+	acceptedAt     Instant        // when this owner accepted it; 0 if an earlier one did
+	objective      Instant        // when the job should be complete
+	path           time.Duration  // estimated duration of its critical path
 	occurrences    []*occurrence
 	acceptReplies  []uint64 // IDs of the replies to send once the acceptance is stored
 	cancelReplies  []uint64 // IDs of the replies to send once the cancellation is stored
 	endedAt        Instant
 	deleted        bool // the job's row is deleted, or will be
 	beyondRate     bool // the team exceeded its rate when it submitted the job
+	acceptedLate   bool // it was expected to miss its objective when it was accepted
 }
 
 // occurrence is one pass through a job's steps.
@@ -51,16 +55,19 @@
 	lastRun         uint64              // number of the last run of a gang; the runs of other steps are numbered in task
 	failedRuns      workload.FailedRuns // of a gang; other steps use task.failedRuns
 	checkpoint      string              // of a gang; other steps use task.checkpoint
+	peerWork        []float64           // work of the tasks that have ended, ascending, in nanoseconds at speed 1
 	gangRemainingAt Instant             // when gangRemaining was computed
 	gangRemaining   time.Duration       // longest remaining work of a gang's members
 
 	advice         adviceState
-	notBefore      Instant       // do not place before; set after a refused start or a failed call
-	nextWaitLog    Instant       // when the step's wait is logged next
-	waitLogDelay   time.Duration // time between the last log of its wait and the next; 0 before the first
-	roomExpectedAt Instant       // when the workers are expected to have room for a waiting gang
-	latestStart    Instant       // latest start that meets the objective
-	rank           int           // its rank in the current placement round; lower comes first
+	notBefore      Instant         // do not place before; set after a refused start or a failed call
+	nextWaitLog    Instant         // when the step's wait is logged next
+	waitLogDelay   time.Duration   // time between the last log of its wait and the next; 0 before the first
+	roomExpectedAt Instant         // when the workers are expected to have room for a waiting gang
+	latestStart    Instant         // latest start that meets the objective
+	roomOn         map[*worker]int // workers whose runs were stopped for it, with the tasks that they then hold
+	roomCheckAt    Instant         // no search for runs to stop for it before
+	rank           int             // its rank in the current placement round; lower comes first
 }
 
 // task is one task of a step.
@@ -74,6 +81,7 @@
 	lastRun    uint64 // number of its last run, or the one after which its runs are numbered
 	runs       []*run
 	avoid      map[string]bool // workers on which it failed
+	evictions  int             // how often its run was stopped to make room
 	heldFor    string          // worker that may still execute a run that an earlier owner started; until that is known, no run starts
 }
 
@@ -90,16 +98,22 @@
 
 // run is one execution of a task on a worker.
 type run struct {
-	task        *task
-	number      uint64
-	w           *worker
-	state       runState
-	sentAt      Instant
-	confirmedAt Instant // when it was first known to be running
-	stopSentAt  Instant
-	stopAckedAt Instant
-	percent     int     // reported progress
-	progressAt  Instant // when percent last changed
+	task           *task
+	number         uint64
+	w              *worker
+	state          runState
+	sentAt         Instant
+	confirmedAt    Instant // when it was first known to be running
+	stopSentAt     Instant
+	stopAckedAt    Instant
+	percent        int     // reported progress
+	sampledPercent int     // progress at the last speed sample
+	sampledAt      Instant // when that was; 0 before the first
+	progressAt     Instant // when percent last changed
+	savedAt        Instant // when its last checkpoint was reported; 0 if none was
+	saved          string  // that checkpoint
+	lost           float64 // core-seconds charged for its stop, if it was stopped to make room
+	resumed        bool    // it was started from a checkpoint
 	// progressClock is the worker's clock in the first report with the current percent; 0
 	// if no report has listed the run.
 	progressClock time.Duration
--- a/cell/loadestimate.go
+++ b/cell/loadestimate.go
@@ -8,18 +8,19 @@
 	"github.com/cowslipgap/cowslipgap/workload"
 )
 
-// minKnownShare is how many answers of the advice service are needed before a queue's
+// minAdviceAnswers is how many answers of the advice service are needed before a queue's
 // share of eligible workers bounds what fits.
-const minKnownShare = 8
+const minAdviceAnswers = 8
 
 // loadEstimate is the demand on the fleet. Running work is counted separately, as
 // it keeps its room whatever its rank.
 type loadEstimate struct {
-	running  map[teamService]scarcity.Demand
-	waiting  map[waitingKey]scarcity.Demand
-	capacity map[string]float64 // cores, by service
-	fleets   map[string]*scarcity.Fleet
-	listed   bool // the workers had been listed when it was computed
+	running   map[teamService]scarcity.Demand
+	waiting   map[waitingKey]scarcity.Demand
+	capacity  map[string]float64 // cores of speed 1, by service
+	fleets    map[string]*scarcity.Fleet
+	evictable map[evictableKey]*evictableRoom
+	listed    bool // the workers had been listed when it was computed
 }
 
 // teamService identifies the running work of a team on the workers of a service.
@@ -32,11 +33,11 @@
 	gang bool
 }
 
-// expectedWait estimates how long a job would wait behind the accepted jobs: for room on
-// the workers of its service, and for its team's ceiling.
-func (c *Cell) expectedWait(spec *workload.Job, rank int) time.Duration {
-	var ahead scarcity.Ahead
-	var team scarcity.Demand
+// expectedWait estimates how long a job would wait behind the accepted jobs and those of
+// the callers that come before it: for room on the workers of its service, for its team's
+// share and for its team's ceiling.
+func (c *Cell) expectedWait(spec *workload.Job, rank int, promised promisedDemand) time.Duration {
+	ahead, team := scarcity.Ahead{Tasks: promised.fleet}, promised.team
 	add := func(key teamService, d scarcity.Demand, sum *scarcity.Demand) {
 		if key.service == spec.Queue.Service {
 			*sum = sum.Add(d)
@@ -50,7 +51,7 @@
 	}
 	for key, d := range c.load.waiting {
 		switch {
-		case key.rank > rank:
+		case key.rank > rank || key.rank == rank && c.teamYields(key.team, spec.Team):
 		case key.gang:
 			add(key.teamService, d, &ahead.Gangs)
 		default:
@@ -58,14 +59,19 @@
 		}
 	}
 	fleet, ceiling := c.fleet(spec.Queue.Service), c.policy[spec.Team].Ceiling
-	wait := time.Duration(0)
+	wait := c.shareWait(spec, rank, team)
 	for i := range spec.Steps {
 		if spec.Steps[i].UsesIdleCPU {
 			continue
 		}
 		r := c.request(&spec.Queue, &spec.Steps[i], rank)
+		r.Deferred = r.Deferred || spec.Repeat > 0
 		if fleet != nil {
-			wait = max(wait, fleet.Wait(r, ahead))
+			forRoom := fleet.Wait(r, ahead)
+			if forRoom > c.StopTimeout && rank == spec.Queue.Priority && c.fitsAfterEviction(r, spec.Queue.Service, rank, ahead) {
+				forRoom = c.StopTimeout
+			}
+			wait = max(wait, forRoom)
 		}
 		wait = max(wait, team.Wait(r.Total(), ceiling))
 	}
@@ -75,10 +81,10 @@
 // request returns what a step asks of the fleet. No rack is asked for: a step whose data
 // or members are on other racks takes longer, but does not wait for one rack.
 func (c *Cell) request(q *workload.Queue, s *workload.Step, rank int) scarcity.Request {
-	r := scarcity.Request{Need: s.Need, Tasks: s.Count, MaxPerWorker: s.MaxPerWorker, Label: s.Label, Gang: s.Gang, Rank: rank}
+	r := scarcity.Request{Need: s.Need, Tasks: s.Count, MaxPerWorker: s.MaxPerWorker, Label: s.Label, Gang: s.Gang, Deferred: s.LongRunning, Rank: rank}
 	stats := c.queueStats(q.Name)
 	r.Time = time.Duration(overrunFactor * float64(stats.expectedDuration(s.Estimate)))
-	if q.Advice != nil && stats.adviceSamples >= minKnownShare {
+	if q.Advice != nil && stats.adviceSamples >= minAdviceAnswers {
 		r.Eligible = stats.eligibleShare
 	}
 	return r
@@ -86,12 +92,17 @@
 
 // estimateLoad computes the remaining work of all accepted jobs.
 func (c *Cell) estimateLoad() {
-	c.load = loadEstimate{running: map[teamService]scarcity.Demand{}, waiting: map[waitingKey]scarcity.Demand{}, capacity: map[string]float64{}, fleets: map[string]*scarcity.Fleet{}, listed: c.listedOnce}
+	c.load = loadEstimate{running: map[teamService]scarcity.Demand{}, waiting: map[waitingKey]scarcity.Demand{}, capacity: map[string]float64{}, fleets: map[string]*scarcity.Fleet{}, evictable: map[evictableKey]*evictableRoom{}, listed: c.listedOnce}
 	for _, w := range c.sortedWorkers {
 		if w.counts(c.now.Steady) {
-			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000
+			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000 * w.workSpeed()
 		}
 	}
+	cores := 0.0
+	for _, n := range c.load.capacity {
+		cores += n
+	}
+	c.eviction.refill(c.now.Steady, cores)
 	for _, j := range c.live {
 		if !j.progress.State.Final() {
 			c.addLoad(j)
@@ -100,7 +111,9 @@
 }
 
 // counts reports whether the worker's capacity is part of the estimate.
-func (w *worker) counts(now Instant) bool { return w.listed && !w.Draining && !w.silent(now) }
+func (w *worker) counts(now Instant) bool {
+	return w.listed && !w.Draining && !w.evacuated && !w.silent(now)
+}
 
 // fleet returns the room of a service's workers. It is computed when the first job after an
 // estimate asks for it.
@@ -203,11 +216,11 @@
 	for _, t := range s.tasks {
 		switch {
 		case t.done:
-		case len(t.runs) > 0 && t.runs[0].w.silent(c.now.Steady):
-			// The capacity of silent workers is not counted either.
+		case len(t.runs) > 0 && (t.runs[0].w.evacuated || t.runs[0].w.silent(c.now.Steady)):
+			// The capacity of these workers is not counted either.
 		case len(t.runs) > 0:
 			running = running.Add(scarcity.Demand{Now: need, Work: work(1 - t.runs[0].doneShare())})
-		case s.ready || j.receivedAt == c.now.Steady:
+		case s.ready || j.acceptedAt == c.now.Steady:
 			waiting = waiting.Add(scarcity.Demand{Now: need, Work: work(1)})
 		default:
 			waiting.Work = waiting.Work.Add(work(1))
--- a/cell/place.go
+++ b/cell/place.go
@@ -16,6 +16,7 @@
 	// weighted speed.
 	penaltyFailed  = 4 // the task failed there before
 	penaltyOffRack = 8 // the data is on another rack, so the task takes longer
+	penaltyLate    = 3 // the worker is too slow for the job's objective
 	// penaltyReserved applies to workers that the last round reserved for a gang.
 	// Steps ranked before the gang may use them if no other worker has room.
 	penaltyReserved = 2
@@ -49,12 +50,7 @@
 	totalMilliCPU    int64                      // processors of all usable workers, in thousandths
 	reservingGangs   int                        // gangs for which workers are reserved
 	reservedQuota    map[string]resource.Vector // quota reserved for gangs, by team
-}
-
-// servicePool holds the usable workers of a service.
-type servicePool struct {
-	candidates []*candidate
-	maxFree    resource.Vector // maximum free room on any worker, per dimension
+	roomChecks       int                        // steps for which room was looked for on workers with less urgent runs
 }
 
 // newRound collects the usable workers for a placement round.
@@ -63,7 +59,7 @@
 	candidates := make([]candidate, 0, len(c.sortedWorkers))
 	for _, w := range c.sortedWorkers {
 		if !w.usable(c.now.Steady) {
-			w.reservedFrom = 0
+			w.reservedFrom, w.candidate = 0, nil
 			continue
 		}
 		pool := p.pools[w.Service]
@@ -71,10 +67,9 @@
 			pool = &servicePool{}
 			p.pools[w.Service] = pool
 		}
-		free := w.free()
-		candidates = append(candidates, candidate{w: w, free: free})
-		pool.candidates = append(pool.candidates, &candidates[len(candidates)-1])
-		pool.maxFree = pool.maxFree.Max(free)
+		candidates = append(candidates, candidate{w: w, free: w.free()})
+		w.candidate = &candidates[len(candidates)-1]
+		pool.add(w.candidate)
 		p.totalMilliCPU += w.Capacity.MilliCPU
 	}
 	return p
@@ -92,11 +87,12 @@
 // place starts the waiting tasks that can start, in order, and requests advice where
 // it is missing.
 func (c *Cell) place() {
-	if c.leaseLength() < minLease || len(c.waiting) == 0 {
+	if c.leaseLength() < minLease || len(c.waiting) == 0 || c.policyExpired() {
 		return
 	}
 	c.sortWaiting()
 	c.heldUse = c.heldResources()
+	c.allHostsBusy = [callClasses]bool{}
 	p := c.newRound()
 	defer p.clearStaleReservations()
 	defer func() { c.reservedMilliCPU = p.reservedMilliCPU }()
@@ -165,18 +161,19 @@
 // placeTasks starts the tasks of a step one by one where there is room.
 func (c *Cell) placeTasks(p *round, pool *servicePool, s *step) {
 	need := s.need()
-	if !need.Fits(pool.maxFree) {
+	if !pool.hasRoom(need) {
+		c.takeRoomBackForTasks(p, pool, s, s.unstartedTasks())
 		return // no worker has room, the usual case on a full fleet
 	}
-	allowed := c.remainingQuota(p, s)
+	allowed := min(c.remainingQuota(p, s), c.longStartsAllowed(pool, s.job.Queue.Service, s))
 	if allowed == 0 {
 		return
 	}
 	duration := c.queueStats(s.job.Queue.Name).expectedDuration(s.spec.Estimate)
 	var candidates []*candidate
 	room := 0
-	for _, cand := range pool.candidates {
-		if need.Fits(cand.free) && !s.blockedByReservation(cand, c.now.Steady, duration) && s.advice.startAllowed(cand.w, c.now.Steady) && cand.w.hasLabel(s.spec.Label) {
+	for _, cand := range pool.mayRunOn(s) {
+		if need.Fits(cand.free) && !s.blockedByReservation(cand, c.now.Steady, cand.w.duration(duration)) && s.advice.startAllowed(cand.w, c.now.Steady) && cand.w.hasLabel(s.spec.Label) {
 			candidates = append(candidates, cand)
 			room += s.room(cand.w, cand.free)
 		}
@@ -188,13 +185,14 @@
 		}
 		return
 	}
+	needed := c.neededSpeed(s)
 	left, placed := 0, 0
 	for _, t := range s.tasks {
 		if t.done || len(t.runs) > 0 || t.heldFor != "" || allowed == 0 {
 			continue
 		}
 		allowed--
-		cand := c.bestCandidate(s, t, duration, candidates)
+		cand := c.bestCandidate(s, t, duration, needed, candidates)
 		if cand == nil {
 			left++
 			continue
@@ -204,7 +202,9 @@
 		placed++
 		cand.take(need)
 	}
+	c.takeLongRoom(pool, s, placed)
 	c.logPlaced(s, placed, left)
+	c.takeRoomBackForTasks(p, pool, s, left)
 	if left > 0 && s.advice.needed {
 		c.requestAdvice(pool, s, left)
 	}
@@ -212,8 +212,9 @@
 
 // bestCandidate returns the worker with the lowest score for the task, or nil if none
 // has room. Apart from penalties, it prefers fast workers and those on which the task
-// leaves the least processor time unused.
-func (c *Cell) bestCandidate(s *step, t *task, duration time.Duration, candidates []*candidate) *candidate {
+// leaves the least processor time unused. On an uneven fleet it prefers slow workers, if
+// they are fast enough.
+func (c *Cell) bestCandidate(s *step, t *task, duration time.Duration, needed float64, candidates []*candidate) *candidate {
 	var best *candidate
 	bestScore := 0.0
 	for _, cand := range candidates {
@@ -221,10 +222,13 @@
 			continue
 		}
 		score := float64(cand.free.MilliCPU-s.spec.Need.MilliCPU) / float64(max(1, cand.w.Capacity.MilliCPU))
-		score -= speedWeight * cand.w.relativeSpeed()
-		if from := cand.w.reservedFrom; from > c.now.Steady && c.now.Steady+duration > from {
+		score += speedScore(cand.w.placementSpeed(), needed)
+		if from := cand.w.reservedFrom; from > c.now.Steady && c.now.Steady+cand.w.duration(duration) > from {
 			score += penaltyReserved
 		}
+		if cand.w.cold(c.now.Steady) {
+			score += penaltyCold
+		}
 		if t.avoid[cand.w.ID] {
 			score += penaltyFailed
 		}
@@ -268,6 +272,7 @@
 func (c *Cell) chargeTeam(s *step, sign int64) {
 	use := c.team(s.job.team())
 	use.used = use.used.Add(s.spec.Need.Times(sign))
+	c.chargeShare(s, sign)
 }
 
 // team returns the job's team. It also works after the job has ended.
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -15,8 +15,8 @@
 // setObjective computes when a job should be complete and when each of its steps
 // must start at the latest.
 func (c *Cell) setObjective(j *job) {
-	path := criticalPath(j.Job)
-	j.objective = j.receivedAt + time.Duration(j.Queue.Slack*float64(path)) + j.Queue.Target
+	j.path = criticalPath(j.Job)
+	j.objective = j.receivedAt + time.Duration(j.Queue.Slack*float64(j.path)) + j.Queue.Target
 	tails := stepTails(j.Job)
 	for _, o := range j.occurrences {
 		base := j.objective
@@ -72,15 +72,15 @@
 		return rankWorthless + j.Queue.Priority
 	case j.beyondRate:
 		return rankBeyondRate + j.Queue.Priority
-	case c.now.Steady > s.latestStart:
+	case j.acceptedLate || c.now.Steady > s.latestStart:
 		return rankLate + j.Queue.Priority
 	default:
 		return j.Queue.Priority
 	}
 }
 
-// sortWaiting removes the steps that no longer wait and sorts the others by rank, then
-// by latest start.
+// sortWaiting removes the steps that no longer wait and sorts the others by rank, on a
+// crowded fleet by their teams' shares, then by latest start.
 func (c *Cell) sortWaiting() {
 	kept := c.waiting[:0]
 	for _, s := range c.waiting {
@@ -99,6 +99,7 @@
 		}
 		return cmp.Compare(a.latestStart, b.latestStart)
 	})
+	c.orderByShare(c.waiting)
 }
 
 // queueReadySteps queues the steps whose dependencies are done and whose occurrence is
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/speed"
 )
 
 const (
@@ -38,6 +39,7 @@
 type worker struct {
 	WorkerInfo
 	listed        bool              // in the store's list
+	evacuated     bool              // its availability zone is being evacuated
 	onRoster      bool              // on the stored roster, so that a successor would find it
 	synced        bool              // answered a poll since the claim or its last known restart
 	pollInFlight  bool              // a poll is in flight
@@ -50,6 +52,9 @@
 	lastProcessed uint64            // sequence number of the last result processed
 	lastStored    uint64            // sequence number of the last result whose effect is stored
 	lastAcked     uint64            // sequence number of the last result acknowledged
+	unstored      bool              // in commitState.unstored
+	ackable       uint64            // sequence number of the result that the next commit may store
+	markedAt      uint64            // commitState.marked when ackable was processed
 	ackInFlight   uint64            // sequence number that the poll in flight acknowledges
 	incarnation   int               // number of known restarts
 	restartSeenAt Instant           // when the last restart became known
@@ -60,8 +65,10 @@
 	pausedUntil   Instant // no new work before this time
 	reservedFrom  Instant // when a gang needs it, according to the last placement round
 	reservedRank  int     // rank of that gang
-	speed         float64 // average speed relative to the estimates
-	speedSamples  int     // samples in speed, at most maxSpeedSamples
+	speed         speed.Estimate
+	factor        float64    // speed relative to the usual one of an uneven service; 0 if speeds are alike
+	speedBand     int        // workers of one band have like speeds; higher is faster
+	candidate     *candidate // in the last placement round; nil if it was not usable
 }
 
 // newWorker returns a worker that has not answered yet.
@@ -73,6 +80,7 @@
 func (c *Cell) addWorker(w *worker) {
 	at, known := c.workerIndex(w.ID)
 	if known {
+		c.sortedWorkers[at].candidate = nil
 		c.sortedWorkers[at] = w
 	} else {
 		c.sortedWorkers = slices.Insert(c.sortedWorkers, at, w)
@@ -86,6 +94,7 @@
 		c.sortedWorkers = slices.Delete(c.sortedWorkers, at, at+1)
 	}
 	delete(c.workers, w.ID)
+	w.candidate = nil
 }
 
 // workerIndex returns the index in sortedWorkers at which a worker is or would be,
@@ -121,7 +130,7 @@
 // usable reports whether the worker may get new work now. Workers with stray runs may
 // not, as the resource use of those is unknown.
 func (w *worker) usable(now Instant) bool {
-	return w.listed && w.onRoster && w.synced && !w.Draining && len(w.strays) == 0 &&
+	return w.listed && w.onRoster && w.synced && !w.Draining && !w.evacuated && len(w.strays) == 0 &&
 		now >= w.pausedUntil && !w.silent(now)
 }
 
--- a/cellhost/peer_calls.go
+++ b/cellhost/peer_calls.go
@@ -57,6 +57,7 @@
 	Results   []relayResult `cbor:"15,keyasint,omitempty"` // in kindRelayResults
 	Head      *HeadRow      `cbor:"17,keyasint,omitempty"` // in kindAnnounce
 	Interval  time.Duration `cbor:"18,keyasint,omitempty"` // in a heartbeat: time between two heartbeats of the sender
+	Zone      string        `cbor:"19,keyasint,omitempty"` // in kindSubmit: availability zone of the host that the caller reached
 }
 
 // reply answers a request.
@@ -147,7 +148,7 @@
 // store while this host can. The session is that of the owner, and is empty if the
 // cell is vacant.
 func (h *Host) handleOffer(ctx context.Context, session string) reply {
-	if h.leaving.Load() || h.Rules() == nil || h.ownership.owns() {
+	if h.leaving.Load() || h.Rules() == nil || h.requestsExpired() || h.ownership.owns() {
 		return reply{}
 	}
 	head, err := h.readHeadPromptly(ctx)
