--- a/cell/fullfleet_test.go
+++ b/cell/fullfleet_test.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"math"
-	"strings"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/workload"
 )
@@ -41,7 +42,7 @@
 		st.Checkpointing = f.rng.Float64() < 0.8
 	case "gang":
 		j.Queue.Priority, j.Queue.Slack, j.Queue.Target, j.Queue.Advice = 1, 2.2, time.Second, advice(702*time.Millisecond, 10010*time.Microsecond)
-		width = f.drawn(20, 0.7, 120)
+		width = f.drawn(20, 0.7, 36)
 		st.Need = resource.Vector{MilliCPU: int64(f.drawn(9000, 0.4, 15000)), MemoryMB: int64(f.drawn(33000, 0.5, 65000))}
 		st.Estimate = time.Duration(f.drawn(6200, 0.5, 16000)) * time.Millisecond
 		st.Gang, st.Checkpointing = true, f.rng.Float64() < 0.5
@@ -57,15 +58,27 @@
 
 func (f *simFleet) submitFullFleet(kind string, from, to Instant, rate float64) {
 	for at := from; at < to; at += time.Duration(f.rng.ExpFloat64() / rate * float64(time.Second)) {
-		f.submitted++
-		f.submit(at, f.fullFleetJob(kind, fmt.Sprintf("%016x", f.submitted)))
+		f.submit(at, f.fullFleetJob(kind, fmt.Sprintf("%016x", len(f.jobs))))
+	}
+}
+
+// usedShare returns the share of the processors that runs hold.
+func (c *Cell) usedShare() float64 {
+	used, capacity := int64(0), int64(0)
+	for _, w := range c.sortedWorkers {
+		used, capacity = used+w.used.MilliCPU, capacity+w.Capacity.MilliCPU
 	}
+	return float64(used) / float64(capacity)
 }
 
-func TestScratchFullFleet(t *testing.T) {
-	f := newFleet(t, 5, 350)
+// TestScarceAdviceKeepsNoRoomIdle simulates bursts of gangs, which make long calls for
+// advice, and of bulk jobs, which make many medium ones. Together they ask for more calls
+// than the hosts can make. While many steps wait, the fleet must be in use, and neither
+// kind may keep the other from asking.
+func TestScarceAdviceKeepsNoRoomIdle(t *testing.T) {
+	f := newFleet(t, 5, 120)
 	f.hosts = nil
-	for i := range 33 {
+	for i := range 12 {
 		f.hosts = append(f.hosts, fmt.Sprintf("h%02d", i))
 	}
 	for _, w := range f.workers {
@@ -76,85 +89,25 @@
 	f.eligibleByQueue = map[string]uint32{"lookup": 70, "bulk": 45, "gang": 25}
 	f.claim()
 	end := 32 * time.Second
-	f.submitFullFleet("lookup", 2*time.Second, end, 100)
-	f.submitFullFleet("bulk", 2*time.Second, end, 13)
-	f.submitFullFleet("gang", 2*time.Second, end, 4.2)
-	f.submitFullFleet("bulk", 3*time.Second, 13*time.Second, 16)
-	f.submitFullFleet("gang", 8*time.Second, 14*time.Second, 4)
-	f.submitFullFleet("lookup", 10*time.Second, 14*time.Second, 80)
-	f.submitFullFleet("bulk", 5*time.Second, 11*time.Second, 16)
-	f.submitFullFleet("gang", 20*time.Second, 24*time.Second, 3)
-	events := map[string][]string{}
-	f.onUpdate = func(c *Cell, _ any, effects []any, _ time.Duration) {
-		for _, effect := range effects {
-			if r, ok := effect.(LogRecord); ok && (r.Text == "advice" || r.Text == "placed" || r.Text == "gang waits") {
-				id := strings.Split(r.Attrs[0].Value.String(), ".")[0]
-				if j := f.jobs[id]; j != nil && j.spec.Queue.Name == "gang" {
-					events[r.Attrs[0].Value.String()] = append(events[r.Attrs[0].Value.String()], fmt.Sprintf("%.1f %s %v", (f.now-j.submittedAt).Seconds(), r.Text, r.Attrs[1:]))
-				}
-			}
-			if r, ok := effect.(LogRecord); ok && r.Text == "fleet use" && f.now < 60*time.Second {
-				t.Log(f.now.Round(time.Millisecond), r.Attrs)
-			}
-		}
-	}
-	for _, at := range []time.Duration{20 * time.Second, 40 * time.Second} {
+	f.submitFullFleet("lookup", 2*time.Second, end, 33)
+	f.submitFullFleet("bulk", 2*time.Second, end, 4.3)
+	f.submitFullFleet("gang", 2*time.Second, end, 1.4)
+	f.submitFullFleet("bulk", 4*time.Second, 13*time.Second, 11)
+	f.submitFullFleet("gang", 8*time.Second, 14*time.Second, 1.4)
+	used, samples := 0.0, 0
+	for at := 14 * time.Second; at < 30*time.Second; at += 500 * time.Millisecond {
 		f.at(at, func() {
-			c := f.owner
-			for _, s := range c.waiting {
-				if !s.spec.Gang {
-					continue
-				}
-				elig, room, capRoom, reserved := 0, 0, 0, 0
-				for w := range s.advice.answers {
-					if s.advice.mayRun(w) {
-						elig++
-						room += s.room(w, w.free())
-						capRoom += s.room(w, w.Capacity)
-						if w.reservedFrom > 0 {
-							reserved++
-						}
-					}
-				}
-				t.Log("STATE", f.now, s.name, "rank", s.rank, "members", len(s.tasks), "need", s.spec.Need.MilliCPU, s.spec.Need.MemoryMB, "asking", s.advice.callsInFlight, "known", len(s.advice.answers), "eligible", elig, "roomNow", room, "cap", capRoom, "reserved", reserved, "roomIn", (s.roomExpectedAt - f.now).Round(10*time.Millisecond), "waited", (f.now - s.job.receivedAt).Round(10*time.Millisecond))
+			if len(f.owner.waiting) > 40 {
+				used, samples = used+f.owner.usedShare(), samples+1
 			}
-			t.Log("STATE hosts", len(c.longCalls))
 		})
 	}
 	f.runUntil(100 * time.Second)
-	for step, list := range events {
-		t.Log("GANG", step, strings.Join(list, " | "))
-	}
-	for q, o := range f.outcomesByQueue() {
-		t.Log(q, o, fmt.Sprintf("worth %.3f", f.tallyWorth(q)))
-	}
-	t.Log("starts", f.starts, "wasted", f.wastedCoreSeconds, "advice", f.adviceCalls, f.adviceTime, f.violations)
-}
-
-func (f *simFleet) tallyWorth(queue string) float64 {
-	sum, n := 0.0, 0.0
-	for _, j := range f.jobs {
-		if j.spec.Queue.Name != queue {
-			continue
-		}
-		n++
-		longest := time.Duration(0)
-		for i := range j.spec.Steps {
-			stepLongest := time.Duration(0)
-			for k := range j.spec.Steps[i].Count {
-				stepLongest = max(stepLongest, j.actual[workload.TaskID{Job: j.spec.ID, Step: i, Index: k}.String()])
-			}
-			longest += stepLongest
-		}
-		allowed := time.Duration(j.spec.Queue.Slack*float64(longest)) + j.spec.Queue.Target
-		took := j.endedAt - j.submittedAt
-		switch {
-		case j.endedAt == 0 || j.state != workload.Completed || took > 3*allowed:
-		case took > allowed:
-			sum += 0.2
-		default:
-			sum++
-		}
-	}
-	return sum / n
+	f.requireNoViolations()
+	f.requireAllEnded()
+	byQueue := f.outcomesByQueue()
+	t.Logf("used %.3f in %d samples; %v", used/float64(samples), samples, byQueue)
+	require.Greater(t, samples, 10)
+	require.Greater(t, used/float64(samples), 0.75)
+	require.Greater(t, byQueue["bulk"].onTimeShare(), 0.6)
 }
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -34,11 +34,9 @@
 	owner           *Cell
 	store           simStore
 	fault           protocolFault
-	storeLatency    time.Duration     // duration of a transaction, if longer than simCommitLatency
-	eligiblePercent uint32            // percentage of workers eligible for a step
-	eligibleByQueue map[string]uint32 // the same by queue, where it differs
-	submitted       int
-	adviceTime      map[string]time.Duration // service time of the calls for advice, by queue
+	storeLatency    time.Duration            // duration of a transaction, if longer than simCommitLatency
+	eligiblePercent uint32                   // percentage of workers eligible for a step
+	eligibleByQueue map[string]uint32        // the same by queue, where it differs
 	estimatesOff    float64                  // factor up to which real run times differ from the estimates, by job
 	longestCall     map[string]time.Duration // longest call to the advice service, by queue
 	adviceCalls     map[string]int           // calls to the advice service, by queue
@@ -819,10 +817,6 @@
 		f.send(c, AdviceResult{Host: e.Host, Step: e.Step, Failure: Invalid})
 		return
 	}
-	if f.adviceTime == nil {
-		f.adviceTime = map[string]time.Duration{}
-	}
-	f.adviceTime[f.jobs[id.Job].spec.Queue.Name] += took
 	start := max(f.hostBusyUntil[e.Host], f.now+simNetworkDelay)
 	queue := f.jobs[id.Job].spec.Queue.Name
 	f.longestCallWait[queue] = max(f.longestCallWait[queue], start-f.now)
