Expected wait: less processor time for the estimate

Cause: the tables of holes were sorted for few lookups, and the work of each task was added as vectors.

Change: a table is passed over without sorting until it was asked 32 times; the tasks of a step are counted and multiplied once. TestWait now asks tables before and after they are sorted.

--- a/cell/loadestimate.go
+++ b/cell/loadestimate.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/scarcity"
 	"github.com/cowslipgap/cowslipgap/workload"
 )
@@ -206,27 +205,33 @@
 
 // addStep adds the remaining work of a step whose tasks take the given time.
 func (c *Cell) addStep(s *step, duration time.Duration) {
-	j, need := s.job, s.spec.Need
-	work := func(share float64) resource.Vector {
-		return need.Times(int64(share * float64(duration.Milliseconds())))
-	}
-	var running, waiting scarcity.Demand
+	j, need, now := s.job, s.spec.Need, c.now.Steady
+	running, ready, later := 0, 0, 0 // tasks
+	left := 0.0                      // of the running ones, in runs
 	for _, t := range s.tasks {
 		switch {
 		case t.done:
-		case len(t.runs) > 0 && t.runs[0].w.silent(c.now.Steady):
+		case len(t.runs) > 0 && t.runs[0].w.silent(now):
 			// The capacity of silent workers is not counted either.
 		case len(t.runs) > 0:
-			running = running.Add(scarcity.Demand{Now: need, Work: work(1 - t.runs[0].doneShare())})
-		case s.ready || j.receivedAt == c.now.Steady:
-			waiting = waiting.Add(scarcity.Demand{Now: need, Work: work(1)})
+			running++
+			left += 1 - t.runs[0].doneShare()
+		case s.ready || j.receivedAt == now:
+			ready++
 		default:
-			waiting.Work = waiting.Work.Add(work(1))
+			later++
 		}
 	}
+	demand := func(tasks int, runs float64) scarcity.Demand {
+		return scarcity.Demand{Now: need.Times(int64(tasks)), Work: need.Times(int64(runs * float64(duration.Milliseconds())))}
+	}
 	key := waitingKey{teamService{j.Team, j.Queue.Service}, c.rank(s), s.spec.Gang}
-	c.load.running[key.teamService] = c.load.running[key.teamService].Add(running)
-	c.load.waiting[key] = c.load.waiting[key].Add(waiting)
+	if running > 0 {
+		c.load.running[key.teamService] = c.load.running[key.teamService].Add(demand(running, left))
+	}
+	if ready+later > 0 {
+		c.load.waiting[key] = c.load.waiting[key].Add(demand(ready, float64(ready+later)))
+	}
 }
 
 // doneShare returns the share of its work that a run has done.
--- a/scarcity/scarcity.go
+++ b/scarcity/scarcity.go
@@ -28,6 +28,8 @@
 	// eligibleDeviations is by how many standard deviations the number of eligible workers
 	// may exceed the average before a request counts as impossible.
 	eligibleDeviations = 4
+	// lookupsBeforeSort is how many lookups pass over all holes before they are sorted.
+	lookupsBeforeSort = 32
 	// Never is the wait for room that no fleet of these workers ever has.
 	Never = 24 * time.Hour
 )
@@ -172,38 +174,55 @@
 	return h.Reserved > 0 && h.Rank <= r.Rank && r.Time > h.Reserved
 }
 
-// Holes is the free room of all workers, sorted for lookups.
+// Holes is the free room of all workers. It is sorted when it is looked up often.
 type Holes struct {
-	byCPU, byMemory []Hole
-	total           resource.Vector
+	list    []Hole
+	total   resource.Vector
+	lookups int
+	// byCPU and byMemory are indexes into list, the largest hole first; nil until sorted.
+	byCPU, byMemory []int32
 }
 
 // NewHoles returns the holes of a fleet. It keeps the slice.
 func NewHoles(holes []Hole) *Holes {
-	h := &Holes{byCPU: holes, byMemory: slices.Clone(holes)}
+	h := &Holes{list: holes}
 	for i := range holes {
 		h.total = h.total.Add(holes[i].Free)
 	}
-	slices.SortFunc(h.byCPU, func(a, b Hole) int { return cmp.Compare(b.Free.MilliCPU, a.Free.MilliCPU) })
-	slices.SortFunc(h.byMemory, func(a, b Hole) int { return cmp.Compare(b.Free.MemoryMB, a.Free.MemoryMB) })
 	return h
 }
 
-// room counts the tasks of the request that fit, up to enough. It looks only at the
-// workers that have enough of the scarcer resource.
+// sort sorts the holes by each resource. It takes about as long as lookupsBeforeSort
+// passes over them.
+func (h *Holes) sort() {
+	h.byCPU = make([]int32, len(h.list))
+	for i := range h.byCPU {
+		h.byCPU[i] = int32(i)
+	}
+	h.byMemory = slices.Clone(h.byCPU)
+	slices.SortFunc(h.byCPU, func(a, b int32) int { return cmp.Compare(h.list[b].Free.MilliCPU, h.list[a].Free.MilliCPU) })
+	slices.SortFunc(h.byMemory, func(a, b int32) int { return cmp.Compare(h.list[b].Free.MemoryMB, h.list[a].Free.MemoryMB) })
+}
+
+// room counts the tasks of the request that fit, up to enough. Once the holes are sorted,
+// it looks only at the workers that have enough of the scarcer resource.
 func (h *Holes) room(r Request, enough int) int {
-	list := h.byCPU[:sort.Search(len(h.byCPU), func(i int) bool { return h.byCPU[i].Free.MilliCPU < r.Need.MilliCPU })]
-	if n := sort.Search(len(h.byMemory), func(i int) bool { return h.byMemory[i].Free.MemoryMB < r.Need.MemoryMB }); n < len(list) {
-		list = h.byMemory[:n]
+	if h.lookups++; h.lookups == lookupsBeforeSort {
+		h.sort()
 	}
 	count := 0
-	for i := range list {
-		if count >= enough {
-			break
-		}
-		if !list[i].blocks(&r) && (r.Label == "" || slices.Contains(list[i].Labels, r.Label)) {
-			count += fit(r, list[i].Free, enough)
+	if h.byCPU == nil {
+		for i := 0; i < len(h.list) && count < enough; i++ {
+			count += h.list[i].fit(&r, enough)
 		}
+		return count
+	}
+	order := h.byCPU[:sort.Search(len(h.byCPU), func(i int) bool { return h.list[h.byCPU[i]].Free.MilliCPU < r.Need.MilliCPU })]
+	if n := sort.Search(len(h.byMemory), func(i int) bool { return h.list[h.byMemory[i]].Free.MemoryMB < r.Need.MemoryMB }); n < len(order) {
+		order = h.byMemory[:n]
+	}
+	for i := 0; i < len(order) && count < enough; i++ {
+		count += h.list[order[i]].fit(&r, enough)
 	}
 	return count
 }
@@ -212,24 +231,27 @@
 // eligible workers are a random part of the fleet.
 func (h *Holes) most(r Request) int {
 	share := r.share()
-	if workers := float64(len(h.byCPU)); workers > 0 {
+	if workers := float64(len(h.list)); workers > 0 {
 		share = min(1, share+eligibleDeviations*math.Sqrt(share*(1-share)/workers))
 	}
 	room := h.room(r, int(math.Ceil(float64(r.Tasks)/share)))
 	return min(r.Tasks, int(math.Ceil(float64(room)*share)))
 }
 
-// fit returns how many tasks of the request fit into the free room of one worker.
-func fit(r Request, free resource.Vector, enough int) int {
+// fit returns how many tasks of the request may start on the worker, up to enough.
+func (h *Hole) fit(r *Request, enough int) int {
+	if !r.Need.Fits(h.Free) || h.blocks(r) || r.Label != "" && !slices.Contains(h.Labels, r.Label) {
+		return 0
+	}
 	n := int64(enough)
 	divide := func(have, need int64) {
 		if need > 0 {
-			n = min(n, max(0, have)/need)
+			n = min(n, have/need)
 		}
 	}
-	divide(free.MilliCPU, r.Need.MilliCPU)
-	divide(free.MemoryMB, r.Need.MemoryMB)
-	divide(free.Accelerators, r.Need.Accelerators)
+	divide(h.Free.MilliCPU, r.Need.MilliCPU)
+	divide(h.Free.MemoryMB, r.Need.MemoryMB)
+	divide(h.Free.Accelerators, r.Need.Accelerators)
 	if r.MaxPerWorker > 0 {
 		n = min(n, int64(r.MaxPerWorker))
 	}
--- a/scarcity/scarcity_test.go
+++ b/scarcity/scarcity_test.go
@@ -13,12 +13,17 @@
 // runs end after the given time.
 func fleet(workers int, free resource.Vector, ends time.Duration) *Fleet {
 	size := resource.Vector{MilliCPU: 32_000, MemoryMB: 128_000}
+	tables := map[resource.Vector]*Holes{}
 	holes := func(free resource.Vector) *Holes {
+		if tables[free] != nil {
+			return tables[free]
+		}
 		list := make([]Hole, workers)
 		for i := range list {
 			list[i] = Hole{Free: free, Labels: []string{"r0"}}
 		}
-		return NewHoles(list)
+		tables[free] = NewHoles(list)
+		return tables[free]
 	}
 	return &Fleet{Capacity: size.Times(int64(workers)), Empty: holes(size), Holes: func(after time.Duration) *Holes {
 		if after >= ends {
@@ -65,6 +70,9 @@
 			wait := f.Wait(c.r, c.ahead)
 			require.GreaterOrEqual(t, wait, c.min)
 			require.LessOrEqual(t, wait, c.max)
+			for range lookupsBeforeSort { // the same from sorted holes
+				require.Equal(t, wait, f.Wait(c.r, c.ahead))
+			}
 		})
 	}
 	require.Zero(t, (&Fleet{}).Wait(task(1, 1), Ahead{}))
@@ -96,14 +104,6 @@
 // BenchmarkWait asks for much room on 3,000 workers whose tables are sorted.
 func BenchmarkWait(b *testing.B) {
 	f := fleet(3000, resource.Vector{MilliCPU: 5000, MemoryMB: 30_000}, 4*time.Second)
-	tables := map[time.Duration]*Holes{}
-	uncached := f.Holes
-	f.Holes = func(after time.Duration) *Holes {
-		if tables[after] == nil {
-			tables[after] = uncached(after)
-		}
-		return tables[after]
-	}
 	r := Request{Need: resource.Vector{MilliCPU: 9000, MemoryMB: 33_000}, Tasks: 20, Gang: true}
 	for b.Loop() {
 		f.Wait(r, Ahead{})
