cell: copies and moves of slow runs; speeds compared without bias

A slow run kept its job waiting while fast workers were free, also where its step allows copies.

The simulation gained checkpoints.

Outliers count by run, not by share, so that several slow runs at once show that a worker turned slow. placement records the first run of a task, which is the only one without copies.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -80,7 +80,8 @@
 	pendingJobs     []*job                  // jobs that may have steps to become ready
 	statsByQueue    map[string]*queueStats
 	uneven          map[string]float64 // usual speed of the services with workers of uneven speeds
-	speedsCheckedAt Instant            // when the speeds were last compared
+	hastening       hastening
+	speedsCheckedAt Instant // when the speeds were last compared
 	recovered       bool
 	recoverBy       Instant                    // when recovery ends at the latest
 	held            map[string][]*task         // tasks that may still have a run of an earlier owner, by worker
@@ -118,7 +119,7 @@
 	if c.statsByQueue == nil {
 		c.statsByQueue = map[string]*queueStats{}
 	}
-	c.uneven, c.speedsCheckedAt = map[string]float64{}, 0
+	c.uneven, c.speedsCheckedAt, c.hastening = map[string]float64{}, 0, hastening{}
 	c.commits = commitState{}
 	c.load = loadEstimate{}
 	c.recovered, c.listedOnce = false, false
@@ -211,6 +212,7 @@
 	}
 	c.queueReadySteps()
 	c.place()
+	c.hastenSlowRuns()
 	c.pollAndCommit()
 }
 
@@ -287,12 +289,14 @@
 	Usable    int    `json:"usableWorkers"`
 	HeldTasks int    `json:"heldTasks"`      // tasks that may still have a run of an earlier owner
 	Uneven    int    `json:"unevenServices"` // services with workers of uneven speeds
+	Copies    int    `json:"copies"`         // copies of slow runs since the claim
+	Moves     int    `json:"moves"`          // moves of slow runs to faster workers since the claim
 	Speeds    int    `json:"knownSpeeds"`    // workers with a known speed
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Uneven: len(c.uneven)}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Uneven: len(c.uneven), Copies: c.hastening.copies, Moves: c.hastening.moves}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
--- a/cell/job.go
+++ b/cell/job.go
@@ -52,7 +52,8 @@
 	lastRun         uint64              // number of the last run of a gang; the runs of other steps are numbered in task
 	failedRuns      workload.FailedRuns // of a gang; other steps use task.failedRuns
 	checkpoint      string              // of a gang; other steps use task.checkpoint
-	peerWork        []float64           // work of the tasks that have ended, ascending, in nanoseconds at speed 1
+	peers           []peerRun           // runs that have ended and are not compared yet
+	peerWork        float64             // median work of its tasks, in nanoseconds at speed 1; 0: unknown
 	gangRemainingAt Instant             // when gangRemaining was computed
 	gangRemaining   time.Duration       // longest remaining work of a gang's members
 
@@ -76,6 +77,8 @@
 	lastRun    uint64 // number of its last run, or the one after which its runs are numbered
 	runs       []*run
 	avoid      map[string]bool // workers on which it failed
+	copies     int             // copies of slow runs that have been started
+	minSpeed   float64         // preferred speed of its worker, after a move from a slow one
 	heldFor    string          // worker that may still execute a run that an earlier owner started; until that is known, no run starts
 }
 
@@ -101,6 +104,8 @@
 	stopSentAt     Instant
 	stopAckedAt    Instant
 	percent        int     // reported progress
+	savedPercent   int     // progress when the checkpoint was reported
+	hastened       bool    // a copy, or stopped for a move to a faster worker
 	sampledPercent int     // progress at the last speed sample
 	sampledAt      Instant // when that was; 0 before the first
 	progressAt     Instant // when percent last changed
@@ -245,7 +250,7 @@
 // there is such a worker.
 func (t *task) placement() (workload.Placement, bool) {
 	if len(t.runs) > 0 {
-		r := t.runs[len(t.runs)-1]
+		r := t.runs[0] // the most advanced, if there are copies
 		return workload.Placement{Worker: r.w.ID, Run: r.number}, true
 	}
 	return workload.Placement{Worker: t.heldFor}, t.heldFor != ""
--- a/cell/queuestats.go
+++ b/cell/queuestats.go
@@ -103,9 +103,12 @@
 	case outcome == Done && r.confirmedAt > 0 && s.spec.Estimate > 0 && s.job.Job != nil && r.number == 1:
 		ratio := float64(c.now.Steady-r.confirmedAt) / float64(s.spec.Estimate) * r.speed()
 		c.queueStats(s.job.Queue.Name).runs.Add(min(maxDurationRatio, ratio))
-		if !s.spec.Gang {
+		switch {
+		case s.spec.Gang:
+		case len(s.tasks) >= minPeers:
+			c.addPeer(r)
+		default:
 			c.addSpeedSample(r, 100, c.now.Steady)
-			c.addPeerWork(r)
 		}
 	}
 }
--- a/cell/report.go
+++ b/cell/report.go
@@ -225,6 +225,9 @@
 	}
 	s := r.task.step
 	if entry.Checkpoint != "" && s.job.Job != nil {
+		if r.task.checkpoint != entry.Checkpoint {
+			r.savedPercent = entry.Percent
+		}
 		r.task.checkpoint = entry.Checkpoint
 		s.checkpoint = entry.Checkpoint
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -30,11 +30,13 @@
 	c.markDirty(t.step.job)
 }
 
-// addRun adds a run, the only one of its task, and charges it to its worker and team.
+// addRun adds a run, and charges it to its worker and team.
 func (c *Cell) addRun(r *run) {
 	t := r.task
 	t.runs = append(t.runs, r)
-	t.step.tasksWithRuns++
+	if len(t.runs) == 1 {
+		t.step.tasksWithRuns++
+	}
 	r.w.runs[t.name] = r
 	r.w.charge(r, 1)
 	c.chargeTeam(t.step, 1)
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -104,7 +104,8 @@
 	need      resource.Vector
 	work      time.Duration
 	startedAt Instant
-	waiting   bool // waits for the other members of its gang
+	resumed   float64 // share of the work that its checkpoint saved
+	waiting   bool    // waits for the other members of its gang
 	faulty    bool
 }
 
@@ -145,6 +146,7 @@
 	simCommandTimeout = 700 * time.Millisecond
 	simMaxLease       = 6 * time.Second
 	simGangTimeout    = 3 * time.Second
+	simRestoreTime    = 100 * time.Millisecond
 	simRoundInterval  = 5 * time.Millisecond
 	simListInterval   = 400 * time.Millisecond
 )
@@ -427,6 +429,11 @@
 	step := j.spec.Steps[id.Step]
 	r := &simRun{task: id, number: e.Run, need: step.Need, startedAt: f.now, faulty: j.faulty || w.failing}
 	r.work = time.Duration(float64(j.actual[e.Task]) / w.speed)
+	if e.Checkpoint != "" {
+		r.resumed, err = strconv.ParseFloat(e.Checkpoint, 64)
+		require.NoError(f.t, err)
+		r.work = time.Duration((1-r.resumed)*float64(r.work)) + simRestoreTime
+	}
 	f.checkStart(w, j, e, r)
 	w.runs[e.Task] = r
 	w.lease = max(w.lease, min(e.LeaseUntil, f.now+simMaxLease))
@@ -570,7 +577,7 @@
 	}
 	w.lastSeq++
 	w.highestBarredRun[name] = max(w.highestBarredRun[name], r.number)
-	w.ended = append(w.ended, RunResult{Seq: w.lastSeq, Task: name, Run: r.number, Outcome: outcome})
+	w.ended = append(w.ended, RunResult{Seq: w.lastSeq, Task: name, Run: r.number, Outcome: outcome, Checkpoint: f.checkpoint(r)})
 	if step := j.spec.Steps[r.task.Step]; step.Gang && outcome != Done && outcome != GangAborted {
 		f.abortGang(r)
 	}
@@ -581,6 +588,22 @@
 	}
 }
 
+// progress returns the share of a run's work that is done.
+func (f *simFleet) progress(r *simRun) float64 {
+	if r.waiting || r.work <= 0 {
+		return 0
+	}
+	return min(1, r.resumed+(1-r.resumed)*float64(f.now-r.startedAt)/float64(r.work))
+}
+
+// checkpoint returns the checkpoint of a run, which is saved continuously. Gangs save none.
+func (f *simFleet) checkpoint(r *simRun) string {
+	if step := f.jobs[r.task.Job].spec.Steps[r.task.Step]; !step.Checkpointing || step.Gang {
+		return ""
+	}
+	return strconv.FormatFloat(f.progress(r), 'g', -1, 64)
+}
+
 // abortGang ends the other members of a gang's run.
 func (f *simFleet) abortGang(r *simRun) {
 	for _, other := range f.workers {
@@ -659,11 +682,7 @@
 		w.lastReported = w.lastSeq
 		report := Report{StartedAt: w.info.StartedAt, Clock: f.now, Ended: slices.Clone(w.ended)}
 		for name, r := range w.runs {
-			percent := 0
-			if !r.waiting && r.work > 0 {
-				percent = min(100, int(100*(f.now-r.startedAt)/r.work))
-			}
-			report.Running = append(report.Running, RunningTask{Task: name, Run: r.number, Percent: percent})
+			report.Running = append(report.Running, RunningTask{Task: name, Run: r.number, Checkpoint: f.checkpoint(r), Percent: int(100 * f.progress(r))})
 		}
 		f.after(simNetworkDelay, func() {
 			f.send(c, PollResult{Worker: e.Worker, Sent: sent, Received: f.now, Report: report})
--- a/cell/speed.go
+++ b/cell/speed.go
@@ -24,8 +24,10 @@
 	// minSpeedShare is the minimum share of a run that a speed sample covers, because
 	// progress is reported in whole percents and at intervals.
 	minSpeedShare = 0.25
-	// minPeers is how many tasks of a step must have ended for others to be compared with.
-	minPeers = 3
+	// minPeers is how many tasks a step must have for them to be compared with each other,
+	// and minEndedPeers the share of them that must have ended.
+	minPeers      = 4
+	minEndedPeers = 0.75
 	// earlyQuantile and cautiousQuantile bound the run times for which a start on a
 	// worker has to be in time.
 	earlyQuantile = 0.1
@@ -55,30 +57,51 @@
 	stats := c.queueStats(s.job.Queue.Name)
 	expected := float64(stats.quantileDuration(s.spec.Estimate, 0.5))
 	spread, known := stats.runs.Spread()
-	if peers, peersKnown := stats.peers.Spread(); peersKnown && len(s.peerWork) >= minPeers {
-		expected, spread = s.peerWork[len(s.peerWork)/2], peers
+	if peers, peersKnown := stats.peers.Spread(); peersKnown && s.peerWork > 0 {
+		expected, spread = s.peerWork, peers
 	}
 	if known {
+		r.w.speed.Add(share*expected/float64(at-from), spread, share, r.sampledAt > 0)
 		r.sampledPercent, r.sampledAt = percent, at
-		r.w.speed.Add(share*expected/float64(at-from), spread, share)
 	}
 }
 
-// addPeerWork records the work of a run that has ended, which tasks of the same step are
-// compared with: their work differs less than the estimates of jobs are off.
-func (c *Cell) addPeerWork(r *run) {
+// peerRun is a run that has ended, to be compared with others of its step.
+type peerRun struct {
+	*run
+	incarnation int
+	endedAt     Instant
+}
+
+// addPeer takes a sample of a run that has ended, compared with the tasks of its step: their
+// work differs less than the estimates of jobs are off. The first to end are the short ones,
+// so runs are compared once most have ended.
+func (c *Cell) addPeer(r *run) {
 	s := r.task.step
-	if s.spec.Gang {
+	s.peers = append(s.peers, peerRun{r, r.w.incarnation, c.now.Steady})
+	if s.peerWork == 0 && float64(len(s.peers)) < minEndedPeers*float64(len(s.tasks)) {
 		return
 	}
-	work := float64(c.now.Steady-r.confirmedAt) * r.w.relativeSpeed()
-	if len(s.peerWork) >= minPeers {
-		c.queueStats(s.job.Queue.Name).peers.Add(work / s.peerWork[len(s.peerWork)/2])
+	if s.peerWork == 0 {
+		work := make([]float64, len(s.peers))
+		for i, p := range s.peers {
+			work[i] = p.work()
+		}
+		slices.Sort(work)
+		s.peerWork = work[len(work)/2]
+	}
+	for _, p := range s.peers {
+		c.queueStats(s.job.Queue.Name).peers.Add(p.work() / s.peerWork)
+		if p.incarnation == p.w.incarnation {
+			c.addSpeedSample(p.run, 100, p.endedAt)
+		}
 	}
-	i, _ := slices.BinarySearch(s.peerWork, work)
-	s.peerWork = slices.Insert(s.peerWork, i, work)
+	s.peers = s.peers[:0]
 }
 
+// work returns the run's work, in nanoseconds at speed 1.
+func (p peerRun) work() float64 { return float64(p.endedAt-p.confirmedAt) * p.w.relativeSpeed() }
+
 // recordProgressSpeed takes a speed sample of a run that has progressed by enough. A run that
 // resumed from a checkpoint, or was adopted, is not at its beginning when it is first reported.
 func (c *Cell) recordProgressSpeed(r *run, percent int, at Instant) {
@@ -196,31 +219,37 @@
 // job grow with the work. The result is 0 if the step is late anyway, and infinite if a
 // part of its tasks will be late on any worker or all workers are alike.
 func (c *Cell) neededSpeed(s *step) float64 {
-	j := s.job
-	if c.uneven[j.Queue.Service] == 0 {
+	stats := c.queueStats(s.job.Queue.Name)
+	if c.uneven[s.job.Queue.Service] == 0 {
 		return math.Inf(1)
 	}
-	endBy := s.latestStart + s.spec.Estimate // if the work is as estimated
-	if c.now.Steady > s.latestStart+c.queueStats(j.Queue.Name).typicalDuration(s.spec.Estimate) {
+	if c.now.Steady > s.latestStart+stats.typicalDuration(s.spec.Estimate) {
 		return 0
 	}
-	rest := time.Duration(0)
-	if s.occ.due.IsZero() {
-		rest = max(0, j.objective-endBy)
-	}
-	growth := j.Queue.Slack*float64(j.path) - float64(rest)
 	needed := 0.0
 	for _, share := range []float64{earlyQuantile, cautiousQuantile} {
-		work := float64(c.queueStats(j.Queue.Name).quantileDuration(s.spec.Estimate, share))
-		left := float64(endBy-c.now.Steady-endDelay) + (work/float64(max(1, s.spec.Estimate))-1)*growth
+		work := stats.quantileDuration(s.spec.Estimate, share)
+		left := c.endBy(s, work) - c.now.Steady
 		if left <= 0 {
 			return math.Inf(1)
 		}
-		needed = max(needed, speedMargin*work/left)
+		needed = max(needed, speedMargin*float64(work)/float64(left))
 	}
 	return needed
 }
 
+// endBy returns when a task of the step must end for its job to be in time, if it takes the
+// given time on a worker of speed 1 and the other tasks differ from their estimates likewise.
+func (c *Cell) endBy(s *step, work time.Duration) Instant {
+	endBy := s.latestStart + s.spec.Estimate // if the work is as estimated
+	rest := time.Duration(0)
+	if s.occ.due.IsZero() {
+		rest = max(0, s.job.objective-endBy)
+	}
+	growth := s.job.Queue.Slack*float64(s.job.path) - float64(rest)
+	return endBy - endDelay + time.Duration((float64(work)/float64(max(1, s.spec.Estimate))-1)*growth)
+}
+
 // speedScore orders workers for a task that needs the given speed: first the slowest of
 // those that are fast enough, then the fastest of the others.
 func speedScore(speed, needed float64) float64 {
--- a/cell/speed_test.go
+++ b/cell/speed_test.go
@@ -191,7 +191,7 @@
 	for i, factor := range speeds {
 		w := newWorker(WorkerInfo{ID: fmt.Sprint(i), Service: "s", Capacity: resource.Vector{MilliCPU: 32000, MemoryMB: 65536}}, c.now.Steady)
 		for range 50 {
-			w.speed.Add(factor, 0.1, 1)
+			w.speed.Add(factor, 0.1, 1, false)
 		}
 		w.setFactor(1)
 		candidates = append(candidates, &candidate{w: w, free: w.Capacity})
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	var e speed.Estimate
-//	e.Add(expected.Seconds()/actual.Seconds(), 0.15, 1)
+//	e.Add(expected.Seconds()/actual.Seconds(), 0.15, 1, false)
 //	factor, known := e.Value()
 package speed
 
@@ -43,8 +43,9 @@
 
 // Add adds a sample, the ratio of the expected run time on a usual worker to the actual
 // one. The spread is the standard deviation of the logarithm of such ratios on one worker,
-// and share is the share of a run that the sample covers.
-func (e *Estimate) Add(ratio, spread, share float64) {
+// share is the share of a run that the sample covers, and again is whether the run gave an
+// earlier one: a long run is no sign of a slow worker, several are.
+func (e *Estimate) Add(ratio, spread, share float64, again bool) {
 	if ratio <= 0 || share <= 0 {
 		return
 	}
@@ -54,12 +55,16 @@
 	weight := share / (spread * spread)
 	deviation := math.Log(ratio) - e.log
 	limit := maxDeviation * math.Sqrt(1/(prior+e.precision)+1/weight)
+	counts := 1.0
+	if again {
+		counts = 0
+	}
 	switch {
 	case deviation > limit:
-		e.outliers = max(e.outliers, 0) + share
+		e.outliers = max(e.outliers, 0) + counts
 		deviation = limit
 	case deviation < -limit:
-		e.outliers = min(e.outliers, 0) - share
+		e.outliers = min(e.outliers, 0) - counts
 		deviation = -limit
 	case deviation*e.outliers < 0:
 		e.outliers = 0
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -24,8 +24,8 @@
 	factor, known := e.Value()
 	require.False(t, known)
 	require.Equal(t, 1.0, factor)
-	e.Add(0, spread, 1)
-	e.Add(2, spread, 0)
+	e.Add(0, spread, 1, false)
+	e.Add(2, spread, 0, false)
 	_, known = e.Value()
 	require.False(t, known)
 }
@@ -37,7 +37,7 @@
 			rng := rand.New(rand.NewPCG(seed, 2))
 			var e Estimate
 			for range 10 {
-				e.Add(sample(rng, factor, 0.03), spread, 1)
+				e.Add(sample(rng, factor, 0.03), spread, 1, false)
 			}
 			got, known := e.Value()
 			require.True(t, known)
@@ -52,7 +52,7 @@
 	var e Estimate
 	for _, factor := range []float64{0.6, 1.6, 0.3} {
 		for range 40 {
-			e.Add(sample(rng, factor, 0), spread, 1)
+			e.Add(sample(rng, factor, 0), spread, 1, false)
 		}
 		got, _ := e.Value()
 		require.InDelta(t, 0, math.Log(got/factor), 0.15)
@@ -63,10 +63,10 @@
 func TestSingleLongRunChangesNothing(t *testing.T) {
 	var e Estimate
 	for range 20 {
-		e.Add(1, spread, 1)
+		e.Add(1, spread, 1, false)
 	}
-	for range 4 {
-		e.Add(1.0/7, spread, 0.25)
+	for i := range 4 {
+		e.Add(1.0/7, spread, 0.25, i > 0)
 	}
 	got, _ := e.Value()
 	require.Greater(t, got, 0.85)
@@ -76,9 +76,9 @@
 func TestSingleOutlierCountsLittle(t *testing.T) {
 	var e Estimate
 	for range 20 {
-		e.Add(1, spread, 1)
+		e.Add(1, spread, 1, false)
 	}
-	e.Add(1.0/7, spread, 1)
+	e.Add(1.0/7, spread, 1, false)
 	got, _ := e.Value()
 	require.Greater(t, got, 0.94)
 }
