cell: short tasks take the fastest workers

Tasks took the slowest worker that was just fast enough.

A slow worker is now preferred only if it is twice as fast as the objective needs; else the fastest.

--- a/cell/speed.go
+++ b/cell/speed.go
@@ -33,6 +33,9 @@
 	earlyQuantile = 0.1
 	// speedMargin allows for errors of the estimated speed.
 	speedMargin = 1.15
+	// ampleSlack is the multiple of the needed speed from which on a slow worker is preferred.
+	// The delays of storing, starting and reporting count for short tasks.
+	ampleSlack = 2
 	// lateOrder is added to the order of workers that are too slow, more than any band.
 	lateOrder = 100
 	// endDelay is the usual time from the end of a run to the stored end of its job.
@@ -251,17 +254,17 @@
 }
 
 // speedScore orders workers for a task that needs the given speed: first the slowest of
-// those that are fast enough, then the fastest of the others.
+// those with ample slack, then the fastest of the others.
 func speedScore(speed, needed float64) float64 {
-	if speed >= needed {
+	if speed >= ampleSlack*needed {
 		return speedWeight * speed
 	}
 	return penaltyLate - speedWeight*speed
 }
 
 // adviceOrder returns the order in which to ask about workers for a step: on an uneven
-// fleet, those of the highest bands first for a gang, and for others first the slowest that
-// are fast enough.
+// fleet, those of the highest bands first for a gang, and for others first the slowest with
+// ample slack.
 func (c *Cell) adviceOrder(s *step) func(w *worker) int {
 	if c.uneven[s.job.Queue.Service] == 0 {
 		return func(*worker) int { return 0 }
@@ -269,7 +272,7 @@
 	needed := c.neededSpeed(s)
 	return func(w *worker) int {
 		band := w.speedBand
-		if s.spec.Gang || w.workSpeed() < needed {
+		if s.spec.Gang || w.workSpeed() < ampleSlack*needed {
 			return lateOrder - band
 		}
 		return band
