--- a/cell/cell.go
+++ b/cell/cell.go
@@ -90,7 +90,8 @@
 	pendingJobs     []*job                  // jobs that may have steps to become ready
 	statsByQueue    map[string]*queueStats
 	uneven          map[string]float64 // usual speed of the services with workers of uneven speeds
-	speedsCheckedAt Instant            // when the speeds were last compared
+	hastening       hastening
+	speedsCheckedAt Instant // when the speeds were last compared
 	recovered       bool
 	recoverBy       Instant                    // when recovery ends at the latest
 	held            map[string][]*task         // tasks that may still have a run of an earlier owner, by worker
@@ -137,7 +138,7 @@
 	if c.statsByQueue == nil {
 		c.statsByQueue = map[string]*queueStats{}
 	}
-	c.uneven, c.speedsCheckedAt = map[string]float64{}, 0
+	c.uneven, c.speedsCheckedAt, c.hastening = map[string]float64{}, 0, hastening{}
 	c.commits = commitState{}
 	c.load = loadEstimate{}
 	c.eviction.restart(c.now.Steady)
@@ -235,6 +236,7 @@
 	}
 	c.queueReadySteps()
 	c.place()
+	c.hastenSlowRuns()
 	c.pollAndCommit()
 }
 
@@ -323,11 +325,13 @@
 	LostWork   int    `json:"evictedCoreSeconds"` // work thrown away for it, in core-seconds
 	Promised   int    `json:"promisedCallers"`    // refused callers that may come back
 	AboveShare int    `json:"teamsAboveShare"`    // teams whose waiting steps give way to others'
+	Copies     int    `json:"copies"`             // copies of slow runs since the claim
+	Moves      int    `json:"moves"`              // moves of slow runs to faster workers since the claim
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom(), Evicted: c.eviction.runs, LostWork: int(c.eviction.lost), Promised: c.promises.Len(), AboveShare: len(c.aboveShare)}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom(), Evicted: c.eviction.runs, LostWork: int(c.eviction.lost), Promised: c.promises.Len(), AboveShare: len(c.aboveShare), Copies: c.hastening.copies, Moves: c.hastening.moves}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
