Rank: steps that cannot be in time by the queue's run times give way

Cause: a step counted as late only once its latest start by the estimate had passed, although the queue's runs were known to take longer. It took room from steps that could be in time.

Change: rank adds what the average run time exceeds the estimate of the remaining path. Beyond three times the objective a step comes last and still runs, as before.

TestStepThatCannotBeInTimeGivesWay failed before by construction.

--- a/cell/contention_test.go
+++ b/cell/contention_test.go
@@ -142,3 +142,20 @@
 		require.Zero(t, c.Summary().Promised)
 	}
 }
+
+// TestStepThatCannotBeInTimeGivesWay ranks a step whose latest start has not passed, in a
+// queue whose runs take twice as long as estimated.
+func TestStepThatCannotBeInTimeGivesWay(t *testing.T) {
+	c := New(Config{})
+	c.now.Steady = time.Hour
+	j := newJob(quoteJob("bb00000000000001"), workload.Progress{Team: "red"}, 0)
+	j.receivedAt = c.now.Steady
+	c.setObjective(j)
+	s := j.occurrences[0].steps[0]
+	c.now.Steady = s.latestStart - s.tail/2
+	require.Equal(t, j.Queue.Priority, c.rank(s))
+	c.queueStats(j.Queue.Name).durationRatio = 2
+	require.Equal(t, rankLate+j.Queue.Priority, c.rank(s))
+	c.now.Steady = j.receivedAt + worthlessFactor*(j.objective-j.receivedAt) + 1
+	require.Equal(t, rankWorthless+j.Queue.Priority, c.rank(s))
+}
--- a/cell/job.go
+++ b/cell/job.go
@@ -62,6 +62,7 @@
 	waitLogDelay   time.Duration // time between the last log of its wait and the next; 0 before the first
 	roomExpectedAt Instant       // when the workers are expected to have room for a waiting gang
 	latestStart    Instant       // latest start that meets the objective
+	tail           time.Duration // estimated time from its start to the end of the job if no task has to wait
 	rank           int           // its rank in the current placement round; lower comes first
 }
 
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -24,7 +24,7 @@
 			base += max(0, o.due.Sub(c.now.Wall))
 		}
 		for n, s := range o.steps {
-			s.latestStart = base - tails[n]
+			s.latestStart, s.tail = base-tails[n], tails[n]
 		}
 	}
 }
@@ -72,13 +72,21 @@
 		return rankWorthless + j.Queue.Priority
 	case j.beyondRate:
 		return rankBeyondRate + j.Queue.Priority
-	case j.acceptedLate || c.now.Steady > s.latestStart:
+	case j.acceptedLate || !c.canBeInTime(s):
 		return rankLate + j.Queue.Priority
 	default:
 		return j.Queue.Priority
 	}
 }
 
+// canBeInTime reports whether the job can meet its objective if the step starts now and
+// its runs take as long as those of its queue did on average. Work that cannot gives way
+// before its latest start has passed, so that it does not make others late as well.
+func (c *Cell) canBeInTime(s *step) bool {
+	overrun := c.queueStats(s.job.Queue.Name).expectedDuration(s.tail) - s.tail
+	return c.now.Steady+max(0, overrun) <= s.latestStart
+}
+
 // sortWaiting removes the steps that no longer wait and sorts the others by rank, on a
 // crowded fleet by their teams' shares, then by latest start.
 func (c *Cell) sortWaiting() {
