--- a/cell/job.go
+++ b/cell/job.go
@@ -68,6 +68,7 @@
 	latestStart    Instant         // latest start that meets the objective
 	roomOn         map[*worker]int // workers whose runs were stopped for it, with the tasks that they then hold
 	roomCheckAt    Instant         // no search for runs to stop for it before
+	tail           time.Duration   // estimated time from its start to the end of the job if no task has to wait
 	rank           int             // its rank in the current placement round; lower comes first
 }
 
