cell: a step's latest start moves with the real work of its queue

The objective counts the real work, so a queue whose runs take longer than estimated has more time, not less. TestStepThatCannotBeInTimeGivesWay asked for the opposite with runs that take twice as long; it is replaced by one that checks both sides of the latest start for three ratios.

--- a/cell/rank.go
+++ b/cell/rank.go
@@ -79,12 +79,14 @@
 	}
 }
 
-// canBeInTime reports whether the job can meet its objective if the step starts now and
-// its runs take as long as those of its queue did on average. Work that cannot gives way
-// before its latest start has passed, so that it does not make others late as well.
+// canBeInTime reports whether the job can meet its objective if the step starts now. The
+// objective allows for the real work, so where the runs of a queue take longer or shorter
+// than estimated, it moves with them. Work that cannot be in time gives way, so that it
+// does not make others late as well.
 func (c *Cell) canBeInTime(s *step) bool {
-	overrun := c.queueStats(s.job.Queue.Name).expectedDuration(s.tail) - s.tail
-	return c.now.Steady+max(0, overrun) <= s.latestStart
+	stats := c.queueStats(s.job.Queue.Name)
+	overrun := func(estimate time.Duration) time.Duration { return stats.expectedDuration(estimate) - estimate }
+	return c.now.Steady <= s.latestStart+time.Duration(s.job.Queue.Slack*float64(overrun(s.job.path)))-overrun(s.tail)
 }
 
 // sortWaiting removes the steps that no longer wait and sorts the others by rank, on a
