cellhost: a new owner asks its roster through relays, or in turn

After a claim the cell polls every worker of the roster at once, but relays were planned only with the next list of workers, up to 400 ms later; with 3,000 workers the owner opened as many connections itself and could not commit meanwhile. After all hosts were killed, no relay is known for longer still.

The relays are planned from the roster before the claim takes effect, and at most 64 polls that ask for a report at once are sent directly at a time; one that waited goes through a relay if there is one by then.

TestNewOwnerWithoutRelaysAsksInTurn: 634 polls of 3,000 at a time before, 64 after. TestNewOwnerAsksTheRosterThroughRelays failed before.

--- a/cellhost/cellhost.go
+++ b/cellhost/cellhost.go
@@ -133,6 +133,7 @@
 		h.events = make(chan any, eventQueueSize)
 		h.commits = make(chan writeRequest, 4)
 		h.ownerDoubted = make(chan struct{}, 1)
+		h.dispatcher.polls = make(chan struct{}, maxDirectPolls)
 		if h.Now == nil {
 			start := time.Now()
 			h.Now = func() cell.Instant { return time.Since(start) }
--- a/cellhost/dispatch.go
+++ b/cellhost/dispatch.go
@@ -34,6 +34,10 @@
 	// directShare is the share of a host's capacity as a relay that an owner uses to
 	// call workers itself. The rest of its time goes into decisions.
 	directShare = 0.5
+	// maxDirectPolls bounds the polls that ask for a report at once and that this host sends
+	// itself. A new owner asks every worker, and without a bound these calls would take
+	// all its time, so that it could not commit.
+	maxDirectPolls = 64
 	// expiryInterval is the time between two checks for commands without an outcome.
 	expiryInterval = 50 * time.Millisecond
 )
@@ -46,7 +50,8 @@
 	outboxes map[string]*outbox // by relay
 	pending  map[uint64]relayed // commands without an outcome, by ID
 	nextID   uint64
-	checked  cell.Instant // time of the last check for expired commands
+	polls    chan struct{} // full while maxDirectPolls are in progress
+	checked  cell.Instant  // time of the last check for expired commands
 }
 
 // outbox holds the commands to one relay.
@@ -95,6 +100,16 @@
 	d.plan, d.zones = plan, zones
 }
 
+// planRelaysForRoster chooses the relays for a new owner, which asks all workers of the
+// roster before it has listed them. Their zones are unknown until then.
+func (h *Host) planRelaysForRoster(roster []cell.WorkerRef) {
+	workers := make([]cell.WorkerInfo, len(roster))
+	for i, ref := range roster {
+		workers[i].ID = ref.ID
+	}
+	h.planRelays(workers)
+}
+
 // relayCandidates returns the other hosts that may serve as relays.
 func (o *ownership) relayCandidates(self string, now cell.Instant) []relay.Host {
 	o.mu.Lock()
@@ -112,11 +127,29 @@
 
 // dispatch sends a command to a worker, through a relay if the plan has one for it.
 func (h *Host) dispatch(ctx context.Context, worker string, cmd any) {
-	if !h.sendToRelay(ctx, worker, cmd) {
+	switch poll, isPoll := cmd.(cell.Poll); {
+	case h.sendToRelay(ctx, worker, cmd):
+	case isPoll && poll.Wait == 0:
+		go h.pollInTurn(ctx, worker, poll)
+	default:
 		go h.sendDirect(ctx, cmd, h.Now()+commandTimeout)
 	}
 }
 
+// pollInTurn sends a poll once fewer than maxDirectPolls are in progress. There may be a
+// relay for it by then.
+func (h *Host) pollInTurn(ctx context.Context, worker string, poll cell.Poll) {
+	select {
+	case h.dispatcher.polls <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-h.dispatcher.polls }()
+	if !h.sendToRelay(ctx, worker, poll) {
+		h.sendDirect(ctx, poll, h.Now()+commandTimeout)
+	}
+}
+
 // sendToRelay gives a command to a relay and reports whether there is one for the worker.
 func (h *Host) sendToRelay(ctx context.Context, worker string, cmd any) bool {
 	now := h.Now()
--- a/cellhost/ownership.go
+++ b/cellhost/ownership.go
@@ -659,6 +659,7 @@
 	h.ownership.members = nil
 	h.ownership.claimedAt = h.Now()
 	h.ownership.mu.Unlock()
+	h.planRelaysForRoster(workers)
 	h.post(ctx, cell.Claimed{Token: head.Token, Sent: head.sent, Previous: hadOwner, Jobs: jobs, Workers: workers})
 	if rules := h.Rules(); rules != nil {
 		h.post(ctx, rules.Policy())
--- a/cellhost/relay_test.go
+++ b/cellhost/relay_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -325,3 +326,45 @@
 	require.Equal(t, 1, relays["r1"].count())
 	require.Equal(t, uint64(8), relays["r1"].calls[0].(cell.Stop).Token)
 }
+
+// TestNewOwnerAsksTheRosterThroughRelays covers the first polls after a claim, which come
+// before the workers are listed.
+func TestNewOwnerAsksTheRosterThroughRelays(t *testing.T) {
+	owner, own, relays := newRelayedOwner(t)
+	owner.planRelays(nil)
+	owner.ownership.isOwner = false
+	owner.Write = func(context.Context, uint64, Head, []cell.Row, []cell.Row) (uint64, *HeadRow, error) {
+		return 8, nil, nil
+	}
+	owner.Load = func(context.Context) ([]cell.StoredJob, []cell.WorkerRef, error) {
+		return nil, make([]cell.WorkerRef, 100), nil
+	}
+	owner.claim(t.Context(), HeadRow{Head: Head{Session: "gone"}, Version: 7})
+	require.IsType(t, cell.Claimed{}, nextEvent(t, owner))
+	require.IsType(t, cell.AdviceHosts{}, nextEvent(t, owner))
+	owner.dispatch(t.Context(), "w1", cell.Poll{Command: testCommand(owner, "w1")})
+	require.IsType(t, cell.PollResult{}, nextEvent(t, owner))
+	require.Zero(t, own.count())
+	require.Equal(t, 1, relays["r1"].count()+relays["r2"].count())
+}
+
+// TestNewOwnerWithoutRelaysAsksInTurn covers an owner that asks 3,000 workers although it
+// knows no other host yet, as after a power failure of all hosts.
+func TestNewOwnerWithoutRelaysAsksInTurn(t *testing.T) {
+	var now, most, asked atomic.Int64
+	h := &Host{Session: "me", Log: slog.New(slog.DiscardHandler)}
+	h.Poll = func(context.Context, cell.Poll) cell.PollResult {
+		most.Store(max(most.Load(), now.Add(1)))
+		time.Sleep(time.Millisecond)
+		now.Add(-1)
+		asked.Add(1)
+		return cell.PollResult{}
+	}
+	h.init()
+	for i := range 3000 {
+		worker := fmt.Sprint("w", i)
+		h.dispatch(t.Context(), worker, cell.Poll{Command: testCommand(h, worker)})
+	}
+	require.Eventually(t, func() bool { return asked.Load() == 3000 }, eventTimeout, time.Millisecond)
+	require.LessOrEqual(t, most.Load(), int64(maxDirectPolls))
+}
