cellhost, headroom: hosts near a limit get no work for others

Advice calls and relays were shared by what hosts have at their start, so a burst of callers filled the weak hosts while they also worked for the owner.

Each second a host measures its processor (getrusage), link, live memory and descriptors; heartbeats carry the percentages; the owner passes over a host with less than 10% left of any until it has 30%, for advice calls and as a relay, and itself for advice calls. Metrics: usagePercent, passedOver; log: hosts without headroom.

--- a/cellhost/cellhost.go
+++ b/cellhost/cellhost.go
@@ -118,6 +118,7 @@
 	nextID      atomic.Uint64
 	leaving     atomic.Bool
 	summary     atomic.Pointer[cell.Summary]
+	usageNow    atomic.Pointer[usageReport]
 	Counts      Counters
 }
 
@@ -146,7 +147,7 @@
 func (h *Host) Run(ctx context.Context) {
 	h.init()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){h.runCell, h.followRules, h.maintainOwnership, h.writeCommits, h.pollWorkerList} {
+	for _, loop := range []func(context.Context){h.runCell, h.followRules, h.maintainOwnership, h.writeCommits, h.pollWorkerList, h.measureUsage} {
 		wg.Go(func() { loop(ctx) })
 	}
 	wg.Wait()
--- a/cellhost/dispatch.go
+++ b/cellhost/dispatch.go
@@ -117,8 +117,8 @@
 	newOwner := now-o.claimedAt < memberTimeout
 	var hosts []relay.Host
 	for name, info := range o.hosts.byName {
-		_, present := o.members[name]
-		if name != self && (present || newOwner) {
+		m, present := o.members[name]
+		if name != self && (present || newOwner) && !m.passedOver {
 			hosts = append(hosts, relay.Host{Name: name, Zone: info.Zone, Capacity: info.capacity()})
 		}
 	}
--- a/cellhost/metrics.go
+++ b/cellhost/metrics.go
@@ -48,7 +48,7 @@
 			"starts": c.Starts.Load(), "looks": c.WorkerPolls.Load(), "adviceCalls": c.Advice.Load(),
 			"submitLatency": c.Submit.Summary(), "commitLatency": c.Commit.Summary(),
 			"takeoverLatency": c.Takeover.Summary(), "firstStartWait": c.Waited.Summary(), "traffic": c.Traffic.Summary(),
-			"ready": h.Ready(), "rulesAgeMillis": h.RulesAge().Milliseconds(), "cell": h.summary.Load(),
+			"usagePercent": h.usage().metrics(), "passedOver": h.ownership.passedOver(), "ready": h.Ready(), "rulesAgeMillis": h.RulesAge().Milliseconds(), "cell": h.summary.Load(),
 		}
 	})
 }
--- a/cellhost/ownership.go
+++ b/cellhost/ownership.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/cowslipgap/cowslipgap/cell"
+	"github.com/cowslipgap/cowslipgap/headroom"
 	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
 )
@@ -122,6 +123,8 @@
 	lastHeartbeat cell.Instant
 	interval      time.Duration // between its heartbeats; 0: heartbeatInterval
 	startedAt     cell.Instant  // when its process started
+	usage         headroom.Usage
+	passedOver    bool // gets no work for others, because it has too little left
 }
 
 // timeout returns how long the host counts as present after its last heartbeat.
@@ -258,6 +261,7 @@
 	if o.members == nil {
 		o.members = map[string]member{}
 	}
+	m.passedOver = !m.usage.CanHelp(m.lastHeartbeat, o.members[name].passedOver)
 	o.members[name] = m
 	o.hosts.record(name, m.hostInfo)
 }
@@ -368,6 +372,8 @@
 	lastMemberAt cell.Instant // when this owner last had a member
 	hadMembers   bool         // this owner has had members
 	offering     atomic.Bool  // the cell is being offered to other hosts
+	passedOver   bool         // this owner has too little left to call the advice service
+	loggedBusy   string       // members last logged as passed over
 }
 
 // pause returns the time until the next step.
@@ -402,8 +408,7 @@
 	if len(names) > 0 {
 		k.lastMemberAt, k.hadMembers = h.Now(), true
 	}
-	hosts := append([]string{h.Name}, names...)
-	slices.Sort(hosts)
+	hosts := k.hostsForAdvice(names)
 	if key := strings.Join(hosts, ","); key != k.postedHosts {
 		k.postedHosts = key
 		h.Log.Info("entry hosts", "present", hosts)
--- a/cellhost/peer_calls.go
+++ b/cellhost/peer_calls.go
@@ -57,6 +57,7 @@
 	Results   []relayResult `cbor:"15,keyasint,omitempty"` // in kindRelayResults
 	Head      *HeadRow      `cbor:"17,keyasint,omitempty"` // in kindAnnounce
 	Interval  time.Duration `cbor:"18,keyasint,omitempty"` // in a heartbeat: time between two heartbeats of the sender
+	Usage     usageReport   `cbor:"19,keyasint,omitempty"` // in a heartbeat: what the sender uses of its limits
 }
 
 // reply answers a request.
@@ -124,7 +125,7 @@
 	if r.Info != nil {
 		info = *r.Info
 	}
-	h.ownership.recordMember(r.Name, member{hostInfo: info, lastHeartbeat: now, interval: r.Interval, startedAt: now - r.Uptime})
+	h.ownership.recordMember(r.Name, member{hostInfo: info, lastHeartbeat: now, interval: r.Interval, startedAt: now - r.Uptime, usage: r.Usage.decode(now)})
 	h.ownership.mu.Lock()
 	defer h.ownership.mu.Unlock()
 	out := reply{Owner: h.ownership.isOwner, Head: h.ownership.owner}
@@ -214,7 +215,7 @@
 	h.ownership.mu.Lock()
 	defer h.ownership.mu.Unlock()
 	return request{
-		Kind: kindHeartbeat, Name: h.Name, Addr: h.Addr, Cores: h.Cores, Uptime: now - h.startedAt, Info: &info, Interval: interval,
+		Kind: kindHeartbeat, Name: h.Name, Addr: h.Addr, Cores: h.Cores, Uptime: now - h.startedAt, Info: &info, Interval: interval, Usage: h.usage(),
 		WantHosts: h.ownership.ownerHosts == 0 || now-h.ownership.ownerHostsAt > hostListInterval, Hosts: h.ownership.ownerHosts,
 	}
 }
