--- a/cellhost/dispatch.go
+++ b/cellhost/dispatch.go
@@ -37,7 +37,7 @@
 	// maxDirectPolls bounds the polls that ask for a report at once and that this host sends
 	// itself. A new owner asks every worker, and without a bound these calls would take
 	// all its time, so that it could not commit.
-	maxDirectPolls = 64
+	maxDirectPolls = 128
 	// expiryInterval is the time between two checks for commands without an outcome.
 	expiryInterval = 50 * time.Millisecond
 )
