--- a/cellhost/cellhost.go
+++ b/cellhost/cellhost.go
@@ -123,6 +123,7 @@
 	nextID      atomic.Uint64
 	leaving     atomic.Bool
 	summary     atomic.Pointer[cell.Summary]
+	usageNow    atomic.Pointer[usageReport]
 	Counts      Counters
 }
 
@@ -138,6 +139,7 @@
 		h.events = make(chan any, eventQueueSize)
 		h.commits = make(chan writeRequest, 4)
 		h.ownerDoubted = make(chan struct{}, 1)
+		h.dispatcher.polls = make(chan struct{}, maxDirectPolls)
 		if h.Now == nil {
 			start := time.Now()
 			h.Now = func() cell.Instant { return time.Since(start) }
@@ -150,7 +152,7 @@
 func (h *Host) Run(ctx context.Context) {
 	h.init()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){h.runCell, h.followRules, h.maintainOwnership, h.writeCommits, h.pollWorkerList} {
+	for _, loop := range []func(context.Context){h.runCell, h.followRules, h.maintainOwnership, h.writeCommits, h.pollWorkerList, h.measureUsage} {
 		wg.Go(func() { loop(ctx) })
 	}
 	wg.Wait()
