--- a/cell/cell.go
+++ b/cell/cell.go
@@ -54,6 +54,7 @@
 	MaxLease        time.Duration // maximum lease that a worker grants
 	StopTimeout     time.Duration // maximum time that stopping a run takes
 	StatusRetention time.Duration // how long the state of an ended job is kept
+	KeepUrgentRoom  bool          // long starts leave room to the most urgent queues while their demand rises
 	MaxPolicyAge    time.Duration // age of the last reading of the policy above which nothing starts; 0: any age
 }
 
--- a/cell/forecast.go
+++ b/cell/forecast.go
@@ -32,7 +32,6 @@
 type demandForecast struct {
 	arrivals forecast.Arrivals
 	services map[string]*urgentDemand
-	off      bool // room is kept for nobody, as if demand never rose
 }
 
 // urgentDemand is the demand of the most urgent queues on one service.
@@ -88,7 +87,7 @@
 // longStartsAllowed returns how many tasks of the step may start without taking room that
 // urgent queues are expected to need before running tasks leave as much.
 func (c *Cell) longStartsAllowed(pool *servicePool, service string, s *step) int {
-	if c.demand.off || !c.yields(s) {
+	if !c.KeepUrgentRoom || !c.yields(s) {
 		return math.MaxInt
 	}
 	if !pool.longRoomKnown {
--- a/cell/forecast_test.go
+++ b/cell/forecast_test.go
@@ -30,7 +30,7 @@
 func TestRoomIsKeptForARisingWave(t *testing.T) {
 	replay := func(off bool) map[string]outcomes {
 		f := newFleet(t, 1, 48)
-		f.owner.demand.off = off
+		f.owner.KeepUrgentRoom = !off
 		f.submitWave(2*time.Second, 41*time.Second, 60)
 		f.submitMix("00", 2*time.Second, 41*time.Second, 0, 8, 0)
 		f.runUntil(80 * time.Second)
@@ -49,6 +49,7 @@
 // TestNoRoomIsKeptWithoutAClearRise checks that a usual load is served as before.
 func TestNoRoomIsKeptWithoutAClearRise(t *testing.T) {
 	f := newFleet(t, 1, 48)
+	f.owner.KeepUrgentRoom = true
 	f.submitMix("00", 2*time.Second, 22*time.Second, 60, 14, 1)
 	f.onUpdate = func(c *Cell, _ any, _ []any, _ time.Duration) {
 		require.False(t, c.demand.keepsRoom() && f.now > 8*time.Second && f.now < 22*time.Second, "at %v", f.now)
