cell: calls for advice are divided by class while hosts are scarce

A gang step made 4 calls in the middle; bulk steps found no host. Change: while more calls are asked for than the hosts can make, a call names workers that are about to have room, too; a gang makes one call at a time and asks about further workers only if the known ones can't hold it; medium and long calls divide the hosts; workers are reserved for a gang only when its room is near. No late job is accepted whose gangs need scarce calls.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -26,9 +26,6 @@
 	// adviceSurplus is the ratio of the room that a call asks about to the room that
 	// is needed, because some of the room may be taken when the answer arrives.
 	adviceSurplus = 2.0
-	// moreSurplus replaces adviceSurplus in the later calls of a gang, which ask only about
-	// what the earlier ones left open.
-	moreSurplus = 1.5
 	// mediumCall is the duration up to which a call counts as medium. Steps of many tasks
 	// make such calls often, so long calls leave hosts for them.
 	mediumCall = 500 * time.Millisecond
@@ -37,6 +34,11 @@
 	mediumShare = 0.25
 	// deniedWindow is how long a call that found no host counts as waiting.
 	deniedWindow = 200 * time.Millisecond
+	// scarceWindow is how long hosts count as scarce after a call found none.
+	scarceWindow = 2 * time.Second
+	// scarceSurplus replaces adviceSurplus while hosts are scarce, so that fewer steps need
+	// another call.
+	scarceSurplus = 3.0
 	// maxWorkersPerCall is the maximum number of workers that the service accepts in
 	// one call.
 	maxWorkersPerCall = 100
@@ -138,26 +140,33 @@
 	if s.advice.asking() || c.chooseHost(advice, 1) == "" {
 		return
 	}
-	candidates := c.adviceCandidates(pool, s)
+	alwaysLong := advice.Duration(1) >= longCall
+	scarce := alwaysLong && c.hostsScarce()
 	wanted := adviceSurplus * float64(tasks)
+	if scarce {
+		wanted = scarceSurplus * float64(tasks)
+	}
+	candidates := c.adviceCandidates(pool, s, false)
+	// If there is no room for a gang, workers are reserved for it, whether they have
+	// room now or not.
+	includeFull := s.spec.Gang && alwaysLong && totalExpected(candidates) < wanted
+	switch {
+	case scarce:
+		candidates = append(candidates, c.fullCandidates(pool, s)...)
+	case includeFull:
+		candidates = c.adviceCandidates(pool, s, true)
+	}
 	limit := maxWorkersPerCall
-	if longest := callSize(advice); longest < maxWorkersPerCall {
-		// Most of a long call is its fixed latency, so one that names many workers spares
-		// others. Room moves meanwhile, so it includes workers without room.
-		limit = longest
-		if totalExpected(candidates) < wanted || len(candidates) < limit {
-			candidates = append(candidates, c.fullCandidates(pool, s)...)
-		}
-		if s.spec.Gang {
-			limit *= c.parallelCalls()
-		}
+	if s.spec.Gang {
+		limit = c.parallelCalls() * callSize(advice)
 	}
 	var ids []string
 	expected := 0.0
 	for _, cand := range candidates {
-		cheap := advice.PerWorker*time.Duration(len(ids)) < advice.FixedLatency/2 || s.spec.Gang && len(ids) < callSize(advice)
-		tooLong := advice.Duration(1) < longCall && advice.Duration(len(ids)+1) >= longCall
-		if expected >= wanted && !cheap || tooLong || len(ids) == limit {
+		enough := expected >= wanted && (scarce || !includeFull)
+		cheap := !alwaysLong && advice.PerWorker*time.Duration(len(ids)) < advice.FixedLatency/2 || scarce && !s.spec.Gang && len(ids) < callSize(advice)
+		tooLong := !alwaysLong && advice.Duration(len(ids)+1) >= longCall
+		if enough && !cheap || tooLong || len(ids) == limit {
 			break
 		}
 		ids = append(ids, cand.w.ID)
@@ -168,15 +177,24 @@
 	}
 }
 
+// hostsScarce reports whether more calls than the hosts can make have been asked for
+// lately. Then a call names as many workers as double its time, so that it spares others.
+func (c *Cell) hostsScarce() bool {
+	return c.deniedWithin(mediumClass, scarceWindow) || c.deniedWithin(longClass, scarceWindow)
+}
+
 // parallelCalls returns how many calls one gang may make side by side. While hosts are
 // scarce, a gang that asks about many workers at once would keep others from asking at all.
 func (c *Cell) parallelCalls() int {
-	busy := len(c.longCalls)
-	return min(maxParallelCalls, 1+max(0, len(c.hosts)/2-busy)/maxParallelCalls)
+	if c.hostsScarce() {
+		return 1
+	}
+	return maxParallelCalls
 }
 
-// fullCandidates returns the workers without room for a task of the step that are expected
-// to have some first, those that free most of it before others.
+// fullCandidates returns workers without room for a task of the step, those first that
+// are expected to have most of it while the tickets last. Of a gang, they include the others,
+// for which workers are reserved.
 func (c *Cell) fullCandidates(pool *servicePool, s *step) []adviceCandidate {
 	stats := c.queueStats(s.job.Queue.Name)
 	horizon := c.now.Steady + s.job.Queue.Advice.Duration(1) + s.job.Queue.Advice.Validity
@@ -196,7 +214,7 @@
 			}
 		}
 		expected := float64(s.room(cand.w, free))
-		if expected == 0 {
+		if expected == 0 && !s.spec.Gang {
 			return true
 		}
 		if !known {
@@ -209,9 +227,10 @@
 	return candidates
 }
 
-// adviceCandidates returns the workers with room to ask about, those with the most expected
-// tasks first; on an uneven fleet, those of suitable speeds come before them.
-func (c *Cell) adviceCandidates(pool *servicePool, s *step) []adviceCandidate {
+// adviceCandidates returns the workers to ask about, those with the most expected
+// tasks first; on an uneven fleet, those of suitable speeds come before them. With
+// includeFull, they include workers without room now.
+func (c *Cell) adviceCandidates(pool *servicePool, s *step, includeFull bool) []adviceCandidate {
 	stats := c.queueStats(s.job.Queue.Name)
 	duration := stats.expectedDuration(s.spec.Estimate)
 	order := c.adviceOrder(s)
@@ -224,6 +243,9 @@
 			return true
 		}
 		n := s.room(cand.w, cand.free)
+		if n == 0 && includeFull {
+			n = min(1, s.room(cand.w, cand.w.Capacity))
+		}
 		if n == 0 {
 			return true
 		}
@@ -244,14 +266,13 @@
 	return candidates
 }
 
-// requestMoreAdvice asks about workers that the gang's earlier calls did not cover, if
-// they may hold the members that the others do not: workers with room now or, if withRoom
-// is false, all.
+// requestMoreAdvice asks about workers that the gang's earlier calls did not cover: those
+// with room now or, if withRoom is false, all. While hosts are scarce, it asks about one
+// call's worth, and only if that may hold the members that the known workers don't.
 func (c *Cell) requestMoreAdvice(pool *servicePool, s *step, withRoom bool) {
 	if s.advice.asking() {
 		return
 	}
-	share := c.queueStats(s.job.Queue.Name).eligibleShare
 	missing := float64(len(s.tasks))
 	if !withRoom {
 		missing *= adviceSurplus // other gangs take part of the room that a worker has when it is empty
@@ -273,20 +294,17 @@
 		}
 		return len(unasked) < maxAdviceScan
 	})
-	if missing <= 0 && c.parallelCalls() == 1 {
-		return
-	}
 	slices.SortStableFunc(unasked, func(a, b assignment) int { return cmp.Compare(b.n, a.n) })
-	size := callSize(s.job.Queue.Advice)
-	expected, ask := 0.0, 0
-	for ask < min(len(unasked), c.parallelCalls()*size) && (expected < moreSurplus*missing || ask < size) {
-		expected += share * float64(unasked[ask].n)
-		ask++
+	if c.hostsScarce() {
+		unasked = unasked[:min(len(unasked), callSize(s.job.Queue.Advice))]
+		share := c.queueStats(s.job.Queue.Name).eligibleShare
+		if missing <= 0 || withRoom && share*float64(memberCount(unasked)) < missing {
+			return
+		}
 	}
-	if withRoom && expected < missing || ask == 0 {
-		return
+	if len(unasked) > 0 {
+		c.renewTickets(s, unasked)
 	}
-	c.renewTickets(s, unasked[:ask])
 }
 
 // renewTickets asks for new tickets for the workers that a gang is to run on.
@@ -323,7 +341,7 @@
 		if host == "" {
 			return
 		}
-		c.recordCall(host, s, advice.Duration(n))
+		c.recordCall(host, s, n)
 		s.advice.callsInFlight++
 		s.advice.askedAt = c.now.Steady
 		c.emit(RequestAdvice{Host: host, Step: s.name, Workers: ids[:n:n]})
@@ -331,7 +349,8 @@
 	}
 }
 
-// callClass orders calls to the advice service by their duration.
+// callClass orders calls to the advice service by their duration. The longer classes
+// depend on the queue, so that a gang's short call for tickets is of the class of its others.
 type callClass int
 
 const (
@@ -343,10 +362,10 @@
 
 // classOf returns the class of a call about the given number of workers.
 func classOf(advice *workload.Advice, workers int) callClass {
-	switch duration := advice.Duration(workers); {
-	case duration < longCall:
+	switch {
+	case advice.Duration(workers) < longCall:
 		return shortClass
-	case duration <= mediumCall:
+	case advice.Duration(typicalCallWorkers) <= mediumCall:
 		return mediumClass
 	default:
 		return longClass
@@ -387,7 +406,7 @@
 		return c.leastBusy(others, maxCallsPerHost)
 	}
 	quota := mediumShare * float64(len(hosts))
-	if class == mediumClass && float64(len(c.mediumCalls)) >= quota && c.recentlyDenied(longClass) {
+	if class == mediumClass && float64(len(c.mediumCalls)) >= quota && c.deniedWithin(longClass, deniedWindow) {
 		return ""
 	}
 	if host := c.leastBusy(longOnly, 1); host != "" {
@@ -400,7 +419,7 @@
 		}
 	}
 	reserve := max(1, c.shortCallHosts())
-	if class == longClass && c.recentlyDenied(mediumClass) {
+	if class == longClass && c.deniedWithin(mediumClass, deniedWindow) {
 		reserve += max(0, quota-float64(len(c.mediumCalls)))
 	}
 	if float64(available) < reserve {
@@ -409,10 +428,10 @@
 	return c.leastBusy(others, 1)
 }
 
-// recentlyDenied reports whether a call of the class found no host a short while ago.
-func (c *Cell) recentlyDenied(class callClass) bool {
+// deniedWithin reports whether a call of the class found no host within the given time.
+func (c *Cell) deniedWithin(class callClass, window time.Duration) bool {
 	at := c.deniedAt[class]
-	return at > 0 && c.now.Steady-at < deniedWindow
+	return at > 0 && c.now.Steady-at < window
 }
 
 // adviceQueueTime estimates how long it takes to make the first long call for all
@@ -443,18 +462,20 @@
 	return c.shortCallLoad * math.Exp(-float64(c.now.Steady-c.shortCallLoadAt)/float64(shortCallWindow))
 }
 
-// recordCall records a call that a host makes.
-func (c *Cell) recordCall(host string, s *step, duration time.Duration) {
+// recordCall records a call about the given number of workers that a host makes.
+func (c *Cell) recordCall(host string, s *step, workers int) {
+	advice := s.job.Queue.Advice
 	c.callsInFlight[host]++
-	if duration >= longCall {
+	switch classOf(advice, workers) {
+	case mediumClass:
+		c.mediumCalls[host] = true
 		c.longCalls[host] = s.name
-		if duration <= mediumCall {
-			c.mediumCalls[host] = true
-		}
-		return
+	case longClass:
+		c.longCalls[host] = s.name
+	default:
+		c.shortCallLoad = c.shortCallHosts() + float64(advice.Duration(workers))/float64(shortCallWindow)
+		c.shortCallLoadAt = c.now.Steady
 	}
-	c.shortCallLoad = c.shortCallHosts() + float64(duration)/float64(shortCallWindow)
-	c.shortCallLoadAt = c.now.Steady
 }
 
 // leastBusy returns the host with the fewest calls in flight, none of them long, or
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -28,8 +28,8 @@
 	// a job waits for up to 3 s although there is room for it.
 	quotaReserveHorizon = 2 * time.Second
 	// reserveHorizon bounds the expected time until there is room for a gang for which workers
-	// are reserved. Others use them until then. For a gang that waits longer, the bound is half
-	// of its wait.
+	// are reserved while hosts for calls are scarce. Others use them until then. For a gang that
+	// has waited longer, the bound is half of its wait.
 	reserveHorizon = time.Second
 	// overrunFactor is applied to the expected duration of a run when deciding
 	// whether it ends before a reservation begins.
@@ -219,16 +219,14 @@
 			return
 		}
 	}
-	p.reservingGangs++
 	at := openings[len(s.tasks)-1].at
 	s.roomExpectedAt = at
-	if at > c.now.Steady+max(reserveHorizon, (c.now.Steady-s.job.receivedAt)/2) {
+	if s.advice.needed && c.hostsScarce() && at > c.now.Steady+max(reserveHorizon, (c.now.Steady-s.job.receivedAt)/2) {
 		c.logGangWait(s, "room for it is far off", int((at - c.now.Steady).Milliseconds()))
-		if s.advice.needed {
-			c.requestMoreAdvice(pool, s, true)
-		}
+		c.requestMoreAdvice(pool, s, true)
 		return
 	}
+	p.reservingGangs++
 	assignments, spare := assignOpenings(openings, len(s.tasks))
 	p.reserve(s, assignments, at)
 	c.logGangWait(s, "workers are kept for it", int((at - c.now.Steady).Milliseconds()))
--- a/cell/promises.go
+++ b/cell/promises.go
@@ -81,8 +81,10 @@
 		return 0, false
 	}
 	rank := rankLate + spec.Queue.Priority
-	if spec.Queue.Advice != nil && spec.Queue.Advice.Duration(1) >= longCall && c.adviceQueueTime(rank) > max(0, r.slack) {
-		return 0, false
+	if advice := spec.Queue.Advice; advice != nil && advice.Duration(1) >= longCall {
+		if c.adviceQueueTime(rank) > max(0, r.slack) || c.hostsScarce() && classOf(advice, typicalCallWorkers) == longClass {
+			return 0, false
+		}
 	}
 	return c.expectedWait(spec, rank, c.promisedAhead(spec, r.firstSeen, rank, until)), true
 }
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -839,7 +839,7 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(step + worker)) // never fails
 	percent := f.eligiblePercent
-	if id, err := workload.ParseTaskID(step + ".0"); err == nil {
+	if id, err := workload.ParseTaskID(step + ".0"); err == nil && f.jobs[id.Job] != nil {
 		if p := f.eligibleByQueue[f.jobs[id.Job].spec.Queue.Name]; p > 0 {
 			percent = p
 		}
