cell: copies of one round share what is left of the team's ceiling

Cause: slowRuns checks the remaining quota for each slow run before any copy is placed, so that all copies of one round saw the same remainder.

--- a/cell/slowrun.go
+++ b/cell/slowrun.go
@@ -68,8 +68,8 @@
 		if spare -= need; spare < 0 || budget < need {
 			return
 		}
-		if !s.need().Fits(slow.target.free) {
-			continue // an earlier one took the room
+		if !s.need().Fits(slow.target.free) || s.spec.Speculative && c.remainingQuota(p, s) == 0 {
+			continue // an earlier one took the room, or the rest of the team's quota
 		}
 		budget -= need
 		if s.spec.Speculative {
--- a/cell/slowrun_test.go
+++ b/cell/slowrun_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -245,3 +246,23 @@
 	f.killOwner(700 * time.Millisecond)
 	f.requireEndedOnce(j, time.Minute)
 }
+
+// TestCopiesStayWithinTheCeiling lets several runs of a team be slow that may run only one
+// more.
+func TestCopiesStayWithinTheCeiling(t *testing.T) {
+	f, _ := newSlowRunFleet(t, true)
+	for _, j := range f.owner.live {
+		if strings.HasPrefix(j.id, "cc") {
+			j.Steps[0].Speculative = true
+		}
+	}
+	spec := f.jobs[slowJob].spec
+	ceiling := spec.Steps[0].Need.Times(5)
+	f.runUntil(15 * time.Second)
+	f.owner.policy[spec.Team] = Team{Ceiling: ceiling, Rate: f.owner.policy[spec.Team].Rate}
+	for f.now < 25*time.Second {
+		f.runUntil(f.now + 10*time.Millisecond)
+		require.LessOrEqual(t, f.owner.team(spec.Team).used.MilliCPU, ceiling.MilliCPU)
+	}
+	require.Positive(t, f.owner.Summary().Copies)
+}
