cell: no copies or moves while starts are withheld

Cause: hastenSlowRuns went on while the operators' requests could not be read. A run that was stopped for a move could not start again, and a copy was dropped at its start, with one of the task's copies used up. TestNothingMovesWhileStartsAreWithheld showed one move.

Change: the search for slow runs stops with the placement.

--- a/cell/slowrun.go
+++ b/cell/slowrun.go
@@ -46,7 +46,7 @@
 // hastenSlowRuns starts copies of slow runs and moves others, if there is room that no
 // waiting work needs.
 func (c *Cell) hastenSlowRuns() {
-	if c.now.Steady-c.hastening.checkedAt < slowRunInterval || c.leaseLength() < minLease || len(c.sortedWorkers) == 0 {
+	if c.now.Steady-c.hastening.checkedAt < slowRunInterval || c.leaseLength() < minLease || c.policyExpired() || len(c.sortedWorkers) == 0 {
 		return
 	}
 	c.hastening.checkedAt = c.now.Steady
--- a/cell/slowrun_test.go
+++ b/cell/slowrun_test.go
@@ -266,3 +266,13 @@
 	}
 	require.Positive(t, f.owner.Summary().Copies)
 }
+
+// TestNothingMovesWhileStartsAreWithheld lets the reading of the operators' requests stop.
+// A run that was stopped for a move could not start again.
+func TestNothingMovesWhileStartsAreWithheld(t *testing.T) {
+	f, _ := newMoveFleet(t, true)
+	f.owner.MaxPolicyAge = time.Second
+	f.runUntil(26 * time.Second)
+	require.True(t, f.owner.Summary().Withheld)
+	require.Zero(t, f.owner.Summary().Moves)
+}
