cell: a timed or lasting job stays of use however often it was refused

Cause: the time that a refused caller has been away counts against its job, up to 'it can no longer be of use'. Jobs that are due later, or that last, were judged in the same way: after an outage of a minute a job due in an hour was turned away for good (TestJobsThatAreDueLaterOrLastStayOfUse showed this reason for both kinds).

Change: for these, the objective counts from the submission that is accepted, as before promises.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -121,7 +121,7 @@
 // decideAdmission decides whether to accept a submitted job.
 func (c *Cell) decideAdmission(spec *workload.Job) admissionDecision {
 	r := admissionDecision{cores: c.load.capacity[spec.Queue.Service], firstSeen: c.now.Steady, rank: spec.Queue.Priority}
-	if caller, ok := c.promises.Lookup(spec.ID, c.now.Steady); ok {
+	if caller, ok := c.promises.Lookup(spec.ID, c.now.Steady); ok && !outlastsRefusal(spec) {
 		r.firstSeen = caller.FirstSeen
 	}
 	refuse := func(reason string, wait time.Duration) admissionDecision {
--- a/cell/contention_test.go
+++ b/cell/contention_test.go
@@ -167,3 +167,22 @@
 		require.Equal(t, rankWorthless+j.Queue.Priority, c.rank(s))
 	}
 }
+
+// TestJobsThatAreDueLaterOrLastStayOfUse submits jobs whose callers an outage kept away for
+// longer than the work takes.
+func TestJobsThatAreDueLaterOrLastStayOfUse(t *testing.T) {
+	for _, lasts := range []bool{false, true} {
+		f := newFleet(t, 1, 12)
+		f.runUntil(2 * time.Second)
+		spec := lookupJob("aa00000000000001")
+		if lasts {
+			spec.Steps[0].LongRunning = true
+		} else {
+			spec.Repeat, spec.FirstAt, spec.Interval = 3, f.clock().Wall.Add(time.Hour), time.Minute
+		}
+		f.owner.promiseReturn(spec, f.now-time.Minute, 0, time.Second)
+		decision := f.owner.decideAdmission(spec)
+		require.Empty(t, decision.reason, "lasts: %t", lasts)
+		require.False(t, decision.late)
+	}
+}
--- a/cell/promises.go
+++ b/cell/promises.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/promise"
@@ -43,6 +44,12 @@
 	return p
 }
 
+// outlastsRefusal reports whether a job is of the same use however long its caller was kept
+// away: it is due later, or it lasts.
+func outlastsRefusal(spec *workload.Job) bool {
+	return spec.Repeat > 0 || slices.ContainsFunc(spec.Steps, func(s workload.Step) bool { return s.LongRunning })
+}
+
 // allowedTime returns the time from its first submission in which a job should be
 // complete.
 func allowedTime(spec *workload.Job, path time.Duration) time.Duration {
