eviction, promise, cell: the same state gives the same decision

Cause: runs that lose equal work were chosen in the order of a map, places of equal rank in a full book were dropped and the work of places was added up in that order, and services were searched for slow runs in it. TestChoiceDoesNotDependOnTheOrderOfRuns chose other victims for another order; TestFullBooksAgree got sums that differ in the last digit.

Change: ties are broken by the names of tasks and jobs; sums are of integers; services are taken in order.

--- a/cell/slowrun.go
+++ b/cell/slowrun.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 )
@@ -52,8 +53,8 @@
 	c.hastening.checkedAt = c.now.Steady
 	c.heldUse = c.heldResources()
 	p := c.newRound()
-	for service, pool := range p.pools {
-		c.hastenOn(p, pool, service)
+	for _, service := range slices.Sorted(maps.Keys(p.pools)) {
+		c.hastenOn(p, p.pools[service], service)
 	}
 }
 
--- a/eviction/eviction.go
+++ b/eviction/eviction.go
@@ -126,7 +126,9 @@
 			order = append(order, i)
 		}
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(w.Victims[a].Lost, w.Victims[b].Lost) })
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(w.Victims[a].Lost, w.Victims[b].Lost), cmp.Compare(w.Victims[a].Task, w.Victims[b].Task))
+	})
 	free := w.Free
 	goal := w.fit(need, free, math.MaxInt32) + wanted
 	taken := 0
--- a/eviction/eviction_test.go
+++ b/eviction/eviction_test.go
@@ -1,6 +1,7 @@
 package eviction
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -106,3 +107,12 @@
 		}
 	})
 }
+
+// TestChoiceDoesNotDependOnTheOrderOfRuns lists the same runs in two orders.
+func TestChoiceDoesNotDependOnTheOrderOfRuns(t *testing.T) {
+	need := resource.Vector{MilliCPU: 9000, MemoryMB: 33_000}
+	one, other := full("a", 1, 1, 1, 1, 1, 1, 1, 1, 1), full("a", 1, 1, 1, 1, 1, 1, 1, 1, 1)
+	slices.Reverse(other.Victims)
+	plan := Plan{Budget: 100}
+	require.ElementsMatch(t, plan.Choose([]Worker{one}, need, 1)["a"], plan.Choose([]Worker{other}, need, 1)["a"])
+}
--- a/promise/promise.go
+++ b/promise/promise.go
@@ -17,6 +17,7 @@
 package promise
 
 import (
+	"cmp"
 	"hash/fnv"
 	"time"
 )
@@ -79,7 +80,7 @@
 	for len(b.callers) > maxCallers {
 		last := c
 		for _, other := range b.callers {
-			if other.Rank > last.Rank || other.Rank == last.Rank && other.ReturnAt > last.ReturnAt {
+			if cmp.Or(cmp.Compare(other.Rank, last.Rank), cmp.Compare(other.ReturnAt, last.ReturnAt), cmp.Compare(other.Job, last.Job)) > 0 {
 				last = other
 			}
 		}
@@ -107,16 +108,17 @@
 // come before c: those with an earlier rank or, within its rank, those first seen
 // before it. If team is not empty, only callers of that team count.
 func (b *Book) Ahead(c Caller, team string, now, until time.Duration) (work, cores float64) {
+	var milliWork, milliCores int64 // sums that do not depend on the order of the callers
 	for job, other := range b.callers {
 		switch {
 		case job == c.Job || other.lapsed(now) || other.ReturnAt > until:
 		case team != "" && other.Team != team:
 		case other.Rank < c.Rank || other.Rank == c.Rank && other.FirstSeen < c.FirstSeen:
-			work += other.Work
-			cores += other.Cores
+			milliWork += int64(1000 * other.Work)
+			milliCores += int64(1000 * other.Cores)
 		}
 	}
-	return work * (1 - b.away), cores * (1 - b.away)
+	return float64(milliWork) / 1000 * (1 - b.away), float64(milliCores) / 1000 * (1 - b.away)
 }
 
 // Expire forgets the callers that are overdue and whose jobs can no longer be of use,
--- a/promise/promise_test.go
+++ b/promise/promise_test.go
@@ -114,3 +114,21 @@
 		}
 	}
 }
+
+// TestFullBooksAgree fills two books in the same way. What they keep must not depend on
+// chance, nor what comes ahead.
+func TestFullBooksAgree(t *testing.T) {
+	var one, other Book
+	for i := range maxCallers + 50 {
+		c := caller(fmt.Sprint("job-", i), 1, now)
+		c.Work, c.Cores = 1/float64(i+3), 1/float64(i+7)
+		one.Refuse(c, now)
+		other.Refuse(c, now)
+	}
+	require.Equal(t, one.callers, other.callers)
+	for range 10 {
+		work, cores := one.Ahead(caller("new", 2, now), "", now, never)
+		again, coresAgain := other.Ahead(caller("new", 2, now), "", now, never)
+		require.Equal(t, [2]float64{work, cores}, [2]float64{again, coresAgain})
+	}
+}
