cell: the search for slow runs grows with the runs, not runs times workers

Cause: five times a second, each slow run was compared with every worker. With one slow run on each of 2,400 workers, a search took 378 ms, longer than the 200 ms between two searches (TestSearchForSlowRunsGrowsWithWorkers; 8.5 ms with 350 workers, 45 times less).

Change: workers are ordered by speed once a search, each need starts at the first worker with room, steps with advice look only at the workers that they were allowed, and a step of which a run found no worker is left for the next search.

--- a/cell/scale_test.go
+++ b/cell/scale_test.go
@@ -58,6 +58,44 @@
 	require.Less(t, large, 20*small)
 }
 
+// slowSearchCost returns the time of a search for slow runs while there is one for each
+// worker and each worker has room for more.
+func slowSearchCost(t testing.TB, workers int) time.Duration {
+	f := newScaledFleet(t, workers)
+	var spec *workload.Job
+	for i := range workers {
+		spec = lookupJob(fmt.Sprintf("aa%014x", i))
+		spec.Queue.Target = time.Hour
+		spec.Steps[0].Count, spec.Steps[0].Speculative = 1, true
+		f.submit(2*time.Second, spec).actual[spec.ID+".0.0.0"] = time.Hour
+	}
+	f.runUntil(4 * time.Second)
+	c := f.owner
+	for range 100 {
+		c.queueStats(spec.Queue.Name).runs.Add(1)
+	}
+	c.now.Steady += time.Second
+	c.heldUse = c.heldResources()
+	p := c.newRound()
+	require.Len(t, p.pools, 1)
+	took := time.Hour
+	for range 3 {
+		for service, pool := range p.pools {
+			start := time.Now()
+			c.slowRuns(p, pool, service)
+			took = min(took, time.Since(start))
+		}
+	}
+	return took
+}
+
+// TestSearchForSlowRunsGrowsWithWorkers lets all runs be slow.
+func TestSearchForSlowRunsGrowsWithWorkers(t *testing.T) {
+	small, large := slowSearchCost(t, 350), slowSearchCost(t, 2400)
+	t.Logf("%v with 350 workers, %v with 2400", small, large)
+	require.Less(t, large, 20*small)
+}
+
 // BenchmarkRound reports the CPU time of a placement round with 100,000 queued tasks.
 func BenchmarkRound(b *testing.B) {
 	for _, workers := range []int{350, 1100, 3000} {
--- a/cell/slowrun.go
+++ b/cell/slowrun.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cowslipgap/cowslipgap/resource"
 )
 
 const (
@@ -107,18 +109,27 @@
 // first.
 func (c *Cell) slowRuns(p *round, pool *servicePool, service string) []slowRun {
 	var list []slowRun
+	var fastest *fastWorkers
+	noTarget := map[*step]bool{} // steps of which a run has found no worker
 	for _, w := range c.sortedWorkers {
 		if w.Service != service {
 			continue
 		}
 		for _, r := range w.runs {
-			if !c.mayHasten(r) || !c.isSlow(r) {
+			s := r.task.step
+			if !c.mayHasten(r) || !c.isSlow(r) || noTarget[s] || c.remainingQuota(p, s) == 0 {
 				continue
 			}
-			if target := c.fasterWorker(pool, r); target != nil && c.remainingQuota(p, r.task.step) > 0 {
-				if gain, worth := c.hasteningGain(r, target.w); worth {
-					list = append(list, slowRun{r, target, gain})
-				}
+			if fastest == nil {
+				fastest = newFastWorkers(pool)
+			}
+			target := c.fasterWorker(pool, fastest, r)
+			if target == nil {
+				noTarget[s] = true
+				continue
+			}
+			if gain, worth := c.hasteningGain(r, target.w); worth {
+				list = append(list, slowRun{r, target, gain})
 			}
 		}
 	}
@@ -147,17 +158,49 @@
 	return s.spec.Checkpointing && r.task.checkpoint != "" && r.percent > 0 && r.w.factor > 0 && !r.w.failing
 }
 
+// fastWorkers holds the candidates of a pool, the fastest first.
+type fastWorkers struct {
+	list     []*candidate
+	firstFit map[resource.Vector]int // index of the first that has room for a need
+}
+
+func newFastWorkers(pool *servicePool) *fastWorkers {
+	f := &fastWorkers{list: slices.Clone(pool.candidates), firstFit: map[resource.Vector]int{}}
+	slices.SortStableFunc(f.list, fasterFirst)
+	return f
+}
+
+func fasterFirst(a, b *candidate) int {
+	return cmp.Compare(b.w.placementSpeed(), a.w.placementSpeed())
+}
+
+// from returns the candidates from the first one that has room for the need.
+func (f *fastWorkers) from(need resource.Vector) []*candidate {
+	first, known := f.firstFit[need]
+	if !known {
+		for first < len(f.list) && !need.Fits(f.list[first].free) {
+			first++
+		}
+		f.firstFit[need] = first
+	}
+	return f.list[first:]
+}
+
 // fasterWorker returns the fastest worker on which a copy of the run can start, or to which
 // the run can move. It asks for a ticket if only that is missing.
-func (c *Cell) fasterWorker(pool *servicePool, r *run) *candidate {
+func (c *Cell) fasterWorker(pool *servicePool, fastest *fastWorkers, r *run) *candidate {
 	s := r.task.step
+	need := s.need()
+	candidates := fastest.from(need)
+	if s.advice.needed {
+		candidates = pool.mayRunOn(s) // few
+		slices.SortStableFunc(candidates, fasterFirst)
+	}
 	var best *candidate
-	for _, cand := range pool.candidates {
-		if cand.w == r.w || !s.need().Fits(cand.free) || s.room(cand.w, cand.free) == 0 || cand.w.reservedFrom > 0 || r.task.avoid[cand.w.ID] || !s.eligibleOn(cand.w) {
-			continue
-		}
-		if best == nil || cand.w.placementSpeed() > best.w.placementSpeed() {
+	for _, cand := range candidates {
+		if cand.w != r.w && need.Fits(cand.free) && cand.w.reservedFrom == 0 && !r.task.avoid[cand.w.ID] && s.eligibleOn(cand.w) && s.room(cand.w, cand.free) > 0 {
 			best = cand
+			break
 		}
 	}
 	if best != nil && s.spec.Speculative && !s.advice.hasTicket(best.w, c.now.Steady) {
