cell: a timed or lasting job is told the time of its wait

Cause: the return of a refused caller is bounded by the last time at which its job is of use, which says nothing of a job that is due later or lasts: for a wait of a minute it was told 2 s (TestJobsThatAreDueLaterOrLastStayOfUse, extended).

Change: such a job is refused as late, with the whole wait as far as retryDelay allows.

--- a/cell/contention_test.go
+++ b/cell/contention_test.go
@@ -184,5 +184,9 @@
 		decision := f.owner.decideAdmission(spec)
 		require.Empty(t, decision.reason, "lasts: %t", lasts)
 		require.False(t, decision.late)
+		flood := admissionDecision{firstSeen: f.now, wait: time.Minute, beyondRate: true}
+		f.owner.decideLate(spec, &flood)
+		require.Equal(t, reasonLate, flood.reason)
+		require.GreaterOrEqual(t, flood.retryAfter, min(time.Minute, maxRetryDelay))
 	}
 }
--- a/cell/promises.go
+++ b/cell/promises.go
@@ -71,6 +71,10 @@
 			return
 		}
 	}
+	if outlastsRefusal(spec) {
+		r.reason, r.retryAfter = reasonLate, retryDelay(spec.ID, excess)
+		return
+	}
 	lastReturn := worthlessFactor*allowed - path - elapsed
 	if lastReturn < minRetryDelay {
 		r.reason, r.retryAfter = reasonUseless, maxRetryDelay
