--- a/cell/contention_test.go
+++ b/cell/contention_test.go
@@ -157,8 +157,8 @@
 			c.queueStats(j.Queue.Name).runs.Add(ratio)
 		}
 		s := j.occurrences[0].steps[0]
-		real := func(d time.Duration) time.Duration { return c.queueStats(j.Queue.Name).expectedDuration(d) }
-		latest := j.receivedAt + time.Duration(j.Queue.Slack*float64(real(j.path))) + j.Queue.Target - real(s.tail)
+		realTime := func(d time.Duration) time.Duration { return c.queueStats(j.Queue.Name).expectedDuration(d) }
+		latest := j.receivedAt + time.Duration(j.Queue.Slack*float64(realTime(j.path))) + j.Queue.Target - realTime(s.tail)
 		c.now.Steady = latest - 10*time.Millisecond
 		require.Equal(t, j.Queue.Priority, c.rank(s), "ratio %v", ratio)
 		c.now.Steady = latest + 10*time.Millisecond
