promise: callers are kept in their order

Cause: each question passed over a map of up to 2,048 callers, 73 us, up to four times for a submission, and each refusal in a full book over it twice, 158 us: in a burst of 2,000 refusals a second most of a core. TestOnlyCallersAheadTakeTime showed that a job ahead of all took as long as one behind all.

Change: a slice in the order of the places; a question ends at the first caller behind. 18 us for all 2,048 callers, 49 us for a refusal in a full book (benchmark, busy machine).

--- a/promise/promise.go
+++ b/promise/promise.go
@@ -19,6 +19,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"slices"
 	"time"
 )
 
@@ -52,8 +53,9 @@
 
 // Book holds the places that were promised. The zero value is empty.
 type Book struct {
-	callers map[string]Caller
-	away    float64 // decayed share of callers that did not come back in time
+	callers map[string]*Caller
+	order   []*Caller // by rank, then by first submission, then by job
+	away    float64   // decayed share of callers that did not come back in time
 }
 
 // Len returns the number of callers that are remembered.
@@ -64,7 +66,7 @@
 // latest rank and return has no place.
 func (b *Book) Refuse(c Caller, now time.Duration) {
 	if b.callers == nil {
-		b.callers = map[string]Caller{}
+		b.callers = map[string]*Caller{}
 	}
 	before, known := b.callers[c.Job]
 	if known {
@@ -72,26 +74,56 @@
 	} else if c.FirstSeen == 0 {
 		c.FirstSeen = now
 	}
-	b.callers[c.Job] = c
+	b.remove(c.Job)
+	b.insert(&c)
 	if len(b.callers) <= maxCallers {
 		return
 	}
 	b.Expire(now)
 	for len(b.callers) > maxCallers {
-		last := c
-		for _, other := range b.callers {
-			if cmp.Or(cmp.Compare(other.Rank, last.Rank), cmp.Compare(other.ReturnAt, last.ReturnAt), cmp.Compare(other.Job, last.Job)) > 0 {
+		last := b.order[len(b.order)-1]
+		for _, other := range slices.Backward(b.order) {
+			if other.Rank < last.Rank {
+				break
+			}
+			if cmp.Or(cmp.Compare(other.ReturnAt, last.ReturnAt), cmp.Compare(other.Job, last.Job)) > 0 {
 				last = other
 			}
 		}
-		delete(b.callers, last.Job)
+		b.remove(last.Job)
+	}
+}
+
+// comesBefore orders callers by rank, then by first submission, then by job.
+func comesBefore(a, b *Caller) int {
+	return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.FirstSeen, b.FirstSeen), cmp.Compare(a.Job, b.Job))
+}
+
+func (b *Book) insert(c *Caller) {
+	b.callers[c.Job] = c
+	at, _ := slices.BinarySearchFunc(b.order, c, comesBefore)
+	b.order = slices.Insert(b.order, at, c)
+}
+
+// remove forgets a caller, if it is known.
+func (b *Book) remove(job string) {
+	c, known := b.callers[job]
+	if !known {
+		return
+	}
+	delete(b.callers, job)
+	if at, found := slices.BinarySearchFunc(b.order, c, comesBefore); found {
+		b.order = slices.Delete(b.order, at, at+1)
 	}
 }
 
 // Lookup returns what is known of a caller that has been refused before.
 func (b *Book) Lookup(job string, now time.Duration) (Caller, bool) {
 	c, ok := b.callers[job]
-	return c, ok && !c.expired(now)
+	if !ok {
+		return Caller{}, false
+	}
+	return *c, !c.expired(now)
 }
 
 // Redeem removes and returns what is known of a caller that is back.
@@ -100,7 +132,7 @@
 	if ok && c.Work > 0 { // otherwise it had no place, or Expire took note of it
 		b.observe(c.lapsed(now))
 	}
-	delete(b.callers, job)
+	b.remove(job)
 	return c, ok
 }
 
@@ -109,14 +141,15 @@
 // before it. If team is not empty, only callers of that team count.
 func (b *Book) Ahead(c Caller, team string, now, until time.Duration) (work, cores float64) {
 	var milliWork, milliCores int64 // sums that do not depend on the order of the callers
-	for job, other := range b.callers {
-		switch {
-		case job == c.Job || other.lapsed(now) || other.ReturnAt > until:
-		case team != "" && other.Team != team:
-		case other.Rank < c.Rank || other.Rank == c.Rank && other.FirstSeen < c.FirstSeen:
-			milliWork += int64(1000 * other.Work)
-			milliCores += int64(1000 * other.Cores)
+	for _, other := range b.order {
+		if other.Rank > c.Rank || other.Rank == c.Rank && other.FirstSeen >= c.FirstSeen {
+			break
 		}
+		if other.Job == c.Job || other.lapsed(now) || other.ReturnAt > until || team != "" && other.Team != team {
+			continue
+		}
+		milliWork += int64(1000 * other.Work)
+		milliCores += int64(1000 * other.Cores)
 	}
 	return float64(milliWork) / 1000 * (1 - b.away), float64(milliCores) / 1000 * (1 - b.away)
 }
@@ -124,25 +157,26 @@
 // Expire forgets the callers that are overdue and whose jobs can no longer be of use,
 // and takes note of those that did not come back in time.
 func (b *Book) Expire(now time.Duration) {
-	for job, c := range b.callers {
-		switch {
-		case c.expired(now):
-			if c.Work > 0 {
-				b.observe(true)
-			}
-			delete(b.callers, job)
-		case c.lapsed(now) && c.Work > 0:
+	kept := b.order[:0]
+	for _, c := range b.order {
+		if c.lapsed(now) && c.Work > 0 {
 			b.observe(true)
 			c.Work, c.Cores = 0, 0
-			b.callers[job] = c
+		}
+		if c.expired(now) {
+			delete(b.callers, c.Job)
+		} else {
+			kept = append(kept, c)
 		}
 	}
+	clear(b.order[len(kept):])
+	b.order = kept
 }
 
 // Snapshot returns all callers with times relative to now, for a successor.
 func (b *Book) Snapshot(now time.Duration) []Caller {
 	list := make([]Caller, 0, len(b.callers))
-	for _, c := range b.callers {
+	for _, c := range b.order {
 		list = append(list, c.shift(-now))
 	}
 	return list
@@ -154,8 +188,10 @@
 	for _, c := range list {
 		c = c.shift(now - ago)
 		if newer, ok := b.callers[c.Job]; ok {
-			newer.FirstSeen = min(newer.FirstSeen, c.FirstSeen)
-			b.callers[c.Job] = newer
+			moved := *newer
+			moved.FirstSeen = min(newer.FirstSeen, c.FirstSeen)
+			b.remove(c.Job)
+			b.insert(&moved)
 			continue
 		}
 		b.Refuse(c, now)
--- a/promise/promise_test.go
+++ b/promise/promise_test.go
@@ -132,3 +132,22 @@
 		require.Equal(t, [2]float64{work, cores}, [2]float64{again, coresAgain})
 	}
 }
+
+// TestOnlyCallersAheadTakeTime asks a full book for the callers ahead of an urgent job, which
+// are none, and of a late one. An owner asks up to four times for each submission of a burst.
+func TestOnlyCallersAheadTakeTime(t *testing.T) {
+	var b Book
+	for i := range maxCallers {
+		b.Refuse(caller(fmt.Sprint("job-", i), 1, now), now)
+	}
+	cost := func(rank int) time.Duration {
+		least := time.Hour
+		for range 100 {
+			start := time.Now()
+			b.Ahead(caller("new", rank, now), "", now, never)
+			least = min(least, time.Since(start))
+		}
+		return least
+	}
+	require.Less(t, cost(0), cost(2)/5)
+}
