--- a/cell/contention_test.go
+++ b/cell/contention_test.go
@@ -157,8 +157,8 @@
 			c.queueStats(j.Queue.Name).runs.Add(ratio)
 		}
 		s := j.occurrences[0].steps[0]
-		real := func(d time.Duration) time.Duration { return c.queueStats(j.Queue.Name).expectedDuration(d) }
-		latest := j.receivedAt + time.Duration(j.Queue.Slack*float64(real(j.path))) + j.Queue.Target - real(s.tail)
+		realTime := func(d time.Duration) time.Duration { return c.queueStats(j.Queue.Name).expectedDuration(d) }
+		latest := j.receivedAt + time.Duration(j.Queue.Slack*float64(realTime(j.path))) + j.Queue.Target - realTime(s.tail)
 		c.now.Steady = latest - 10*time.Millisecond
 		require.Equal(t, j.Queue.Priority, c.rank(s), "ratio %v", ratio)
 		c.now.Steady = latest + 10*time.Millisecond
@@ -167,3 +167,26 @@
 		require.Equal(t, rankWorthless+j.Queue.Priority, c.rank(s))
 	}
 }
+
+// TestJobsThatAreDueLaterOrLastStayOfUse submits jobs whose callers an outage kept away for
+// longer than the work takes.
+func TestJobsThatAreDueLaterOrLastStayOfUse(t *testing.T) {
+	for _, lasts := range []bool{false, true} {
+		f := newFleet(t, 1, 12)
+		f.runUntil(2 * time.Second)
+		spec := lookupJob("aa00000000000001")
+		if lasts {
+			spec.Steps[0].LongRunning = true
+		} else {
+			spec.Repeat, spec.FirstAt, spec.Interval = 3, f.clock().Wall.Add(time.Hour), time.Minute
+		}
+		f.owner.promiseReturn(spec, f.now-time.Minute, 0, time.Second)
+		decision := f.owner.decideAdmission(spec)
+		require.Empty(t, decision.reason, "lasts: %t", lasts)
+		require.False(t, decision.late)
+		flood := admissionDecision{firstSeen: f.now, wait: time.Minute, beyondRate: true}
+		f.owner.decideLate(spec, &flood)
+		require.Equal(t, reasonLate, flood.reason)
+		require.GreaterOrEqual(t, flood.retryAfter, min(time.Minute, maxRetryDelay))
+	}
+}
--- a/promise/promise_test.go
+++ b/promise/promise_test.go
@@ -114,3 +114,40 @@
 		}
 	}
 }
+
+// TestFullBooksAgree fills two books in the same way. What they keep must not depend on
+// chance, nor what comes ahead.
+func TestFullBooksAgree(t *testing.T) {
+	var one, other Book
+	for i := range maxCallers + 50 {
+		c := caller(fmt.Sprint("job-", i), 1, now)
+		c.Work, c.Cores = 1/float64(i+3), 1/float64(i+7)
+		one.Refuse(c, now)
+		other.Refuse(c, now)
+	}
+	require.Equal(t, one.callers, other.callers)
+	for range 10 {
+		work, cores := one.Ahead(caller("new", 2, now), "", now, never)
+		again, coresAgain := other.Ahead(caller("new", 2, now), "", now, never)
+		require.Equal(t, [2]float64{work, cores}, [2]float64{again, coresAgain})
+	}
+}
+
+// TestOnlyCallersAheadTakeTime asks a full book for the callers ahead of an urgent job, which
+// are none, and of a late one. An owner asks up to four times for each submission of a burst.
+func TestOnlyCallersAheadTakeTime(t *testing.T) {
+	var b Book
+	for i := range maxCallers {
+		b.Refuse(caller(fmt.Sprint("job-", i), 1, now), now)
+	}
+	cost := func(rank int) time.Duration {
+		least := time.Hour
+		for range 100 {
+			start := time.Now()
+			b.Ahead(caller("new", rank, now), "", now, never)
+			least = min(least, time.Since(start))
+		}
+		return least
+	}
+	require.Less(t, cost(0), cost(2)/5)
+}
