forecast: demand counts from when it was seen, and room in whole tasks

The limit compared demand with room at a knife edge: the trend counted from the end of the last step, although the level stands for its middle, up to 0.75 s ago; and free room that holds no whole task counted as room, some 65 to 100 cores of 1,536. Longer learned durations had hidden both. Change: the trend counts from the middle of the last whole step; a worker's room counts in whole urgent tasks. TestTrendCountsFromTheMiddleOfTheLastStep failed before (877 expected, 915 come). TestRoomForUrgentTasksIsInWholeTasks covers the function that is new.

--- a/cell/forecast.go
+++ b/cell/forecast.go
@@ -25,7 +25,7 @@
 )
 
 // forecastMoments are the times ahead for which room is compared with demand.
-var forecastMoments = []time.Duration{forecastHorizon / 8, forecastHorizon / 4, forecastHorizon / 2, forecastHorizon}
+var forecastMoments = [...]time.Duration{forecastHorizon / 8, forecastHorizon / 4, forecastHorizon / 2, forecastHorizon}
 
 // demandForecast is what the cell knows about the arrivals of the most urgent queues. It
 // outlives a claim, like the statistics of the queues.
@@ -37,9 +37,9 @@
 
 // urgentDemand is the demand of the most urgent queues on one service.
 type urgentDemand struct {
-	queues  map[string]bool // those seen
-	wave    bool            // demand has risen clearly, and has not begun to fall since
-	keeping bool            // the wave needs more than runs will leave
+	tasks   map[string]int64 // thousandths of a processor that a task of the queue last took, by queue
+	wave    bool             // demand has risen clearly, and has not begun to fall since
+	keeping bool             // the wave needs more than runs will leave
 }
 
 // keepsRoom reports whether room is kept on any service.
@@ -58,10 +58,11 @@
 	if spec.Queue.Priority != urgentPriority {
 		return
 	}
-	work := 0.0
+	work, task := 0.0, int64(0)
 	for i := range spec.Steps {
 		st := &spec.Steps[i]
 		if !st.UsesIdleCPU && !st.LongRunning {
+			task = max(task, st.Need.MilliCPU)
 			work += c.queueStats(spec.Queue.Name).expectedDuration(st.Estimate).Seconds() * float64(st.Count) * float64(st.Need.MilliCPU) / 1000
 		}
 	}
@@ -71,10 +72,10 @@
 	}
 	u := c.demand.services[spec.Queue.Service]
 	if u == nil {
-		u = &urgentDemand{queues: map[string]bool{}}
+		u = &urgentDemand{tasks: map[string]int64{}}
 		c.demand.services[spec.Queue.Service] = u
 	}
-	u.queues[spec.Queue.Name] = true
+	u.tasks[spec.Queue.Name] = task
 }
 
 // yields reports whether the step may have to leave room to urgent queues: its tasks are
@@ -115,7 +116,7 @@
 		return math.MaxInt64
 	}
 	rises, falls := false, true
-	for queue := range u.queues {
+	for queue := range u.tasks {
 		f := c.demand.arrivals.Expected(queue, c.now.Steady, forecastHorizon)
 		rises, falls = rises || f.Rises, falls && f.Falls
 	}
@@ -124,38 +125,54 @@
 		c.logRoomKept(u, service, 0, 0)
 		return math.MaxInt64
 	}
-	var ends []release // of other runs, which leave room to urgent ones
-	now := int64(0)    // room that urgent queues have or could take now
-	for _, cand := range pool.candidates {
-		now += max(0, cand.free.MilliCPU)
-		for _, r := range cand.w.runs {
-			if job := r.task.step.job; job.Job != nil && job.Queue.Priority == urgentPriority {
-				now += r.task.step.need().MilliCPU
-			} else {
-				ends = append(ends, release{c.now.Steady + c.remainingTime(r), r.task.step.need()})
-			}
-		}
-	}
+	rooms := c.urgentRoom(pool, u)
 	least, needed, room := int64(math.MaxInt64), int64(0), int64(0)
-	for _, after := range forecastMoments {
+	for i, after := range forecastMoments {
 		expected := 0.0
-		for queue := range u.queues {
+		for queue := range u.tasks {
 			expected += c.demand.arrivals.Expected(queue, c.now.Steady, after).Cores
 		}
-		then := now
-		for _, end := range ends {
-			if end.at <= c.now.Steady+after {
-				then += end.need.MilliCPU
-			}
-		}
-		if left := then - int64(1000*expected); left < least {
-			least, needed, room = left, int64(1000*expected), then
+		if left := rooms[i] - int64(1000*expected); left < least {
+			least, needed, room = left, int64(1000*expected), rooms[i]
 		}
 	}
 	c.logRoomKept(u, service, needed, room)
 	return least
 }
 
+// urgentRoom returns the room that urgent queues have or could take at each of the
+// forecastMoments, in thousandths of a processor: what is free, what their own tasks hold
+// and what the runs that end by then leave. Of a worker's room, only what holds whole tasks
+// counts.
+func (c *Cell) urgentRoom(pool *servicePool, u *urgentDemand) [len(forecastMoments)]int64 {
+	var rooms [len(forecastMoments)]int64
+	smallest := int64(math.MaxInt64)
+	for _, need := range u.tasks {
+		smallest = min(smallest, max(1, need))
+	}
+	for _, cand := range pool.candidates {
+		var on [len(forecastMoments)]int64
+		for i := range on {
+			on[i] = max(0, cand.free.MilliCPU)
+		}
+		for _, r := range cand.w.runs {
+			left := time.Duration(0)
+			if job := r.task.step.job; job.Job == nil || job.Queue.Priority != urgentPriority {
+				left = c.remainingTime(r)
+			}
+			for i, after := range forecastMoments {
+				if left <= after {
+					on[i] += r.task.step.need().MilliCPU
+				}
+			}
+		}
+		for i := range on {
+			rooms[i] += on[i] - on[i]%smallest
+		}
+	}
+	return rooms
+}
+
 // logRoomKept logs when room begins or ceases to be kept.
 func (c *Cell) logRoomKept(u *urgentDemand, service string, needed, room int64) {
 	keeping := needed > room
--- a/cell/forecast_test.go
+++ b/cell/forecast_test.go
@@ -70,3 +70,25 @@
 	s.latestStart, s.spec.Estimate = c.now.Steady+time.Minute, minLongStart
 	require.False(t, c.yields(s), "it ends before the wave")
 }
+
+// TestRoomForUrgentTasksIsInWholeTasks covers workers that are full but for less than a task.
+func TestRoomForUrgentTasksIsInWholeTasks(t *testing.T) {
+	f := newFleet(t, 1, 4)
+	for i := range 4 {
+		f.submit(2*time.Second, quoteJob(fmt.Sprintf("bb%014x", i)))
+	}
+	f.submit(2*time.Second, lookupJob("aa00000000000001"))
+	f.runUntil(2400 * time.Millisecond)
+	pool, free, runs := f.owner.newRound().pools["s"], int64(0), 0
+	for _, cand := range pool.candidates {
+		cand.free.MilliCPU = 2799
+		for _, r := range cand.w.runs {
+			if r.task.step.job.Queue.Name == "lookup" {
+				runs++
+				free += 2800
+			}
+		}
+	}
+	require.Equal(t, 2, runs)
+	require.Equal(t, free, f.owner.urgentRoom(pool, f.owner.demand.services["s"])[0])
+}
--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -96,9 +96,18 @@
 	}
 }
 
+// at returns the expected rate at a time. The level is the rate at the middle of the last
+// whole step.
+func (s *series) at(t time.Duration) float64 {
+	if s.steps < minSteps {
+		return s.level
+	}
+	return max(0, s.level+s.trend*float64(t-s.stepFrom+Step/2)/float64(Step))
+}
+
 // Expected predicts the work of a queue after the given time, over all zones.
 func (a *Arrivals) Expected(queue string, now, after time.Duration) Forecast {
-	level, cores := 0.0, 0.0
+	current, cores := 0.0, 0.0
 	for k, s := range a.kinds {
 		if k.Queue != queue {
 			continue
@@ -108,12 +117,8 @@
 			delete(a.kinds, k)
 			continue
 		}
-		level += s.level
-		expected := s.level
-		if s.steps >= minSteps {
-			expected += s.trend * float64(after) / float64(Step)
-		}
-		cores += max(0, expected)
+		current += s.at(now)
+		cores += s.at(now + after)
 	}
-	return Forecast{Cores: cores, Rises: cores > level*(1+risingShare), Falls: cores < level}
+	return Forecast{Cores: cores, Rises: cores > current*(1+risingShare), Falls: cores < current}
 }
--- a/forecast/forecast_test.go
+++ b/forecast/forecast_test.go
@@ -59,6 +59,18 @@
 	require.Greater(t, fell, 5)
 }
 
+// TestTrendCountsFromTheMiddleOfTheLastStep covers the age of what is known of the demand.
+func TestTrendCountsFromTheMiddleOfTheLastStep(t *testing.T) {
+	var a Arrivals
+	rate := func(t float64) float64 { return 100 * t }
+	for now := 500 * time.Millisecond; now < 12*time.Second; now += 450 * time.Millisecond {
+		feed(&a, Kind{"lookup", "a"}, now-450*time.Millisecond, now, rate)
+		if now > 8*time.Second {
+			require.InDelta(t, rate((now + time.Second).Seconds()), a.Expected("lookup", now, time.Second).Cores, 15, "at %v", now)
+		}
+	}
+}
+
 func TestKindsThatEndAreForgotten(t *testing.T) {
 	var a Arrivals
 	feed(&a, Kind{"lookup", "a"}, 0, 10*time.Second, func(t float64) float64 { return 10 * t * t })
