--- a/cell/advice.go
+++ b/cell/advice.go
@@ -146,16 +146,7 @@
 	if scarce {
 		wanted = scarceSurplus * float64(tasks)
 	}
-	candidates := c.adviceCandidates(pool, s, false)
-	// If there is no room for a gang, workers are reserved for it, whether they have
-	// room now or not.
-	includeFull := s.spec.Gang && alwaysLong && totalExpected(candidates) < wanted
-	switch {
-	case scarce:
-		candidates = append(candidates, c.fullCandidates(pool, s)...)
-	case includeFull:
-		candidates = c.adviceCandidates(pool, s, true)
-	}
+	candidates, full := c.callCandidates(pool, s, wanted, scarce)
 	limit := maxWorkersPerCall
 	if s.spec.Gang {
 		limit = c.parallelCalls() * callSize(advice)
@@ -163,10 +154,9 @@
 	var ids []string
 	expected := 0.0
 	for _, cand := range candidates {
-		enough := expected >= wanted && (scarce || !includeFull)
 		cheap := !alwaysLong && advice.PerWorker*time.Duration(len(ids)) < advice.FixedLatency/2 || scarce && !s.spec.Gang && len(ids) < callSize(advice)
 		tooLong := !alwaysLong && advice.Duration(len(ids)+1) >= longCall
-		if enough && !cheap || tooLong || len(ids) == limit {
+		if expected >= wanted && !full && !cheap || tooLong || len(ids) == limit {
 			break
 		}
 		ids = append(ids, cand.w.ID)
@@ -177,6 +167,21 @@
 	}
 }
 
+// callCandidates returns the workers that a call may name. It reports whether the call is
+// to name as many as it can, because workers will be reserved for a gang, whether they have
+// room now or not.
+func (c *Cell) callCandidates(pool *servicePool, s *step, wanted float64, scarce bool) (candidates []adviceCandidate, full bool) {
+	candidates = c.adviceCandidates(pool, s, false)
+	switch {
+	case scarce:
+		return append(candidates, c.fullCandidates(pool, s)...), false
+	case s.spec.Gang && s.job.Queue.Advice.Duration(1) >= longCall && totalExpected(candidates) < wanted:
+		return c.adviceCandidates(pool, s, true), true
+	default:
+		return candidates, false
+	}
+}
+
 // hostsScarce reports whether more calls than the hosts can make have been asked for
 // lately. Then a call names as many workers as double its time, so that it spares others.
 func (c *Cell) hostsScarce() bool {
