--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -27,6 +27,9 @@
 // usageTimeConstant is the time constant of the decaying average.
 const usageTimeConstant = 10 * time.Second
 
+// minAverage is the average from which on a team counts as having used anything lately.
+const minAverage = 1e-4
+
 // Ledger holds the usage of every team. The zero value is ready to use.
 type Ledger struct {
 	total resource.Vector
@@ -77,6 +80,26 @@
 // Local returns the team's usage here.
 func (l *Ledger) Local(team string) resource.Vector { return l.ensureTeam(team).local }
 
+// Averages returns the decayed average of the dominant usage of each team that has used
+// anything lately.
+func (l *Ledger) Averages() map[string]float64 {
+	averages := map[string]float64{}
+	for team, u := range l.teams {
+		l.updateAverage(u)
+		if u.average >= minAverage {
+			averages[team] = u.average
+		}
+	}
+	return averages
+}
+
+// RestoreAverage sets a team's decayed average as it was the given time ago.
+func (l *Ledger) RestoreAverage(team string, average float64, ago time.Duration) {
+	u := l.ensureTeam(team)
+	u.average = average * math.Exp(-ago.Seconds()/usageTimeConstant.Seconds())
+	u.updated = l.now
+}
+
 // Advance sets the ledger's clock.
 func (l *Ledger) Advance(now time.Time) { l.now = now }
 
--- a/promise/promise.go
+++ b/promise/promise.go
@@ -147,7 +147,8 @@
 }
 
 // Restore adds the callers of a snapshot that was taken the given time ago. A caller
-// that has been refused since keeps its new place, with the earlier FirstSeen.
+// that has been refused since keeps its new place, with the earlier FirstSeen. One that was
+// due while there was no owner has no place, as it could not come back.
 func (b *Book) Restore(list []Caller, now, ago time.Duration) {
 	for _, c := range list {
 		c = c.shift(now - ago)
@@ -156,6 +157,9 @@
 			b.callers[c.Job] = newer
 			continue
 		}
+		if c.lapsed(now) {
+			c.Work, c.Cores = 0, 0
+		}
 		b.Refuse(c, now)
 	}
 }
--- a/promise/promise_test.go
+++ b/promise/promise_test.go
@@ -97,6 +97,22 @@
 	require.Equal(t, later+time.Second, again.ReturnAt)
 }
 
+// TestCallersDueWhileThereWasNoOwnerDoNotCountAsAway restores a book whose callers could
+// reach nobody when they were due.
+func TestCallersDueWhileThereWasNoOwnerDoNotCountAsAway(t *testing.T) {
+	var b, successor Book
+	for i := range 50 {
+		b.Refuse(caller(fmt.Sprint(i), 1, now), now)
+	}
+	successor.Restore(b.Snapshot(now), now, 10*time.Second)
+	successor.Expire(now)
+	require.Zero(t, successor.away)
+	c, ok := successor.Redeem("1", now)
+	require.True(t, ok)
+	require.Equal(t, now-10*time.Second, c.FirstSeen)
+	require.Zero(t, successor.away)
+}
+
 // TestCallersReturnSpreadInAnOutage checks that callers neither come back in one second
 // nor after their jobs are of use.
 func TestCallersReturnSpreadInAnOutage(t *testing.T) {
--- a/runtimes/runtimes.go
+++ b/runtimes/runtimes.go
@@ -33,6 +33,8 @@
 	// the median. Uniform errors of estimates by a factor of 1.9 stay below that.
 	tailQuantile = 0.98
 	heavyFactor  = 3
+	// maxSample is the maximum size of a sample. It is enough to show a heavy tail.
+	maxSample = 64
 )
 
 // Distribution is a decaying distribution of ratios of actual to estimated run times on
@@ -49,6 +51,13 @@
 
 // Add adds the ratio of a run that has ended.
 func (d *Distribution) Add(ratio float64) {
+	d.record(ratio)
+	if d.added <= minRuns || d.added%refreshInterval == 0 {
+		d.refresh()
+	}
+}
+
+func (d *Distribution) record(ratio float64) {
 	if d.recent == nil {
 		d.recent = hdrhistogram.NewWindowed(windows, 1, maxRatio/unit, sigFigures)
 	}
@@ -58,9 +67,6 @@
 	d.added++
 	// The value is within the range of the histogram, so there is no error.
 	_ = d.recent.Current.RecordValue(int64(math.Round(min(maxRatio, max(unit, ratio)) / unit)))
-	if d.added <= minRuns || d.added%refreshInterval == 0 {
-		d.refresh()
-	}
 }
 
 // refresh merges the windows and computes what is read often.
@@ -123,3 +129,33 @@
 	}
 	return max(ratio, float64(d.merged.ValueAtQuantile(50*(float64(below)/float64(count)+1)))*unit), true
 }
+
+// Sample returns ratios that are spread like those of the last runs, at most one a run.
+func (d *Distribution) Sample() []float64 {
+	n := min(maxSample, d.added)
+	if n == 0 {
+		return nil
+	}
+	percentiles := make([]float64, n)
+	for i := range percentiles {
+		percentiles[i] = 100 * (float64(i) + 0.5) / float64(n)
+	}
+	values := d.merged.ValueAtPercentilesSlice(percentiles)
+	sample := make([]float64, n)
+	for i, v := range values {
+		sample[i] = float64(v) * unit
+	}
+	return sample
+}
+
+// Restore replaces the distribution by a sample of another one. As a sample is smaller
+// than what it was taken of, later runs soon outweigh it.
+func (d *Distribution) Restore(sample []float64) {
+	*d = Distribution{}
+	for _, ratio := range sample {
+		d.record(ratio)
+	}
+	if d.added > 0 {
+		d.refresh()
+	}
+}
--- a/runtimes/runtimes_test.go
+++ b/runtimes/runtimes_test.go
@@ -67,3 +67,28 @@
 	require.True(t, known)
 	require.InDelta(t, maxRatio/3.0, mean, 1)
 }
+
+// TestRestoredSampleIsLikeTheDistribution hands a heavy-tailed distribution on by a sample.
+func TestRestoredSampleIsLikeTheDistribution(t *testing.T) {
+	var d, restored Distribution
+	restored.Restore(d.Sample())
+	require.False(t, restored.Known())
+	for i := range 1000 {
+		ratio := 0.8 + float64(i%40)/100
+		if i%25 == 0 {
+			ratio *= 7
+		}
+		d.Add(ratio)
+	}
+	restored.Restore(d.Sample())
+	require.True(t, restored.Known())
+	require.True(t, restored.HeavyTail())
+	mean, _ := d.Mean()
+	restoredMean, _ := restored.Mean()
+	require.InEpsilon(t, mean, restoredMean, 0.05)
+	for _, q := range []float64{0.1, 0.5, 0.9} {
+		want, _ := d.Quantile(q)
+		got, _ := restored.Quantile(q)
+		require.InEpsilon(t, want, got, 0.05)
+	}
+}
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -78,6 +78,14 @@
 	e.factor = math.Exp(e.log)
 }
 
+// Restore sets the speed that an earlier owner knew. It counts as just known, so that the
+// next runs correct it soon.
+func (e *Estimate) Restore(factor float64) {
+	if factor > 0 {
+		*e = Estimate{log: math.Log(factor), factor: factor, precision: 1 / (knownSigma * knownSigma)}
+	}
+}
+
 // Value returns the speed. It reports false, with a speed of 1, while that is not known.
 func (e *Estimate) Value() (factor float64, known bool) {
 	if e.precision < 1/(knownSigma*knownSigma) {
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -82,3 +82,17 @@
 	got, _ := e.Value()
 	require.Greater(t, got, 0.94)
 }
+
+func TestRestoredSpeedIsKnownAndCorrectedSoon(t *testing.T) {
+	var e Estimate
+	e.Restore(2)
+	factor, known := e.Value()
+	require.True(t, known)
+	require.InDelta(t, 2, factor, 1e-9)
+	for range 4 {
+		e.Add(1, 0.2, 1, false)
+	}
+	factor, known = e.Value()
+	require.True(t, known)
+	require.InDelta(t, 1.1, factor, 0.2)
+}
