cell: hand what the owner has learned on to its successor

A takeover in a burst began without the speeds of workers, the shares of eligible workers, the use by team and the callers who had been told to come back. The owner now writes them as one row with its ordinary commits, every 2 s if they changed, and a successor takes them over by their age.

Met on the way: the progress of a run that was taken over counted from 0 at the takeover, so its worker appeared several times as fast. Such runs give samples only from their first report on.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -99,6 +99,7 @@
 	listedOnce      bool                       // the workers were listed since the claim
 
 	commits          commitState
+	learned          learnedState
 	lastHousekeeping Instant
 	useLoggedAt      Instant
 	reservedMilliCPU int64 // processors that the last placement round reserved for gangs, in thousandths
@@ -139,7 +140,7 @@
 		c.statsByQueue = map[string]*queueStats{}
 	}
 	c.uneven, c.speedsCheckedAt, c.hastening = map[string]float64{}, 0, hastening{}
-	c.commits = commitState{}
+	c.commits, c.learned = commitState{}, learnedState{}
 	c.load = loadEstimate{}
 	c.eviction.restart(c.now.Steady)
 	c.promises, c.shares = promise.Book{}, fairshare.Ledger{}
@@ -327,11 +328,13 @@
 	AboveShare int    `json:"teamsAboveShare"`    // teams whose waiting steps give way to others'
 	Copies     int    `json:"copies"`             // copies of slow runs since the claim
 	Moves      int    `json:"moves"`              // moves of slow runs to faster workers since the claim
+	Restored   int    `json:"restoredSpeeds"`     // speeds of workers taken over from the owner before
+	Learned    int    `json:"learnedBytes"`       // size of the last row of learned state
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom(), Evicted: c.eviction.runs, LostWork: int(c.eviction.lost), Promised: c.promises.Len(), AboveShare: len(c.aboveShare), Copies: c.hastening.copies, Moves: c.hastening.moves}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom(), Evicted: c.eviction.runs, LostWork: int(c.eviction.lost), Promised: c.promises.Len(), AboveShare: len(c.aboveShare), Copies: c.hastening.copies, Moves: c.hastening.moves, Restored: c.learned.restored, Learned: len(c.learned.row)}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -106,6 +106,10 @@
 			size += len(row.Value)
 		}
 	}
+	if row, due := c.learnedRow(); due {
+		size += len(row.Value)
+		effect.Puts = append(effect.Puts, row)
+	}
 	rowsForJobs := maxRows - min(reservedDrops, len(commits.drops))
 	for len(commits.dirty) > 0 && effect.rows() < rowsForJobs && size < maxBytes {
 		j := commits.dirty[0]
--- a/cell/effect.go
+++ b/cell/effect.go
@@ -25,6 +25,7 @@
 	Jobs     Table = iota // workload.Job by ID
 	Progress              // workload.Progress by ID
 	Roster                // workers in use, some hundred in a row
+	Learned               // digest.State of what the owner has learned, in one row
 )
 
 // Row is one row of a Commit.
--- a/cell/event.go
+++ b/cell/event.go
@@ -27,6 +27,9 @@
 	Previous bool
 	Jobs     []StoredJob
 	Workers  []WorkerRef // workers that earlier owners may have used
+	Learned  []byte      // row of what the last owner had learned; empty if there is none
+	// LearnedFailure is why that row could not be read, or empty.
+	LearnedFailure string
 }
 
 // StoredJob is a job as loaded from the store. Job is nil if the job has ended and its
--- a/cell/job.go
+++ b/cell/job.go
@@ -108,6 +108,7 @@
 	state          runState
 	sentAt         Instant
 	confirmedAt    Instant // when it was first known to be running
+	adopted        bool    // an earlier owner started it, at an unknown time before confirmedAt
 	stopSentAt     Instant
 	stopAckedAt    Instant
 	percent        int     // reported progress
--- a/cell/queuestats.go
+++ b/cell/queuestats.go
@@ -104,7 +104,7 @@
 		ratio := float64(c.now.Steady-r.confirmedAt) / float64(s.spec.Estimate) * r.speed()
 		c.queueStats(s.job.Queue.Name).runs.Add(min(maxDurationRatio, ratio))
 		switch {
-		case s.spec.Gang:
+		case s.spec.Gang || r.adopted && r.sampledAt == 0: // unknown since when it runs
 		case len(s.tasks) >= minPeers:
 			c.addPeer(r)
 		default:
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -25,6 +25,7 @@
 	if e.Previous {
 		c.recoverBy += maxLeaseTime(MaxLeaseAfterCommit)
 	}
+	c.restoreLearned(e) // before the jobs, whose objectives depend on it
 	baseRun := e.Token * runsPerClaim
 	live := 0
 	for _, stored := range e.Jobs {
--- a/cell/report.go
+++ b/cell/report.go
@@ -266,7 +266,7 @@
 		return nil
 	}
 	t.heldFor = ""
-	r := &run{task: t, number: entry.Run, w: w, state: running, sentAt: at, confirmedAt: at, progressAt: at}
+	r := &run{task: t, number: entry.Run, w: w, state: running, sentAt: at, confirmedAt: at, adopted: true, progressAt: at}
 	c.addRun(r)
 	return r
 }
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -41,6 +41,7 @@
 	w.WorkerInfo = info
 	w.Clock, w.StartedAt = clock, startedAt
 	w.listed = true
+	c.restoreSpeed(w)
 	w.evacuated = c.evacuated.Covers(w.Zone)
 }
 
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -61,6 +61,7 @@
 	stopsLost         bool             // stops are not carried out
 	storeDown         bool
 	storeUnreachable  map[*Cell]bool // owners that the store does not answer
+	forgetsLearned    bool           // no learned state is stored
 	violations        []string
 	onUpdate          func(c *Cell, event any, effects []any, took time.Duration) // called after each Update, if set
 	starts            int
@@ -73,6 +74,7 @@
 	jobs     map[string]*workload.Job
 	progress map[string]*workload.Progress
 	roster   []WorkerRef
+	learned  []byte
 }
 
 type simJob struct {
@@ -230,7 +232,7 @@
 	c := New(Config{MaxLease: simMaxLease, StopTimeout: 200 * time.Millisecond, StatusRetention: 120 * time.Second})
 	previous := f.owner != nil
 	f.owner = c
-	claimed := Claimed{Token: f.store.token, Sent: f.now, Previous: previous, Workers: f.store.roster}
+	claimed := Claimed{Token: f.store.token, Sent: f.now, Previous: previous, Workers: f.store.roster, Learned: f.store.learned}
 	for id, p := range f.store.progress {
 		copied := *p
 		claimed.Jobs = append(claimed.Jobs, StoredJob{ID: id, Job: f.store.jobs[id], Progress: &copied})
@@ -381,6 +383,10 @@
 		refs, err := DecodeRoster(r.Value)
 		require.NoError(f.t, err)
 		f.store.roster = refs
+	case Learned:
+		if !f.forgetsLearned {
+			f.store.learned = r.Value
+		}
 	}
 }
 
--- a/cell/speed.go
+++ b/cell/speed.go
@@ -108,7 +108,7 @@
 // recordProgressSpeed takes a speed sample of a run that has progressed by enough. A run that
 // resumed from a checkpoint, or was adopted, is not at its beginning when it is first reported.
 func (c *Cell) recordProgressSpeed(r *run, percent int, at Instant) {
-	if r.number != 1 && r.sampledAt == 0 {
+	if (r.number != 1 || r.adopted) && r.sampledAt == 0 {
 		r.sampledPercent, r.sampledAt = percent, at
 		return
 	}
--- a/cellhost/cellhost.go
+++ b/cellhost/cellhost.go
@@ -66,6 +66,9 @@
 	// Load reads what a new owner needs: the stored jobs, and the workers that
 	// earlier owners may have used.
 	Load func(ctx context.Context) ([]cell.StoredJob, []cell.WorkerRef, error)
+	// LoadLearned reads the row of what the last owner had learned, which is empty if there
+	// is none. A new owner can do without it, and without the function.
+	LoadLearned func(ctx context.Context) ([]byte, error)
 	// LookUp reads the state of one job from the store. It reports false if the
 	// store does not hold the job.
 	LookUp func(ctx context.Context, id string) (workload.State, bool, error)
--- a/cellhost/ownership.go
+++ b/cellhost/ownership.go
@@ -633,6 +633,7 @@
 		}
 		claimValid <- ok
 	}()
+	learned := h.readLearned(loadCtx)
 	for loadCtx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(loadCtx, loadTimeout)
 		var err error
@@ -661,7 +662,9 @@
 	h.ownership.members = nil
 	h.ownership.claimedAt = h.Now()
 	h.ownership.mu.Unlock()
-	h.post(ctx, cell.Claimed{Token: head.Token, Sent: head.sent, Previous: hadOwner, Jobs: jobs, Workers: workers})
+	claimed := cell.Claimed{Token: head.Token, Sent: head.sent, Previous: hadOwner, Jobs: jobs, Workers: workers}
+	claimed.Learned, claimed.LearnedFailure = learned()
+	h.post(ctx, claimed)
 	h.post(ctx, cell.AdviceHosts{Hosts: []string{h.Name}})
 	go h.announce(ctx, head.HeadRow)
 }
