--- a/cell/advice.go
+++ b/cell/advice.go
@@ -31,7 +31,7 @@
 	mediumCall = 500 * time.Millisecond
 	// mediumShare is the share of the hosts that medium calls get while both they and
 	// longer ones wait for a host.
-	mediumShare = 0.2
+	mediumShare = 0.25
 	// deniedWindow is how long a call that found no host counts as waiting.
 	deniedWindow = 200 * time.Millisecond
 	// scarceWindow is how long hosts count as scarce after a call found none.
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -27,6 +27,10 @@
 	// gang that would wait longer, no quota of its team is reserved. Users accept that
 	// a job waits for up to 3 s although there is room for it.
 	quotaReserveHorizon = 2 * time.Second
+	// reserveHorizon bounds the expected time until there is room for a gang for which workers
+	// are reserved while hosts for calls are scarce. Others use them until then. For a gang that
+	// has waited longer, the bound is half of its wait.
+	reserveHorizon = time.Second
 	// overrunFactor is applied to the expected duration of a run when deciding
 	// whether it ends before a reservation begins.
 	overrunFactor = 1.2
@@ -217,6 +221,11 @@
 	}
 	at := openings[len(s.tasks)-1].at
 	s.roomExpectedAt = at
+	if s.advice.needed && c.hostsScarce() && at > c.now.Steady+max(reserveHorizon, (c.now.Steady-s.job.receivedAt)/2) {
+		c.logGangWait(s, "room for it is far off", int((at - c.now.Steady).Milliseconds()))
+		c.requestMoreAdvice(pool, s, true)
+		return
+	}
 	p.reservingGangs++
 	assignments, spare := assignOpenings(openings, len(s.tasks))
 	p.reserve(s, assignments, at)
