--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -28,6 +28,7 @@
 }
 
 func TestLightLoadMeetsItsObjectives(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 48)
 	f.submitLightLoad(12 * time.Second)
 	f.runUntil(60 * time.Second)
@@ -41,6 +42,7 @@
 }
 
 func TestAdviceCallsStayWithinTheLimitOnALargeFleet(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 250)
 	f.submitLightLoad(6 * time.Second)
 	f.runUntil(60 * time.Second)
@@ -66,6 +68,7 @@
 }
 
 func TestResultsOfAnEarlierIncarnationAreNotAcknowledged(t *testing.T) {
+	t.Parallel()
 	spec := quoteJob("bb00000000000001")
 	c := New(Config{MaxLease: simMaxLease, StatusRetention: time.Minute})
 	at := func(ms int) Clock {
@@ -90,6 +93,7 @@
 // TestStartThatReachesANewIncarnationIsKept simulates a worker that restarts, before
 // a start reaches it, without the owner noticing (found by the soak test, seed 8).
 func TestStartThatReachesANewIncarnationIsKept(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 2)
 	f.at(1900*time.Millisecond, func() {
 		for _, w := range f.workers {
@@ -109,6 +113,7 @@
 // list of workers after a claim and the next load estimate. Such a job was refused
 // because the service seemed to have no workers (incident inc-1d20).
 func TestNewOwnerAcceptsJobsBeforeItsFirstLoadEstimate(t *testing.T) {
+	t.Parallel()
 	c := New(Config{MaxLease: simMaxLease, StatusRetention: time.Minute})
 	clock := Clock{Steady: time.Hour, Wall: time.Unix(1, 0)}
 	w := WorkerInfo{ID: "w1", Service: "s", Capacity: resource.Vector{MilliCPU: 32000, MemoryMB: 64000}, StartedAt: 1}
@@ -150,6 +155,7 @@
 }
 
 func TestCommitStaysWithinTheStoreLimit(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 48)
 	// Far more jobs end at once than a transaction holds, and each also deletes a row.
 	for i := range 300 {
@@ -161,6 +167,7 @@
 }
 
 func TestInvariantsHoldUnderFaults(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(24) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			f := newFleet(t, seed, 24)
@@ -186,6 +193,7 @@
 }
 
 func TestIsolatedOwnerCausesNoDoubleRun(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(24) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			f := newFleet(t, seed, 24)
@@ -204,6 +212,7 @@
 // TestChecksDetectRemovedSafeguards removes one of the safeguards against running a
 // task twice, and expects the checks of the simulation to detect it.
 func TestChecksDetectRemovedSafeguards(t *testing.T) {
+	t.Parallel()
 	violations := func(seed uint64, fault protocolFault) []string {
 		f := newFleet(t, seed, 24)
 		f.fault = fault
@@ -250,6 +259,7 @@
 }
 
 func TestFinishedGangMemberIsNotStuck(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 48)
 	j := f.submit(2*time.Second, gangJob("cc00000000000001"))
 	for name := range j.actual {
@@ -263,6 +273,7 @@
 }
 
 func TestStuckRunIsStartedAgain(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 8)
 	j := f.submit(2*time.Second, quoteJob("bb00000000000001"))
 	f.at(2500*time.Millisecond, func() {
@@ -281,6 +292,7 @@
 // TestSuspendedOwnerTakesNoRunForStuck suspends an owner for some seconds. The first
 // answers that it reads afterwards are from before.
 func TestSuspendedOwnerTakesNoRunForStuck(t *testing.T) {
+	t.Parallel()
 	spec := quoteJob("bb00000000000001")
 	spec.Queue.Advice, spec.Steps[0].Count, spec.Steps[0].Estimate = nil, 1, 20*time.Second
 	c := New(Config{MaxLease: simMaxLease, StatusRetention: time.Minute})
@@ -317,6 +329,7 @@
 // TestGangIsNotStarvedByItsTeam simulates a team at its ceiling whose small tasks would
 // use each part of the ceiling as it becomes free.
 func TestGangIsNotStarvedByItsTeam(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 48)
 	f.teams["red"] = Team{Rate: 100, Ceiling: resource.Vector{MilliCPU: 100_000}}
 	f.submitMix("00", 2*time.Second, 30*time.Second, 0, 6, 0)
@@ -391,6 +404,7 @@
 }
 
 func TestEndedJobsAreDeletedAfterStatusRetention(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 3, 12)
 	f.submitLightLoad(8 * time.Second)
 	f.runUntil(60 * time.Second)
--- a/cell/contention_test.go
+++ b/cell/contention_test.go
@@ -85,6 +85,7 @@
 // What can be in time must not wait for what is late, and all but one in a hundred must
 // be served while it is of use.
 func TestBurstOfRefusedCallersIsServed(t *testing.T) {
+	t.Parallel()
 	run := func(firstCome bool) *simFleet {
 		f := newFleet(t, 3, 48)
 		f.retries, f.firstCome = 4, firstCome
@@ -171,6 +172,7 @@
 // TestJobsThatAreDueLaterOrLastStayOfUse submits jobs whose callers an outage kept away for
 // longer than the work takes.
 func TestJobsThatAreDueLaterOrLastStayOfUse(t *testing.T) {
+	t.Parallel()
 	for _, lasts := range []bool{false, true} {
 		f := newFleet(t, 1, 12)
 		f.runUntil(2 * time.Second)
--- a/cell/evacuate_test.go
+++ b/cell/evacuate_test.go
@@ -43,6 +43,7 @@
 // TestEvacuatedZoneGetsNoStarts evacuates two zones in turn under a usual load: the zone
 // gets nothing, its runs go on, and after the request is taken back it gets work again.
 func TestEvacuatedZoneGetsNoStarts(t *testing.T) {
+	t.Parallel()
 	f := newZonedFleet(t, 1, 48)
 	counts := f.startsByZone()
 	f.submitMix("00", 2*time.Second, 26*time.Second, 20, 3, 0.4)
@@ -71,6 +72,7 @@
 // TestSuccessorKeepsAnEvacuation kills the owner right after a request, and cuts another
 // zone off at the same moment.
 func TestSuccessorKeepsAnEvacuation(t *testing.T) {
+	t.Parallel()
 	f := newZonedFleet(t, 2, 48)
 	counts := f.startsByZone()
 	f.submitMix("00", 2*time.Second, 16*time.Second, 15, 2, 0.3)
@@ -99,6 +101,7 @@
 // TestPlacementsInAnEvacuatedZoneAreWithdrawn evacuates zones between the placement of a
 // gang and its commit: no member is sent, and the job is placed anew.
 func TestPlacementsInAnEvacuatedZoneAreWithdrawn(t *testing.T) {
+	t.Parallel()
 	f := newZonedFleet(t, 3, 12)
 	counts := f.startsByZone()
 	spec := gangJob("cc00000000000001")
@@ -124,6 +127,7 @@
 // nor calls to the advice service name workers of the zone, and the capacity for
 // admission leaves them out.
 func TestGangAndAdviceLeaveOutAnEvacuatedZone(t *testing.T) {
+	t.Parallel()
 	f := newZonedFleet(t, 4, 12)
 	f.evacuate("a")
 	f.onUpdate = func(c *Cell, _ any, effects []any, _ time.Duration) {
@@ -147,6 +151,7 @@
 // TestNothingStartsOnAnOldPolicy lets the reading of the operators' requests stop while
 // commits go on: starts stop in time, jobs are refused, and both resume.
 func TestNothingStartsOnAnOldPolicy(t *testing.T) {
+	t.Parallel()
 	f := newZonedFleet(t, 5, 12)
 	f.owner.MaxPolicyAge = 4 * time.Second
 	last := Instant(0)
@@ -176,6 +181,7 @@
 // TestColdWorkersGetWorkOnlyIfNoWarmOneHasRoom submits lookups for which warm workers have
 // room, and then more than that.
 func TestColdWorkersGetWorkOnlyIfNoWarmOneHasRoom(t *testing.T) {
+	t.Parallel()
 	f := newZonedFleet(t, 6, 12)
 	counts := f.startsByZone()
 	for _, w := range f.workers {
--- a/cell/forecast_test.go
+++ b/cell/forecast_test.go
@@ -28,6 +28,7 @@
 // TestRoomIsKeptForARisingWave replays three periods of a wave of lookups beside quotes
 // that may wait. Without room kept, the long tasks of the quotes hold the room at the crest.
 func TestRoomIsKeptForARisingWave(t *testing.T) {
+	t.Parallel()
 	replay := func(off bool) map[string]outcomes {
 		f := newFleet(t, 1, 48)
 		f.owner.KeepUrgentRoom = !off
@@ -48,6 +49,7 @@
 
 // TestNoRoomIsKeptWithoutAClearRise checks that a usual load is served as before.
 func TestNoRoomIsKeptWithoutAClearRise(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 48)
 	f.owner.KeepUrgentRoom = true
 	f.submitMix("00", 2*time.Second, 22*time.Second, 60, 14, 1)
@@ -60,6 +62,7 @@
 
 // TestStepsThatCannotWaitDoNotYield covers the bound of what urgent queues may take.
 func TestStepsThatCannotWaitDoNotYield(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 4)
 	f.submit(2*time.Second, quoteJob("bb00000000000001"))
 	f.runUntil(2100 * time.Millisecond)
@@ -74,6 +77,7 @@
 
 // TestRoomForUrgentTasksIsInWholeTasks covers workers that are full but for less than a task.
 func TestRoomForUrgentTasksIsInWholeTasks(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 4)
 	for i := range 4 {
 		f.submit(2*time.Second, quoteJob(fmt.Sprintf("bb%014x", i)))
--- a/cell/fullfleet_test.go
+++ b/cell/fullfleet_test.go
@@ -76,6 +76,7 @@
 // than the hosts can make. While many steps wait, the fleet must be in use, and neither
 // kind may keep the other from asking.
 func TestScarceAdviceKeepsNoRoomIdle(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 5, 120)
 	f.hosts = nil
 	for i := range 12 {
--- a/cell/learned_test.go
+++ b/cell/learned_test.go
@@ -30,6 +30,7 @@
 // it, between two rows. Its successor must know the speeds and run times at once. The share in
 // time of the jobs of the next seconds is logged beside that of a successor that learns anew.
 func TestTakeoverInABurst(t *testing.T) {
+	t.Parallel()
 	const killAt, delay = 17500 * time.Millisecond, 1300 * time.Millisecond
 	const takeover = killAt + delay
 	inTime := map[bool]map[time.Duration]int{true: {}, false: {}}
@@ -164,6 +165,7 @@
 
 // TestOwnerEndsBeforeItsAnswer ends an owner whose row was stored but not confirmed.
 func TestOwnerEndsBeforeItsAnswer(t *testing.T) {
+	t.Parallel()
 	f := newUnevenFleet(t, 1, unevenSpeeds)
 	unevenLoads[0].simulate(f)
 	f.runUntil(14 * time.Second)
--- a/cell/load_log_test.go
+++ b/cell/load_log_test.go
@@ -10,6 +10,7 @@
 // TestUseOfTheFleetIsLoggedWhileWorkWaits fills a fleet and checks that its use is
 // logged about once a second, and that the figures agree with the workers.
 func TestUseOfTheFleetIsLoggedWhileWorkWaits(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 8)
 	lines := 0
 	f.onUpdate = func(c *Cell, _ any, effects []any, _ time.Duration) {
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -150,6 +150,7 @@
 // starts. The lookups that waited through it are late; those submitted afterwards must
 // not be.
 func TestLateBacklogDoesNotDelayNewJobs(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 3, 48)
 	f.submitMix("00", 2*time.Second, 9*time.Second, 150, 14, 2)
 	f.at(9*time.Second, func() { f.storeDown = true })
@@ -173,6 +174,7 @@
 
 // TestUnsentJobsAreRefusedDuringAStoreOutage simulates a store outage during a burst.
 func TestUnsentJobsAreRefusedDuringAStoreOutage(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 5, 48)
 	f.submitMix("00", 2*time.Second, 10*time.Second, 120, 6, 0)
 	f.at(5*time.Second, func() { f.storeDown = true })
@@ -231,6 +233,7 @@
 // TestShortAdviceCallsDoNotWaitBehindLongOnes guards against lookups whose calls are made
 // from hosts that have a gang's call in flight.
 func TestShortAdviceCallsDoNotWaitBehindLongOnes(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 2, 48)
 	f.submitMix("00", 2*time.Second, 22*time.Second, 40, 6, 4)
 	f.runUntil(60 * time.Second)
@@ -244,6 +247,7 @@
 // TestFailedAdviceCallsBackOffAndAreLoggedOnce simulates an owner that is cut off from
 // all hosts that call the advice service, while many steps wait.
 func TestFailedAdviceCallsBackOffAndAreLoggedOnce(t *testing.T) {
+	t.Parallel()
 	const outage = 3 * time.Second
 	f := newFleet(t, 2, 48)
 	f.submitMix("00", 2*time.Second, 12*time.Second, 80, 6, 4)
@@ -306,6 +310,7 @@
 }
 
 func TestLogSaysWhyAGangWaits(t *testing.T) {
+	t.Parallel()
 	const length = 16 * time.Second
 	for _, wait := range gangWaits {
 		t.Run(wait.why, func(t *testing.T) {
@@ -465,6 +470,7 @@
 // TestLateGangsStartAfterTheLoadEnds simulates late gangs that still waited for advice
 // when the load had ended.
 func TestLateGangsStartAfterTheLoadEnds(t *testing.T) {
+	t.Parallel()
 	f, end := newGangLoadWithFaults(t, 1, heavyGangs)
 	f.requireStartedAfterLoad(end)
 }
@@ -472,6 +478,7 @@
 // TestLightGangsStartAfterTheLoadEnds simulates more gangs than the hosts can get advice
 // for, on a fleet with room.
 func TestLightGangsStartAfterTheLoadEnds(t *testing.T) {
+	t.Parallel()
 	f, end := newGangLoadWithFaults(t, 1, lightGangs)
 	f.requireStartedAfterLoad(end)
 }
@@ -480,6 +487,7 @@
 // burst. Lookups are refused at once and leave the transactions to jobs that can be in
 // time.
 func TestJobsThatWouldBeLateAreRefusedWhenTheStoreIsSlow(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 4, 48)
 	f.at(4*time.Second, func() { f.storeLatency = 500 * time.Millisecond })
 	f.at(10*time.Second, func() { f.storeLatency = 0 })
@@ -494,6 +502,7 @@
 }
 
 func TestLoadPatterns(t *testing.T) {
+	t.Parallel()
 	for _, p := range loadPatterns {
 		t.Run(p.name, func(t *testing.T) {
 			f := newFleet(t, 7, 48)
@@ -562,6 +571,7 @@
 // fast store there must be no such report; with a slow one, some are needed to renew
 // leases.
 func TestPollsReturnNewResults(t *testing.T) {
+	t.Parallel()
 	for _, latency := range []time.Duration{simCommitLatency, 400 * time.Millisecond} {
 		t.Run(latency.String(), func(t *testing.T) {
 			f := newFleet(t, 6, 48)
@@ -603,6 +613,7 @@
 // TestTicketsAreNotRequestedTwice simulates a store outage. Steps that have tickets for
 // all their tasks wait for the store and must not request more tickets meanwhile.
 func TestTicketsAreNotRequestedTwice(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 6, 48)
 	f.eligiblePercent = 100
 	f.submitMix("00", 2*time.Second, 5*time.Second, 40, 3, 0)
@@ -650,6 +661,7 @@
 // TestWideGangIsAskedAboutByCallsSideBySide submits a gang that needs more workers than a
 // call can name before its first tickets expire.
 func TestWideGangIsAskedAboutByCallsSideBySide(t *testing.T) {
+	t.Parallel()
 	f := wideGangFleet(t, 0.5)
 	calls := map[string][]RequestAdvice{}
 	f.onUpdate = func(_ *Cell, _ any, effects []any, _ time.Duration) {
@@ -685,6 +697,7 @@
 // TestWideGangsOnALargeFleetMeetTheirObjectives replays many wide gangs on a fleet that
 // other jobs keep busy. The share is the users' target for their large deployment.
 func TestWideGangsOnALargeFleetMeetTheirObjectives(t *testing.T) {
+	t.Parallel()
 	f := wideGangFleet(t, 3.5)
 	f.runUntil(60 * time.Second)
 	for name, o := range f.outcomesByQueue() {
--- a/cell/partition_test.go
+++ b/cell/partition_test.go
@@ -12,6 +12,7 @@
 // a third of the workers. It guards against counting the runs on those workers as load
 // on the others, which refuses lookups although there is free capacity for them.
 func TestRunsOnSilentWorkersDoNotCauseRefusals(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 48)
 	f.submitMix("00", 2*time.Second, 16*time.Second, 40, 6, 1)
 	f.at(8*time.Second, func() {
--- a/cell/queuestats_test.go
+++ b/cell/queuestats_test.go
@@ -15,6 +15,7 @@
 // TestQuantilesMatchTheRuns replays jobs whose estimates are off and of whose tasks a few
 // take many times as long, and counts the runs beyond the quantile that was known before.
 func TestQuantilesMatchTheRuns(t *testing.T) {
+	t.Parallel()
 	// The first runs to end are the short ones, so counting starts later.
 	const countFrom, end = 40 * time.Second, 180 * time.Second
 	f := newFleet(t, 11, 48)
--- a/cell/scarcity_test.go
+++ b/cell/scarcity_test.go
@@ -109,6 +109,7 @@
 // TestMemoryDecidesWhoFits fills the memory of a fleet whose processors are mostly free.
 // A job that fits on no worker in time is refused at once, one that fits is in time.
 func TestMemoryDecidesWhoFits(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		gigabytes int64
 		fits      bool
@@ -138,6 +139,7 @@
 // TestRoomThatGangsAheadCannotUse submits lookups behind gangs that wait for other
 // workers. The lookups have room and must not be refused.
 func TestRoomThatGangsAheadCannotUse(t *testing.T) {
+	t.Parallel()
 	f := memoryFleet(t, 1)
 	f.fillWorkers(2*time.Second, "k0", 24, time.Minute)
 	f.submitBlockedGangs(3*time.Second, "k0", 40, 20_000)
@@ -154,6 +156,7 @@
 
 // TestJobThatNoWorkerHoldsIsRefused submits jobs that no number of free workers can run.
 func TestJobThatNoWorkerHoldsIsRefused(t *testing.T) {
+	t.Parallel()
 	for name, change := range map[string]func(*workload.Step){
 		"too much memory": func(s *workload.Step) { s.Need.MemoryMB = 200_000 },
 		"too many cores":  func(s *workload.Step) { s.Need.MilliCPU = 33_000 },
@@ -173,6 +176,7 @@
 
 // TestLastingJobIsAcceptedOnAFullFleet hands a job that lasts in while nothing is free.
 func TestLastingJobIsAcceptedOnAFullFleet(t *testing.T) {
+	t.Parallel()
 	f := memoryFleet(t, 1)
 	f.fillWorkers(2*time.Second, "", 48, 20*time.Second)
 	spec := quoteJob("ff00000000000000")
@@ -187,6 +191,7 @@
 // TestWorkOfAnotherServiceDoesNotDelay fills the workers of one service. Jobs of another
 // service, whose workers are free, are accepted.
 func TestWorkOfAnotherServiceDoesNotDelay(t *testing.T) {
+	t.Parallel()
 	f := memoryFleet(t, 1)
 	for _, w := range f.workers {
 		if w.info.Labels[0] == "k1" {
@@ -212,6 +217,7 @@
 // what the fleet can do. No caller should be refused while its job has room. The estimates
 // of run times are off by up to a factor of 1.9, so one job in a hundred may be.
 func TestRefusalsWithRoomOnAMemoryScarceFleet(t *testing.T) {
+	t.Parallel()
 	refusals, room, submitted := 0, 0, 0
 	for seed := range uint64(3) {
 		f := memoryFleet(t, 11+seed)
--- a/cell/share_test.go
+++ b/cell/share_test.go
@@ -111,6 +111,7 @@
 // TestHotTeamDoesNotHoldUpOthers simulates a flood of a large team. The others must be
 // served as on quiet days (loadPatterns), and better than first come, first fit.
 func TestHotTeamDoesNotHoldUpOthers(t *testing.T) {
+	t.Parallel()
 	worstTeam := map[bool]float64{}
 	for _, firstCome := range []bool{false, true} {
 		f := newFleet(t, 4, 48)
--- a/cell/slowrun_test.go
+++ b/cell/slowrun_test.go
@@ -85,12 +85,14 @@
 const copyEndsBy = 12*time.Second + 9300*time.Millisecond
 
 func TestSlowRunIsCopiedWhereCopiesAreAllowed(t *testing.T) {
+	t.Parallel()
 	f, j := newSlowRunFleet(t, true)
 	f.requireEndedOnce(j, copyEndsBy)
 	require.Equal(t, 1, f.owner.Summary().Copies)
 }
 
 func TestSlowRunIsNotCopiedElsewhere(t *testing.T) {
+	t.Parallel()
 	f, j := newSlowRunFleet(t, false)
 	for f.now < 30*time.Second {
 		f.runUntil(f.now + 50*time.Millisecond)
@@ -100,6 +102,7 @@
 }
 
 func TestNoCopyTakesRoomThatWaitingWorkNeeds(t *testing.T) {
+	t.Parallel()
 	f, _ := newSlowRunFleet(t, true)
 	for i := range 400 { // twice what the fleet holds
 		spec := oneTaskJob(fmt.Sprintf("dd%014x", i))
@@ -124,6 +127,7 @@
 // TestLoserThatCannotBeStopped cuts off the slow worker, so that the stop of its run gets no
 // answer.
 func TestLoserThatCannotBeStopped(t *testing.T) {
+	t.Parallel()
 	f, j := newSlowRunFleet(t, true)
 	first := f.copied()
 	first.cutOff = true
@@ -132,6 +136,7 @@
 }
 
 func TestCopyThatStartsLate(t *testing.T) {
+	t.Parallel()
 	f, j := newSlowRunFleet(t, true)
 	f.lateStartShare = 1
 	f.requireEndedOnce(j, time.Minute)
@@ -139,6 +144,7 @@
 }
 
 func TestBothRunsEndAtOnce(t *testing.T) {
+	t.Parallel()
 	f, j := newSlowRunFleet(t, true)
 	f.copied()
 	for _, w := range f.workers {
@@ -152,6 +158,7 @@
 
 // TestFailedCopyLeavesTheRun ends a copy as failed. The task must not fail for it.
 func TestFailedCopyLeavesTheRun(t *testing.T) {
+	t.Parallel()
 	f, j := newSlowRunFleet(t, true)
 	first := f.copied()
 	for _, w := range f.workers {
@@ -163,6 +170,7 @@
 }
 
 func TestOwnerReplacedWhileThereIsACopy(t *testing.T) {
+	t.Parallel()
 	f, j := newSlowRunFleet(t, true)
 	f.copied()
 	f.killOwner(700 * time.Millisecond)
@@ -200,6 +208,7 @@
 const moveEndsBy = 20100*time.Millisecond + 5450*time.Millisecond // its objective
 
 func TestSlowRunMovesToAFastWorker(t *testing.T) {
+	t.Parallel()
 	f, j := newMoveFleet(t, true)
 	f.requireEndedOnce(j, moveEndsBy)
 	require.Equal(t, 1, f.owner.Summary().Moves)
@@ -207,6 +216,7 @@
 
 // TestRunWithoutCheckpointsStays checks that no work is thrown away for a move.
 func TestRunWithoutCheckpointsStays(t *testing.T) {
+	t.Parallel()
 	f, j := newMoveFleet(t, false)
 	f.requireEndedOnce(j, time.Minute)
 	require.Zero(t, f.owner.Summary().Moves)
@@ -226,6 +236,7 @@
 // TestMoveWhoseStopIsNotAnswered cuts off the slow worker. The task must not start elsewhere
 // while it may run there.
 func TestMoveWhoseStopIsNotAnswered(t *testing.T) {
+	t.Parallel()
 	f, j := newMoveFleet(t, true)
 	w := f.moving()
 	w.cutOff = true
@@ -234,6 +245,7 @@
 }
 
 func TestRunThatEndsWhileItIsMoved(t *testing.T) {
+	t.Parallel()
 	f, j := newMoveFleet(t, true)
 	w := f.moving()
 	f.endRun(w, slowJob+".0.0.0", w.runs[slowJob+".0.0.0"], Done)
@@ -241,6 +253,7 @@
 }
 
 func TestOwnerReplacedDuringAMove(t *testing.T) {
+	t.Parallel()
 	f, j := newMoveFleet(t, true)
 	f.moving()
 	f.killOwner(700 * time.Millisecond)
@@ -250,6 +263,7 @@
 // TestCopiesStayWithinTheCeiling lets several runs of a team be slow that may run only one
 // more.
 func TestCopiesStayWithinTheCeiling(t *testing.T) {
+	t.Parallel()
 	f, _ := newSlowRunFleet(t, true)
 	for _, j := range f.owner.live {
 		if strings.HasPrefix(j.id, "cc") {
@@ -270,6 +284,7 @@
 // TestNothingMovesWhileStartsAreWithheld lets the reading of the operators' requests stop.
 // A run that was stopped for a move could not start again.
 func TestNothingMovesWhileStartsAreWithheld(t *testing.T) {
+	t.Parallel()
 	f, _ := newMoveFleet(t, true)
 	f.owner.MaxPolicyAge = time.Second
 	f.runUntil(26 * time.Second)
--- a/cell/speed_test.go
+++ b/cell/speed_test.go
@@ -91,6 +91,7 @@
 // TestUnevenFleetIsServedAsWellAsALikeOne replays loads on a fleet a third of which is slow
 // and a third fast. The shares are those of the usual load on a fleet of like speeds.
 func TestUnevenFleetIsServedAsWellAsALikeOne(t *testing.T) {
+	t.Parallel()
 	minShares := map[string]float64{"lookup": loadPatterns[0].minLookups, "quote": loadPatterns[0].minQuotes, "refret": loadPatterns[0].minGangs}
 	for _, load := range unevenLoads {
 		t.Run(load.name, func(t *testing.T) {
@@ -121,6 +122,7 @@
 // TestLikeSpeedsChangeNothing replays the usual load on fleets whose speeds differ by little
 // or, on few workers, for a while.
 func TestLikeSpeedsChangeNothing(t *testing.T) {
+	t.Parallel()
 	for _, speeds := range [][]float64{{0.8, 1, 1.25}, {1, 1, 1.3}, {1, 1, 1, 1, 1, 1, 0.2}} {
 		f := newUnevenFleet(t, 1, speeds)
 		unevenLoads[1].simulate(f)
@@ -134,6 +136,7 @@
 
 // TestSlowWorkersThatTurnFastAreUsed changes the speed of a few slow workers.
 func TestSlowWorkersThatTurnFastAreUsed(t *testing.T) {
+	t.Parallel()
 	f := newUnevenFleet(t, 2, unevenSpeeds)
 	unevenLoads[0].simulate(f)
 	f.runUntil(14 * time.Second)
@@ -158,6 +161,7 @@
 
 // TestGangsRunOnWorkersOfLikeSpeed submits gangs one after the other to a fleet with room.
 func TestGangsRunOnWorkersOfLikeSpeed(t *testing.T) {
+	t.Parallel()
 	f := newUnevenFleet(t, 5, unevenSpeeds)
 	f.submitMix("00", 2*time.Second, 15*time.Second, 40, 6, 0) // from which the speeds are known
 	f.submitMix("01", 15*time.Second, 55*time.Second, 0, 0, 0.12)
--- a/cell/starvation_test.go
+++ b/cell/starvation_test.go
@@ -46,6 +46,7 @@
 // TestAdviceIsRequestedWhenOneWorkerMakesTheCallLong simulates a queue whose fixed call
 // duration is short, but for which a call about a single worker is long.
 func TestAdviceIsRequestedWhenOneWorkerMakesTheCallLong(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 48)
 	spec := quoteJob("bb00000000000000")
 	spec.Queue.Advice = &workload.Advice{FixedLatency: longCall - time.Millisecond, PerWorker: 2 * time.Millisecond, Validity: 1500 * time.Millisecond}
@@ -57,6 +58,7 @@
 // TestRestartedWorkerIsAskedAboutAgain simulates workers that may not run a step and
 // restart under the same IDs as workers that may.
 func TestRestartedWorkerIsAskedAboutAgain(t *testing.T) {
+	t.Parallel()
 	for _, gang := range []bool{false, true} {
 		t.Run(fmt.Sprintf("gang %v", gang), func(t *testing.T) {
 			f := newFleet(t, 1, 12)
@@ -80,6 +82,7 @@
 // TestGangsWithoutRoomDoNotBlockTheirTeam simulates gangs that wait for the workers of
 // one rack while the rest of the fleet and of their team's ceiling is free.
 func TestGangsWithoutRoomDoNotBlockTheirTeam(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 48)
 	f.teams["red"] = Team{Rate: 100, Ceiling: resource.Vector{MilliCPU: 120_000}}
 	f.claim()
@@ -93,6 +96,7 @@
 // TestGangAboveALoweredCeilingReservesNothing simulates a ceiling that is lowered below
 // the needs of an accepted gang.
 func TestGangAboveALoweredCeilingReservesNothing(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 48)
 	f.fillWorkers(2*time.Second, "", 48, time.Minute)
 	big := f.submit(3*time.Second, gangJob("cc00000000000000"))
@@ -115,6 +119,7 @@
 // eligible workers. More gangs than a round reserves workers for are ahead of them, all
 // waiting for workers with one label. The reservations on these exceed maxReservedShare.
 func TestGangBehindReservingGangsRequestsMoreAdvice(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, 48)
 	f.eligiblePercent = 20
 	f.fillWorkers(2*time.Second, "k0", 24, 10*time.Minute)
@@ -145,6 +150,7 @@
 // TestOtherHostsCallWhenOneCannotReachAdvice simulates two or three hosts, one of which
 // never reaches the advice service.
 func TestOtherHostsCallWhenOneCannotReachAdvice(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range [][]string{{"a1", "a2"}, {"a1", "a2", "b1"}} {
 		for _, unreachable := range hosts {
 			t.Run(fmt.Sprintf("%d hosts, %s unreachable", len(hosts), unreachable), func(t *testing.T) {
@@ -166,6 +172,7 @@
 // on a nearly full fleet whose free room is all on workers reserved for gangs. Users
 // count the task as lost if it is not restarted there.
 func TestLongRunningTaskUsesRoomReservedForGangs(t *testing.T) {
+	t.Parallel()
 	for _, advised := range []bool{false, true} {
 		t.Run(fmt.Sprintf("advised %v", advised), func(t *testing.T) {
 			f := newFleet(t, 1, 12)
@@ -206,6 +213,7 @@
 // TestAcceptedGangsStartInTimeWhenAdviceIsScarce simulates long loads of gangs for which
 // there is room, but for which the hosts cannot get enough advice.
 func TestAcceptedGangsStartInTimeWhenAdviceIsScarce(t *testing.T) {
+	t.Parallel()
 	const end = 92 * time.Second
 	for _, load := range []struct {
 		hosts                  int
