cell: copies of slow runs keep a step's limit per worker

The targets of all slow runs are chosen before the first copy is placed; afterwards only the room was checked again. Change: the room by the step's own count, limit included, is checked before each copy. TestCopiesKeepTheLimitPerWorker.

--- a/cell/slowrun.go
+++ b/cell/slowrun.go
@@ -71,7 +71,7 @@
 		if spare -= need; spare < 0 || budget < need {
 			return
 		}
-		if !s.need().Fits(slow.target.free) || s.spec.Speculative && c.remainingQuota(p, s) == 0 {
+		if !c.stillFits(p, slow) {
 			continue // an earlier one took the room, or the rest of the team's quota
 		}
 		budget -= need
@@ -84,6 +84,13 @@
 	}
 }
 
+// stillFits reports whether the target may take the run beside those that have been placed
+// since it was chosen.
+func (c *Cell) stillFits(p *round, slow slowRun) bool {
+	s := slow.task.step
+	return s.room(slow.target.w, slow.target.free) > 0 && (!s.spec.Speculative || c.remainingQuota(p, s) > 0)
+}
+
 // spareRoom returns the processors, in thousandths, that copies and moves may take: of the
 // room that nothing else needs, and of what those under way leave of the maximum.
 func (c *Cell) spareRoom(pool *servicePool, service string) (spare, budget int64) {
--- a/cell/slowrun_test.go
+++ b/cell/slowrun_test.go
@@ -281,6 +281,24 @@
 	require.Positive(t, f.owner.Summary().Copies)
 }
 
+// TestCopiesKeepTheLimitPerWorker checks a copy whose target has got another task of the
+// step since it was chosen, as the same worker is the best one for several copies.
+func TestCopiesKeepTheLimitPerWorker(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 2)
+	spec := oneTaskJob("ee00000000000001")
+	spec.Steps[0].Count, spec.Steps[0].MaxPerWorker, spec.Steps[0].Speculative = 2, 1, true
+	f.submit(2*time.Second, spec)
+	f.runUntil(2500 * time.Millisecond)
+	c := f.owner
+	tasks := c.jobs[spec.ID].occurrences[0].steps[0].tasks
+	target := &candidate{w: tasks[1].runs[0].w, free: tasks[1].runs[0].w.free()}
+	slow := slowRun{run: tasks[0].runs[0], target: target}
+	require.False(t, c.stillFits(c.newRound(), slow))
+	spec.Steps[0].MaxPerWorker = 2
+	require.True(t, c.stillFits(c.newRound(), slow))
+}
+
 // TestNothingMovesWhileStartsAreWithheld lets the reading of the operators' requests stop.
 // A run that was stopped for a move could not start again.
 func TestNothingMovesWhileStartsAreWithheld(t *testing.T) {
