cell: log why a gang ends, and how many workers are usable

The log told that a start was refused or a worker lost, but not that this ended a gang: one line "gang ended" for each run of a gang now names the member, its worker and the cause. "fleet use" tells how many workers are usable, failing and listed. No change of the logic.

--- a/cell/evacuate.go
+++ b/cell/evacuate.go
@@ -67,7 +67,7 @@
 	slices.SortFunc(placed, func(a, b *run) int { return cmp.Compare(a.task.name, b.task.name) })
 	for _, r := range placed {
 		c.dropRun(r)
-		c.abortGang(r.task.step, r.number)
+		c.abortGang(r, "placement withdrawn")
 	}
 }
 
--- a/cell/job.go
+++ b/cell/job.go
@@ -54,6 +54,7 @@
 	done            bool
 	lastRun         uint64              // number of the last run of a gang; the runs of other steps are numbered in task
 	failedRuns      workload.FailedRuns // of a gang; other steps use task.failedRuns
+	endedRun        uint64              // last run of a gang whose end by one member was logged
 	checkpoint      string              // of a gang; other steps use task.checkpoint
 	peers           []peerRun           // runs that have ended and are not compared yet
 	peerWork        float64             // median work of its tasks, in nanoseconds at speed 1; 0: unknown
--- a/cell/load_log.go
+++ b/cell/load_log.go
@@ -17,6 +17,9 @@
 	reserved int64           // processors reserved for gangs by the last placement round, in thousandths
 	gangs    int             // waiting gangs
 	late     int             // waiting steps that can no longer meet their objective
+	usable   int             // workers that may get new work
+	failing  int             // listed workers whose last call failed
+	listed   int             // listed workers
 }
 
 // use returns the current use of the fleet.
@@ -25,6 +28,13 @@
 	for _, w := range c.sortedWorkers {
 		if w.usable(c.now.Steady) {
 			u.capacity, u.used = u.capacity.Add(w.Capacity), u.used.Add(w.used)
+			u.usable++
+		}
+		if w.listed {
+			u.listed++
+			if w.failing {
+				u.failing++
+			}
 		}
 	}
 	for _, s := range c.waiting {
@@ -47,5 +57,6 @@
 	u := c.use()
 	c.logInfo("fleet use", slog.Int64("cores", u.capacity.MilliCPU/1000), slog.Int64("usedCores", u.used.MilliCPU/1000),
 		slog.Int64("memoryMb", u.capacity.MemoryMB), slog.Int64("usedMemoryMb", u.used.MemoryMB), slog.Int64("reservedCores", u.reserved/1000),
-		slog.Int("waiting", len(c.waiting)), slog.Int("gangs", u.gangs), slog.Int("late", u.late))
+		slog.Int("waiting", len(c.waiting)), slog.Int("gangs", u.gangs), slog.Int("late", u.late),
+		slog.Int("usable", u.usable), slog.Int("failing", u.failing), slog.Int("listed", u.listed))
 }
--- a/cell/load_log_test.go
+++ b/cell/load_log_test.go
@@ -20,6 +20,7 @@
 				u := c.use()
 				require.False(t, u.capacity.Sub(u.used).Negative())
 				require.Positive(t, u.used.MilliCPU)
+				require.Equal(t, []int{8, 0, 8}, []int{u.usable, u.failing, u.listed})
 			}
 		}
 	}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -23,7 +23,7 @@
 func (c *Cell) removeLostWorker(w *worker, why string) {
 	c.logInfo("worker lost", slog.String("worker", w.ID), slog.String("why", why), slog.Int("runs", len(w.runs)))
 	for _, r := range w.runs {
-		c.dropLostRun(r)
+		c.dropLostRun(r, "worker lost")
 	}
 	c.releaseHeld(w.ID)
 	c.removeWorker(w)
--- a/cell/report.go
+++ b/cell/report.go
@@ -98,6 +98,9 @@
 	default:
 		t.lastRun = max(t.lastRun, result.Run)
 	}
+	if r != nil && result.Outcome != Done && result.Outcome != GangAborted {
+		c.logGangEnd(r, result.Outcome.cause())
+	}
 	c.markDirty(s.job)
 }
 
@@ -252,7 +255,7 @@
 		c.dropRun(r) // its start is prevented, or its result was acknowledged
 	case r.state == running && requestedAt > r.confirmedAt:
 		c.logInfo("run vanished", slog.String("task", r.task.name), slog.Uint64("run", r.number), slog.String("worker", r.w.ID))
-		c.dropLostRun(r)
+		c.dropLostRun(r, "run vanished")
 	case r.state == unconfirmed && r.stopAckedAt == 0 && requestedAt > r.sentAt:
 		c.stopRun(r)
 	}
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -54,7 +54,7 @@
 		if w.failing && expired && len(w.runs) > 0 && now-w.answeredAt > silentAfter*2 {
 			c.logInfo("leases ran out", slog.String("worker", id), slog.Int("runs", len(w.runs)), slog.Duration("silent", now-w.answeredAt))
 			for _, r := range w.runs {
-				c.dropLostRun(r)
+				c.dropLostRun(r, "leases ran out")
 			}
 		}
 		if !w.listed && len(w.runs) == 0 && expired && (w.failing || w.synced) {
--- a/cell/run.go
+++ b/cell/run.go
@@ -50,7 +50,7 @@
 	}
 	if !s.advice.hasTicket(w, c.now.Steady) || c.leaseLength() < minLease || !w.usable(c.now.Steady) || c.policyExpired() {
 		c.dropRun(r)
-		c.abortGang(s, r.number)
+		c.abortGang(r, "start withheld")
 		return
 	}
 	r.state, r.sentAt = starting, c.now.Steady
@@ -92,9 +92,9 @@
 
 // dropLostRun removes a run that was lost with its worker, and stops the other
 // members of its gang.
-func (c *Cell) dropLostRun(r *run) {
+func (c *Cell) dropLostRun(r *run, cause string) {
 	c.dropRun(r)
-	c.abortGang(r.task.step, r.number)
+	c.abortGang(r, cause)
 }
 
 // enqueue adds a step to the waiting ones, if it is ready and not done.
@@ -152,7 +152,7 @@
 	c.logInfo("start refused", slog.String("task", e.Task), slog.Uint64("run", e.Run), slog.String("worker", e.Worker), slog.Int("failure", int(e.Failure)))
 	r.task.step.notBefore = c.now.Steady + refusalBackoff
 	c.dropRun(r)
-	c.abortGang(r.task.step, r.number)
+	c.abortGang(r, "start refused")
 }
 
 // handleFatal handles the command failures that end the claim or remove the worker,
@@ -188,15 +188,17 @@
 	}
 }
 
-// abortGang stops all members of run n of a gang, after one of them was lost or could
+// abortGang stops the other members of a gang's run, after the given one was lost or could
 // not start.
-func (c *Cell) abortGang(s *step, n uint64) {
+func (c *Cell) abortGang(lost *run, cause string) {
+	s := lost.task.step
 	if !s.spec.Gang || s.done {
 		return
 	}
+	c.logGangEnd(lost, cause)
 	for _, t := range s.tasks {
 		for _, r := range slices.Clone(t.runs) {
-			if r.number == n {
+			if r.number == lost.number {
 				c.stopRun(r)
 			}
 		}
