cell: poll a failing worker until it answers

What callers saw: gangs that do not run with most of the workers free.

Cause: needsPoll named workers with runs, strays or unread results. A worker whose leases ran out in a cut, or whose only start got no answer, is failing and has none of these. Nothing polled it, and only an answer ends failing, so it stayed out of use until it restarted or left the list.

A failing worker now needs a poll. During recovery, which waits for answers, the pause stays at 200 ms. A dead worker that left the list is removed as before.

--- a/cell/poll.go
+++ b/cell/poll.go
@@ -85,7 +85,7 @@
 		}
 		interval := pollInterval
 		if w.failing {
-			interval = pollRetryDelay
+			interval = c.retryInterval(w)
 		}
 		if now-w.polledAt < interval && w.polledAt > 0 || w.lastProcessed > w.lastStored && now-w.reportedAt < ackDelay {
 			continue
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -140,7 +140,7 @@
 
 // needsPoll reports whether the worker must be polled.
 func (w *worker) needsPoll() bool {
-	return !w.synced || len(w.runs) > 0 || len(w.strays) > 0 || w.lastAcked < w.lastStored
+	return !w.synced || w.failing || len(w.runs) > 0 || len(w.strays) > 0 || w.lastAcked < w.lastStored
 }
 
 func (w *worker) hasLabel(label string) bool {
