cell: a worker that refuses connections gets nothing new

Cause: a failing worker stays usable until it has been silent for 700 ms. Its runs are dropped as they are refused, so it has room where others have none, and gangs and calls for advice prefer the emptiest workers. The answer to a call sent before the crash ended failing, too.

A start, stop or poll for which no connection was made now takes the worker out of use until it has answered a call sent later. It also counts as silent for admission. A failure without an answer keeps the rule of 700 ms: a lost packet costs as much as 350 ms on a sound worker.

--- a/cell/failing.go
+++ b/cell/failing.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// This file decides how a worker that does not answer is tried again.
+// This file decides when a worker counts as failing and how it is tried again.
 
 const (
 	// maxPollRetryDelay is the maximum pause between two polls of a failing worker without
@@ -12,6 +12,25 @@
 	retryShare = 0.125
 )
 
+// refused records that no connection to the worker could be made. What was sent before may
+// still be answered, by a worker that has ended since, so it gets nothing new until it
+// answers a call sent later.
+func (w *worker) refused(at Instant) {
+	w.failing, w.refusedAt = true, max(w.refusedAt, at)
+}
+
+// answered records the answer to a call sent at the given time, 0 if unknown.
+func (w *worker) answered(sent, received Instant) {
+	w.answeredAt = max(w.answeredAt, received)
+	if w.refusedAt == 0 || sent > w.refusedAt {
+		w.failing, w.refusedAt = false, 0
+	}
+}
+
+// probeDue reports whether the worker is polled beside the poll in flight, which may be held
+// open by a worker that refused only one connection.
+func (w *worker) probeDue() bool { return w.refusedAt > 0 && w.polledAt <= w.refusedAt }
+
 // retryInterval returns the pause between two polls of a failing worker. One with runs is
 // polled often, because its leases run out.
 func (c *Cell) retryInterval(w *worker) time.Duration {
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -80,7 +80,7 @@
 func (c *Cell) pollWorkers() {
 	now := c.now.Steady
 	for _, w := range c.sortedWorkers {
-		if w.pollInFlight || !w.needsPoll() {
+		if w.pollInFlight && !w.probeDue() || !w.needsPoll() {
 			continue
 		}
 		interval := pollInterval
--- a/cell/report.go
+++ b/cell/report.go
@@ -22,14 +22,17 @@
 			c.logInfo("worker does not answer", slog.String("worker", w.ID), slog.Int("failure", int(e.Failure)))
 		}
 		w.failing = true
+		if e.Failure == NotSent {
+			w.refused(e.Received)
+		}
 		return
 	}
-	if w.failing {
+	failing := w.failing
+	w.answered(e.Sent, e.Received)
+	if failing && !w.failing {
 		c.logInfo("worker answers again", slog.String("worker", w.ID))
 	}
-	w.failing = false
 	w.lastAcked = max(w.lastAcked, w.ackInFlight)
-	w.answeredAt = max(w.answeredAt, e.Received)
 	w.reportedAt, w.reportClock = e.Received, e.Report.Clock
 	w.setClock(e.Report.Clock, e.Received)
 	if e.Report.StartedAt > 0 && w.StartedAt > 0 && e.Report.StartedAt != w.StartedAt {
--- a/cell/run.go
+++ b/cell/run.go
@@ -121,7 +121,7 @@
 	}
 	if e.Failure != NoAnswer && e.Failure != NotSent && e.Failure != Withheld {
 		w.setClock(e.Clock, e.Received)
-		w.answeredAt, w.failing = max(w.answeredAt, e.Received), false
+		w.answered(r.sentAt, e.Received)
 	}
 	switch e.Failure {
 	case None:
@@ -141,7 +141,7 @@
 	case Unhealthy:
 		w.pausedUntil = c.now.Steady + unhealthyPause
 	case NotSent:
-		w.failing = true
+		w.refused(e.Received)
 	case BadTicket:
 		delete(r.task.step.advice.tickets, w)
 	case NoRoom:
@@ -240,11 +240,20 @@
 	if w == nil {
 		return
 	}
-	if c.handleFatal(w, e.Failure) || e.Failure != None {
+	if c.handleFatal(w, e.Failure) {
+		return
+	}
+	if e.Failure == NotSent {
+		w.refused(e.Received)
+	}
+	if e.Failure != None {
 		return // checkRuns sends it again if it is still needed
 	}
-	w.answeredAt, w.failing = max(w.answeredAt, e.Received), false
-	if r := w.runs[e.Task]; r != nil && r.number == e.Run {
-		r.stopAckedAt = e.Received
+	r := w.runs[e.Task]
+	if r == nil || r.number != e.Run {
+		w.answered(0, e.Received)
+		return
 	}
+	w.answered(r.stopSentAt, e.Received)
+	r.stopAckedAt = e.Received
 }
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -109,6 +109,8 @@
 	cutOff           bool              // no command reaches it
 	cutOffFrom       map[*Cell]bool    // owners that cannot reach it
 	gone             bool
+	refuses          bool   // connections to it are refused
+	replaced         bool   // another worker answers at its address
 	failing          bool   // every run on it fails
 	lastReported     uint64 // sequence number of the last reported result
 	pendingPoll      func() // answers the poll that waits for a result
@@ -402,6 +404,20 @@
 // not rely on the results that workers list, as a restarted worker has lost them.
 func (j *simJob) allDone() bool { return len(j.done) >= j.tasks() }
 
+// connectFailure returns the failure of any command to a worker to which no connection can
+// be made, or at whose address another one answers.
+func (w *simWorker) connectFailure() Failure {
+	switch {
+	case w == nil:
+		return None
+	case w.refuses:
+		return NotSent
+	case w.replaced:
+		return OtherWorker
+	}
+	return None
+}
+
 func (w *simWorker) unreachable(c *Cell) bool { return w.gone || w.cutOff || w.cutOffFrom[c] }
 
 // handleStart handles a start command that arrives at its worker.
@@ -412,6 +428,10 @@
 			f.send(c, Started{Worker: e.Worker, Task: e.Task, Run: e.Run, Received: f.now, Failure: failure, Clock: f.now})
 		})
 	}
+	if failure := w.connectFailure(); failure != None {
+		answer(failure)
+		return
+	}
 	if w == nil || w.unreachable(c) {
 		f.after(simCommandTimeout, func() { answer(NoAnswer) })
 		return
@@ -687,6 +707,8 @@
 		})
 	}
 	switch {
+	case w.connectFailure() != None:
+		answer(w.connectFailure())
 	case w == nil || w.unreachable(c):
 		f.after(simCommandTimeout, func() { answer(NoAnswer) })
 	case f.stopsLost:
@@ -721,6 +743,9 @@
 		})
 	}
 	switch {
+	case w.connectFailure() != None:
+		fail(w.connectFailure())
+		return
 	case w == nil || w.unreachable(c):
 		f.after(simCommandTimeout, func() { fail(NoAnswer) })
 		return
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -48,6 +48,7 @@
 	reportedAt    Instant           // when its last report arrived
 	reportClock   time.Duration     // the worker's clock in its last report
 	failing       bool              // the last poll failed or a start since got no answer
+	refusedAt     Instant           // when no connection could be made; 0: it has answered a call sent since
 	clockAt       Instant           // when Clock was read
 	lastProcessed uint64            // sequence number of the last result processed
 	lastStored    uint64            // sequence number of the last result whose effect is stored
@@ -134,8 +135,10 @@
 		now >= w.pausedUntil && !w.silent(now)
 }
 
+// silent reports whether the worker is taken for dead: it does not answer for a while, or
+// refuses connections.
 func (w *worker) silent(now Instant) bool {
-	return w.failing && now-w.answeredAt > silentAfter
+	return w.refusedAt > 0 || w.failing && now-w.answeredAt > silentAfter
 }
 
 // needsPoll reports whether the worker must be polled.
