--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/resource"
 )
 
 // simListedAfterCrash is how long a worker that has crashed stays on the list.
@@ -104,3 +106,50 @@
 	f.requireAllEnded()
 	require.Equal(t, 2, f.starts)
 }
+
+// TestWithheldStartTellsNothingOfItsWorker withholds the first starts of a step at their
+// sender. They run elsewhere or later, and their workers stay in use.
+func TestWithheldStartTellsNothingOfItsWorker(t *testing.T) {
+	t.Parallel()
+	c := New(Config{MaxLease: simMaxLease, StatusRetention: time.Minute})
+	clock := Clock{Steady: time.Hour, Wall: time.Unix(1, 0)}
+	spec := lookupJob("aa00000000000001")
+	spec.Queue.Advice, spec.Steps[0].Count = nil, 1
+	step := func(event any) (starts []Start) {
+		queue := []any{event}
+		for len(queue) > 0 {
+			next := queue[0]
+			queue = queue[1:]
+			for _, effect := range c.Update(clock, next) {
+				switch e := effect.(type) {
+				case Commit:
+					queue = append(queue, Committed{Seq: e.Seq, Sent: clock.Steady})
+				case Poll:
+					queue = append(queue, PollResult{Worker: e.Worker, Sent: clock.Steady, Received: clock.Steady, Report: Report{StartedAt: 1, Clock: time.Minute}})
+				case Start:
+					starts = append(starts, e)
+				}
+			}
+		}
+		return starts
+	}
+	step(Claimed{Token: 9, Sent: clock.Steady, Jobs: []StoredJob{{ID: spec.ID, Job: spec}}})
+	step(Listed{Workers: []WorkerInfo{{ID: "w1", Service: "s", Capacity: resource.Vector{MilliCPU: 32000, MemoryMB: 64000}, StartedAt: 1}}})
+	var starts []Start
+	for len(starts) == 0 && clock.Steady < time.Hour+time.Second {
+		clock.Steady += 5 * time.Millisecond
+		starts = step(PlacementRound{})
+	}
+	require.Len(t, starts, 1)
+	step(Started{Worker: "w1", Task: starts[0].Task, Run: starts[0].Run, Received: clock.Steady, Failure: Withheld})
+	require.True(t, c.workers["w1"].usable(clock.Steady))
+	require.False(t, c.workers["w1"].failing)
+	var again []Start
+	for len(again) == 0 && clock.Steady < time.Hour+2*time.Second {
+		clock.Steady += 5 * time.Millisecond
+		again = step(PlacementRound{})
+	}
+	require.Len(t, again, 1)
+	require.Equal(t, starts[0].Task, again[0].Task)
+	require.Greater(t, again[0].Run, starts[0].Run)
+}
