cell: a member whose start was not carried out is placed anew

What callers saw: gangs of 20 to 33 members that start and are stopped again, or never start, with half of the workers free.

Cause: one start that was refused, or withheld because its worker had become unusable while the placement was stored, stopped all other members. They end, new tickets are asked for, and with workers down in turn the next attempt meets the next dead worker.

Such a member is now placed on another worker with room and a ticket, under the same run number: after NotSent, Unhealthy, NoRoom, BadTicket and Withheld, for a placement whose start was not sent, and after a start that another worker answered. Superseded, Expired and Invalid stop the gang as before, and so does a member that may have begun. Missing members come first in a round, keep to quota, capacity, MaxPerWorker and the rack of a rack-local gang, and are stored before their start like any run. If no ticket is left, one call asks for them. A gang of which no start was sent is placed anew as a whole. All starts of a run carry the same checkpoint.

A member that ends stops those of its run that have not begun; they would wait in vain.

The simulated crash keeps the worker's listed start until it is back, as the store does; before, the list gave the crash away.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -53,6 +53,7 @@
 type Config struct {
 	MaxLease        time.Duration // maximum lease that a worker grants
 	StopTimeout     time.Duration // maximum time that stopping a run takes
+	GangTimeout     time.Duration // how long a worker lets a member wait for the others of its gang; 0: no member is placed anew
 	StatusRetention time.Duration // how long the state of an ended job is kept
 	KeepUrgentRoom  bool          // long starts leave room to the most urgent queues while their demand rises
 	MaxPolicyAge    time.Duration // age of the last reading of the policy above which nothing starts; 0: any age
@@ -252,6 +253,7 @@
 func (c *Cell) housekeeping() {
 	c.expireWorkers()
 	c.checkRuns()
+	c.checkMissingMembers()
 	c.checkPolicyAge()
 	c.checkRecovery()
 	c.refuseUnsent()
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -17,11 +17,13 @@
 // comes back later, under the same ID or under another one at the same address.
 func (f *simFleet) crash(w *simWorker, down time.Duration, newID bool) {
 	f.restartWorker(w)
+	w.info.StartedAt-- // its entry stays as it was until it is back
 	w.refuses = true
 	w.pendingPoll = nil
 	f.after(simListedAfterCrash, func() { w.gone = w.gone || w.refuses })
 	f.after(down, func() {
 		w.refuses = false
+		w.info.StartedAt++
 		if !newID {
 			w.gone = false
 			return
--- a/cell/evacuate.go
+++ b/cell/evacuate.go
@@ -55,8 +55,8 @@
 	c.logInfo(text, slog.String("zone", zone), slog.Int("workers", workers), slog.Int("runs", runs))
 }
 
-// withdrawPlacements drops the runs of a worker that have not been sent, and the gangs
-// that they belong to.
+// withdrawPlacements drops the runs of a worker that have not been sent. Members of gangs
+// are placed anew, or their gangs dropped.
 func (c *Cell) withdrawPlacements(w *worker) {
 	var placed []*run
 	for _, r := range w.runs {
@@ -67,7 +67,7 @@
 	slices.SortFunc(placed, func(a, b *run) int { return cmp.Compare(a.task.name, b.task.name) })
 	for _, r := range placed {
 		c.dropRun(r)
-		c.abortGang(r, "placement withdrawn")
+		c.replaceMember(r, "placement withdrawn")
 	}
 }
 
--- a/cell/place.go
+++ b/cell/place.go
@@ -96,6 +96,7 @@
 	p := c.newRound()
 	defer p.clearStaleReservations()
 	defer func() { c.reservedMilliCPU = p.reservedMilliCPU }()
+	c.placeMissingMembers(p)
 	for _, s := range c.waiting {
 		pool := p.pools[s.job.Queue.Service]
 		if pool == nil || !c.mayPlace(s) {
--- a/cell/report.go
+++ b/cell/report.go
@@ -101,8 +101,8 @@
 	default:
 		t.lastRun = max(t.lastRun, result.Run)
 	}
-	if r != nil && result.Outcome != Done && result.Outcome != GangAborted {
-		c.logGangEnd(r, result.Outcome.cause())
+	if r != nil && result.Outcome != Done {
+		c.memberEnded(r, result.Outcome)
 	}
 	c.markDirty(s.job)
 }
--- a/cell/run.go
+++ b/cell/run.go
@@ -48,15 +48,20 @@
 	if r.state != placing || w.runs[t.name] != r || s.job.Job == nil || s.job.progress.State.Final() {
 		return
 	}
-	if !s.advice.hasTicket(w, c.now.Steady) || c.leaseLength() < minLease || !w.usable(c.now.Steady) || c.policyExpired() {
+	if c.leaseLength() < minLease || c.policyExpired() {
 		c.dropRun(r)
 		c.abortGang(r, "start withheld")
 		return
 	}
+	if !s.advice.hasTicket(w, c.now.Steady) || !w.usable(c.now.Steady) {
+		c.dropRun(r)
+		c.replaceMember(r, "start withheld")
+		return
+	}
 	r.state, r.sentAt = starting, c.now.Steady
 	checkpoint := t.checkpoint
 	if s.spec.Gang {
-		checkpoint = s.checkpoint
+		checkpoint = s.runCheckpoint(r.number)
 	}
 	cmd := c.command(w)
 	cmd.NotAfter = c.startLimit()
@@ -91,9 +96,13 @@
 }
 
 // dropLostRun removes a run that was lost with its worker, and stops the other
-// members of its gang.
+// members of its gang if it may have begun.
 func (c *Cell) dropLostRun(r *run, cause string) {
 	c.dropRun(r)
+	if r.state == placing {
+		c.replaceMember(r, cause)
+		return
+	}
 	c.abortGang(r, cause)
 }
 
@@ -116,6 +125,12 @@
 	if r == nil || r.number != e.Run {
 		return
 	}
+	if e.Failure == OtherWorker {
+		c.dropRun(r) // before the worker's other runs, which may have begun
+		c.handleFatal(w, e.Failure)
+		c.replaceMember(r, "start refused")
+		return
+	}
 	if c.handleFatal(w, e.Failure) {
 		return
 	}
@@ -152,7 +167,11 @@
 	c.logInfo("start refused", slog.String("task", e.Task), slog.Uint64("run", e.Run), slog.String("worker", e.Worker), slog.Int("failure", int(e.Failure)))
 	r.task.step.notBefore = c.now.Steady + refusalBackoff
 	c.dropRun(r)
-	c.abortGang(r, "start refused")
+	if e.Failure.replaceable() {
+		c.replaceMember(r, "start refused")
+	} else {
+		c.abortGang(r, "start refused")
+	}
 }
 
 // handleFatal handles the command failures that end the claim or remove the worker,
@@ -196,6 +215,7 @@
 		return
 	}
 	c.logGangEnd(lost, cause)
+	s.notStarted = nil
 	for _, t := range s.tasks {
 		for _, r := range slices.Clone(t.runs) {
 			if r.number == lost.number {
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -55,10 +55,13 @@
 
 	teams             map[string]Team
 	evacuated         evacuation.Orders
-	usedByTeam        map[string]int64 // processors that a team's runs really use, in thousandths
-	lateStartShare    float64          // share of starts that are not answered but executed late
-	stopDelay         time.Duration    // by which stops are carried out late and not answered
-	stopsLost         bool             // stops are not carried out
+	usedByTeam        map[string]int64    // processors that a team's runs really use, in thousandths
+	lateStartShare    float64             // share of starts that are not answered but executed late
+	stopDelay         time.Duration       // by which stops are carried out late and not answered
+	stopsLost         bool                // stops are not carried out
+	startFailure      func(Start) Failure // why a worker does not carry out a start, if set
+	connectTime       time.Duration       // after which a connection that cannot be made fails; longer if a host has no power
+	aloneEnds         int                 // runs that ended because they had waited too long for their gang
 	storeDown         bool
 	storeUnreachable  map[*Cell]bool // owners that the store does not answer
 	forgetsLearned    bool           // no learned state is stored
@@ -89,6 +92,7 @@
 	returnedAt    []Instant     // when its caller came back after a refusal
 	allowed       time.Duration // time from its submission that meets its objective
 	startedAt     Instant       // when its first task started
+	begunAt       Instant       // when a gang of it last began its work, all members being there
 	endedAt       Instant
 	state         workload.State
 	ackedDone     map[string]bool               // done tasks whose result was acknowledged
@@ -231,7 +235,7 @@
 func (f *simFleet) claim() {
 	f.store.version++
 	f.store.token = f.store.version
-	c := New(Config{MaxLease: simMaxLease, StopTimeout: 200 * time.Millisecond, StatusRetention: 120 * time.Second})
+	c := New(Config{MaxLease: simMaxLease, StopTimeout: 200 * time.Millisecond, GangTimeout: simGangTimeout, StatusRetention: 120 * time.Second})
 	previous := f.owner != nil
 	f.owner = c
 	claimed := Claimed{Token: f.store.token, Sent: f.now, Previous: previous, Workers: f.store.roster, Learned: f.store.learned}
@@ -429,13 +433,19 @@
 		})
 	}
 	if failure := w.connectFailure(); failure != None {
-		answer(failure)
+		f.after(f.connectTime, func() { answer(failure) })
 		return
 	}
 	if w == nil || w.unreachable(c) {
 		f.after(simCommandTimeout, func() { answer(NoAnswer) })
 		return
 	}
+	if f.startFailure != nil {
+		if failure := f.startFailure(e); failure != None {
+			answer(failure)
+			return
+		}
+	}
 	if f.rng.Float64() < f.lateStartShare {
 		f.after(time.Duration(2+f.rng.IntN(10))*time.Second, func() { f.executeStart(w, e) })
 		f.after(simCommandTimeout, func() { answer(NoAnswer) })
@@ -566,13 +576,15 @@
 	}
 	name := r.task.String()
 	if len(gang) == members {
+		f.jobs[r.task.Job].begunAt = f.now
 		for _, m := range gang {
 			m.r.startedAt = f.now
 		}
 	}
 	if len(gang) < members {
 		f.after(simGangTimeout, func() {
-			if r.waiting {
+			if r.waiting && w.runs[name] == r {
+				f.aloneEnds++
 				f.endRun(w, name, r, GangTimedOut)
 			}
 		})
@@ -708,7 +720,8 @@
 	}
 	switch {
 	case w.connectFailure() != None:
-		answer(w.connectFailure())
+		failure := w.connectFailure()
+		f.after(f.connectTime, func() { answer(failure) })
 	case w == nil || w.unreachable(c):
 		f.after(simCommandTimeout, func() { answer(NoAnswer) })
 	case f.stopsLost:
@@ -744,7 +757,8 @@
 	}
 	switch {
 	case w.connectFailure() != None:
-		fail(w.connectFailure())
+		failure := w.connectFailure()
+		f.after(f.connectTime, func() { fail(failure) })
 		return
 	case w == nil || w.unreachable(c):
 		f.after(simCommandTimeout, func() { fail(NoAnswer) })
