cell: forget a worker whose address another one has taken

Cause: a worker that crashed and came back under another ID stays on the store's list for some heartbeats. Its old entry was added again at each listing, polled, found replaced and lost: every 0.4 s a line "worker lost, runs 0" and two writes of the whole roster.

An entry with the same address and start as the worker that was replaced is now left out until it changes or leaves the list. Only a poll that was sent after that address became known counts; the late answer of a former address must not put a sound worker out of use.

TestLateAnswerFromAFormerAddressReplacesNoWorker fails if the time of the poll is not compared.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -73,7 +73,8 @@
 	live            map[string]*job // jobs that have not ended
 	ended           []*job          // ended jobs, in the order in which they ended
 	workers         map[string]*worker
-	sortedWorkers   []*worker // all workers, sorted by ID
+	sortedWorkers   []*worker       // all workers, sorted by ID
+	replaced        map[string]life // workers at whose address another one answers, until they leave the list
 	teams           map[string]*teamUse
 	policy          map[string]Team
 	evacuated       evacuation.Orders
@@ -134,6 +135,7 @@
 	c.owner, c.token = false, 0
 	c.jobs, c.live, c.ended = map[string]*job{}, map[string]*job{}, nil
 	c.workers, c.sortedWorkers = map[string]*worker{}, nil
+	c.replaced = map[string]life{}
 	c.teams = map[string]*teamUse{}
 	c.callsInFlight, c.longCalls, c.mediumCalls = map[string]int{}, map[string]string{}, map[string]bool{}
 	c.backoffs, c.shortCallLoad = map[string]*hostBackoff{}, 0
--- a/cell/failing_test.go
+++ b/cell/failing_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/resource"
 )
 
 // usedAgainWithin is how soon after the end of a fault workers get new work again.
@@ -102,3 +104,57 @@
 	f.requireNoViolations()
 	f.requireAllEnded()
 }
+
+// TestReplacedWorkerIsForgotten lets another worker answer at the address of one that stays on
+// the list. That one was added and lost again, and the roster stored, at every listing.
+func TestReplacedWorkerIsForgotten(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 4)
+	lost := f.logged("worker lost")
+	rosters := 0
+	count := f.onUpdate
+	f.onUpdate = func(c *Cell, event any, effects []any, took time.Duration) {
+		count(c, event, effects, took)
+		for _, effect := range effects {
+			if commit, ok := effect.(Commit); ok && f.now > 5*time.Second {
+				for _, row := range commit.Puts {
+					if row.Table == Roster {
+						rosters++
+					}
+				}
+			}
+		}
+	}
+	w := f.workers["w001"]
+	f.at(4*time.Second, func() { w.replaced = true })
+	f.submitLightLoad(8 * time.Second)
+	f.runUntil(14 * time.Second)
+	require.LessOrEqual(t, len(*lost), 2, "once by a start, once by a poll of what is listed")
+	require.Zero(t, rosters, "rosters stored")
+	require.Nil(t, f.owner.workers["w001"])
+
+	// It starts again under its ID.
+	w.replaced = false
+	w.runs, w.lastSeq, w.ended, w.token = map[string]*simRun{}, 0, nil, 0
+	w.info.StartedAt++
+	f.runUntil(14*time.Second + usedAgainWithin)
+	require.Equal(t, 4, f.usableWorkers())
+}
+
+// TestLateAnswerFromAFormerAddressReplacesNoWorker answers a poll that was sent to the former
+// address of a worker after the worker has been listed at another one.
+func TestLateAnswerFromAFormerAddressReplacesNoWorker(t *testing.T) {
+	t.Parallel()
+	c := New(Config{MaxLease: simMaxLease, StatusRetention: time.Minute})
+	clock := Clock{Steady: time.Hour, Wall: time.Unix(1, 0)}
+	info := WorkerInfo{ID: "w1", Addr: "a", Service: "s", Capacity: resource.Vector{MilliCPU: 32000}, StartedAt: 1}
+	c.Update(clock, Claimed{Token: 9, Sent: clock.Steady})
+	c.Update(clock, Listed{Workers: []WorkerInfo{info}})
+	sent := clock.Steady + 10*time.Millisecond
+	clock.Steady += 20 * time.Millisecond
+	info.Addr, info.StartedAt = "b", 2
+	c.Update(clock, Listed{Workers: []WorkerInfo{info}})
+	c.Update(clock, PollResult{Worker: "w1", Sent: sent, Received: clock.Steady, Failure: OtherWorker})
+	c.Update(clock, Listed{Workers: []WorkerInfo{info}})
+	require.NotNil(t, c.workers["w1"])
+}
--- a/cell/report.go
+++ b/cell/report.go
@@ -14,6 +14,9 @@
 		return
 	}
 	w.pollInFlight = false
+	if e.Failure == OtherWorker && e.Sent >= w.lifeSince {
+		c.replaced[w.ID] = life{w.Addr, w.StartedAt}
+	}
 	if c.handleFatal(w, e.Failure) {
 		return
 	}
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -11,6 +11,9 @@
 	present := make(map[string]bool, len(e.Workers))
 	for _, info := range e.Workers {
 		present[info.ID] = true
+		if c.isReplaced(info) {
+			continue
+		}
 		w := c.workers[info.ID]
 		if w == nil {
 			w = newWorker(info, c.now.Steady)
@@ -20,6 +23,7 @@
 		}
 		c.updateWorker(w, info)
 	}
+	c.forgetReplaced(present)
 	for id, w := range c.workers {
 		if !present[id] && w.listed {
 			w.listed = false
@@ -37,6 +41,9 @@
 		c.handleRestart(w)
 		w.synced = false
 	}
+	if info.Addr != w.Addr || info.StartedAt > w.StartedAt {
+		w.lifeSince = c.now.Steady
+	}
 	clock, startedAt := w.Clock, max(w.StartedAt, info.StartedAt)
 	w.WorkerInfo = info
 	w.Clock, w.StartedAt = clock, startedAt
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -59,6 +59,7 @@
 	ackInFlight   uint64            // sequence number that the poll in flight acknowledges
 	incarnation   int               // number of known restarts
 	restartSeenAt Instant           // when the last restart became known
+	lifeSince     Instant           // when its address and start became known
 	runs          map[string]*run   // by task
 	strays        map[string]uint64 // run numbers of the stray runs, by task
 	used          resource.Vector
@@ -74,7 +75,7 @@
 
 // newWorker returns a worker that has not answered yet.
 func newWorker(info WorkerInfo, now Instant) *worker {
-	return &worker{WorkerInfo: info, runs: map[string]*run{}, strays: map[string]uint64{}, answeredAt: now}
+	return &worker{WorkerInfo: info, runs: map[string]*run{}, strays: map[string]uint64{}, answeredAt: now, lifeSince: now}
 }
 
 // addWorker adds a worker, or replaces the one with the same ID.
