cell: a gang ends soon after the start of a member is lost

Cause: the start of a member that got no answer, and that its worker does not run, is stopped there and dropped, but its gang was left alone: the others waited for it until they ended by themselves after the gang timeout (rule GANG), with their room taken. The report that told of it was also held open for 1.5 s, because the poll had been sent before.

The other members are now stopped together with the lost one, and a worker with an unanswered start is polled at once beside the poll that is held open.

Evidence: TestMemberWhoseStartIsLostEndsTheGangSoon: one run ends alone without the fix.

--- a/cell/failing.go
+++ b/cell/failing.go
@@ -28,8 +28,10 @@
 }
 
 // probeDue reports whether the worker is polled beside the poll in flight, which may be held
-// open by a worker that refused only one connection.
-func (w *worker) probeDue() bool { return w.refusedAt > 0 && w.polledAt <= w.refusedAt }
+// open: by a worker that refused only one connection, or that a start did not reach.
+func (w *worker) probeDue() bool {
+	return w.refusedAt > 0 && w.polledAt <= w.refusedAt || w.unansweredAt > 0 && w.polledAt <= w.unansweredAt
+}
 
 // retryInterval returns the pause between two polls of a failing worker. One with runs is
 // polled often, because its leases run out.
--- a/cell/missing_members_test.go
+++ b/cell/missing_members_test.go
@@ -263,3 +263,26 @@
 		})
 	}
 }
+
+// TestMemberWhoseStartIsLostEndsTheGangSoon loses the start of one member on its way. The
+// others waited for it until they ended by themselves.
+func TestMemberWhoseStartIsLostEndsTheGangSoon(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 60)
+	f.eligiblePercent = 100
+	spec := wideGang("cc00000000000001")
+	j := f.submit(2*time.Second, spec)
+	lost := false
+	f.startFailure = func(e Start) Failure {
+		if e.Task != spec.ID+".0.0.7" || lost {
+			return None
+		}
+		lost = true
+		return NoAnswer
+	}
+	f.runUntil(30 * time.Second)
+	f.requireNoViolations()
+	require.Zero(t, f.aloneEnds)
+	require.Equal(t, workload.Completed, j.state)
+	require.Less(t, j.begunAt-j.submittedAt, maxWait)
+}
--- a/cell/report.go
+++ b/cell/report.go
@@ -264,6 +264,7 @@
 		c.dropLostRun(r, "run vanished")
 	case r.state == unconfirmed && r.stopAckedAt == 0 && requestedAt > r.sentAt:
 		c.stopRun(r)
+		c.abortGang(r, "start lost") // the others would wait for it in vain
 	}
 }
 
--- a/cell/run.go
+++ b/cell/run.go
@@ -151,7 +151,7 @@
 		if r.state == starting {
 			r.state = unconfirmed
 		}
-		w.failing = true
+		w.failing, w.unansweredAt = true, e.Received
 		return
 	case Unhealthy:
 		w.pausedUntil = c.now.Steady + unhealthyPause
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -49,6 +49,7 @@
 	reportClock   time.Duration     // the worker's clock in its last report
 	failing       bool              // the last poll failed or a start since got no answer
 	refusedAt     Instant           // when no connection could be made; 0: it has answered a call sent since
+	unansweredAt  Instant           // when a start last got no answer
 	clockAt       Instant           // when Clock was read
 	lastProcessed uint64            // sequence number of the last result processed
 	lastStored    uint64            // sequence number of the last result whose effect is stored
