cell: a successor stops a gang of which a member was not placed

Cause: an owner that ends while a gang waits for a missing member leaves members that wait. Its successor adopts them, cannot place the missing one under the same run, and let them wait until they ended by themselves. Members placed anew make such a moment longer than it was, up to half of the gang timeout.

Once no task of the gang is held for an earlier owner's run, a gang with adopted members and a member without a run is stopped and placed anew. Such a run cannot end as done: a member that had ended so would have finished the gang.

--- a/cell/missing_members.go
+++ b/cell/missing_members.go
@@ -69,13 +69,33 @@
 	return first + time.Duration(missingShare*float64(c.GangTimeout))
 }
 
-// checkMissingMembers stops the gangs whose missing members found no worker in time.
+// checkMissingMembers stops the gangs whose missing members found no worker in time, or were
+// not placed by the owner before.
 func (c *Cell) checkMissingMembers() {
 	for _, s := range c.waiting {
-		if r := s.notStarted; r != nil && s.job.Job != nil && c.now.Steady >= c.missingUntil(s) {
+		if !s.spec.Gang || s.tasksWithRuns == 0 || s.job.Job == nil {
+			continue
+		}
+		if r := s.notStarted; r != nil && c.now.Steady >= c.missingUntil(s) {
 			c.abortGang(r, "no worker for a member")
 		}
+		if r := s.adoptedRun(); r != nil && s.unstartedTasks() > 0 && !s.hasHeldTask() {
+			c.abortGang(r, "a member was not placed")
+		}
+	}
+}
+
+// adoptedRun returns a run of a gang that an earlier owner started and that is not being
+// stopped, or nil.
+func (s *step) adoptedRun() *run {
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if r.adopted && r.stopSentAt == 0 {
+				return r
+			}
+		}
 	}
+	return nil
 }
 
 // memberEnded handles a result of a gang's member other than done. Its worker ends the members
--- a/cell/missing_members_test.go
+++ b/cell/missing_members_test.go
@@ -264,6 +264,31 @@
 	}
 }
 
+// TestSuccessorStopsAGangWithAMissingMember kills the owner while a gang waits for a member
+// that is to be placed anew. The others waited until they ended by themselves.
+func TestSuccessorStopsAGangWithAMissingMember(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 60)
+	f.eligiblePercent = 100
+	spec := wideGang("cc00000000000001")
+	j := f.submit(2*time.Second, spec)
+	refused := false
+	f.startFailure = func(e Start) Failure {
+		if e.Task != spec.ID+".0.0.7" || refused {
+			return None
+		}
+		refused = true
+		clear(f.owner.jobs[spec.ID].occurrences[0].steps[0].advice.tickets)
+		f.after(100*time.Millisecond, func() { f.killOwner(700 * time.Millisecond) })
+		return Unhealthy
+	}
+	f.runUntil(30 * time.Second)
+	f.requireNoViolations()
+	require.True(t, refused)
+	require.Zero(t, f.aloneEnds)
+	require.Equal(t, workload.Completed, j.state)
+}
+
 // TestMemberWhoseStartIsLostEndsTheGangSoon loses the start of one member on its way. The
 // others waited for it until they ended by themselves.
 func TestMemberWhoseStartIsLostEndsTheGangSoon(t *testing.T) {
