--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -18,6 +18,7 @@
 func (f *simFleet) crash(w *simWorker, down time.Duration, newID bool) {
 	f.restartWorker(w)
 	w.info.StartedAt-- // its entry stays as it was until it is back
+	w.crashes++
 	w.refuses = true
 	w.pendingPoll = nil
 	f.after(simListedAfterCrash, func() { w.gone = w.gone || w.refuses })
@@ -155,3 +156,45 @@
 	require.Equal(t, starts[0].Task, again[0].Task)
 	require.Greater(t, again[0].Run, starts[0].Run)
 }
+
+// TestInvariantsHoldWhileWorkersCrash lets workers crash in turn and refuse starts, beside
+// late starts, owners that die or are cut off from the store, and a worker that is cut off.
+func TestInvariantsHoldWhileWorkersCrash(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := newFleet(t, seed, 24)
+			f.teams["red"] = Team{Rate: 100, Ceiling: resource.Vector{MilliCPU: 300_000}}
+			f.eligiblePercent, f.lateStartShare = 100, 0.03
+			f.connectTime = time.Duration(seed%2) * 350 * time.Millisecond
+			f.claim()
+			f.submitLightLoad(16 * time.Second)
+			f.startFailure = func(Start) Failure {
+				if f.now < 18*time.Second && f.rng.IntN(50) == 0 {
+					return []Failure{NotSent, NoRoom, Unhealthy, BadTicket, Withheld, Superseded}[f.rng.IntN(6)]
+				}
+				return None
+			}
+			for i := range 40 {
+				f.at(4*time.Second+time.Duration(i)*300*time.Millisecond, func() {
+					id := fmt.Sprintf("w%03d", i*7%24)
+					for f.workers[id].replaced {
+						id += "x"
+					}
+					if w := f.workers[id]; !w.refuses && !w.gone {
+						f.crash(w, 3*time.Second, seed%3 == 0)
+					}
+				})
+			}
+			if seed%4 < 2 {
+				f.at(time.Duration(6000+170*seed)*time.Millisecond, func() { f.killOwner(700 * time.Millisecond) })
+			} else {
+				f.at(time.Duration(6000+170*seed)*time.Millisecond, func() { f.isolateOwner(1500*time.Millisecond, 6*time.Second) })
+			}
+			f.at(15*time.Second, func() { f.killOwner(700 * time.Millisecond) })
+			f.runUntil(120 * time.Second)
+			f.requireNoViolations()
+			f.requireAllEnded()
+		})
+	}
+}
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -113,6 +113,7 @@
 	cutOff           bool              // no command reaches it
 	cutOffFrom       map[*Cell]bool    // owners that cannot reach it
 	gone             bool
+	crashes          int
 	refuses          bool   // connections to it are refused
 	replaced         bool   // another worker answers at its address
 	failing          bool   // every run on it fails
@@ -447,7 +448,12 @@
 		}
 	}
 	if f.rng.Float64() < f.lateStartShare {
-		f.after(time.Duration(2+f.rng.IntN(10))*time.Second, func() { f.executeStart(w, e) })
+		crashes := w.crashes
+		f.after(time.Duration(2+f.rng.IntN(10))*time.Second, func() {
+			if w.crashes == crashes { // else the call ended with its worker
+				f.executeStart(w, e)
+			}
+		})
 		f.after(simCommandTimeout, func() { answer(NoAnswer) })
 		return
 	}
