A gang whose room does not open in time loses its claim to it

Cause: workers are reserved for a gang until the time at which they are expected to have room. That time is computed anew in each round, and nothing remembers that it was to be over long ago: where steps before the gang take the room, or workers fail, the reservation holds for ever, and with it the room beside those runs.

Change: a gang's claim remembers when it was made and when the room was expected. On a fleet that is mostly free it lapses once it is late by a second, and by as much as the wait expected at first; then others may use the workers for 2 s, longer than one of their calls takes. A start ends the claim.

Evidence: TestGangDoesNotWaitForRoomThatOthersAlwaysTake; without the change the gang behind, which has room, has not started 14 s after its submission.

Conclusion: room is held by estimates that come true.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -45,6 +45,7 @@
 		}
 		return
 	}
+	s.claim = claim{}
 	s.lastRun++
 	next := 0
 	for _, assigned := range assignments {
--- a/cell/job.go
+++ b/cell/job.go
@@ -65,6 +65,7 @@
 	nextWaitLog    Instant         // when the step's wait is logged next
 	waitLogDelay   time.Duration   // time between the last log of its wait and the next; 0 before the first
 	roomExpectedAt Instant         // when the workers are expected to have room for a waiting gang
+	claim          claim           // of a waiting gang, to workers
 	latestStart    Instant         // latest start that meets the objective
 	roomOn         map[*worker]int // workers whose runs were stopped for it, with the tasks that they then hold
 	roomCheckAt    Instant         // no search for runs to stop for it before
--- a/cell/pool.go
+++ b/cell/pool.go
@@ -26,6 +26,9 @@
 	// of a processor; longRoomKnown is whether the round has computed it.
 	longRoom      int64
 	longRoomKnown bool
+	// freeMilliCPU and totalMilliCPU are the processors of the candidates when the round
+	// began, in thousandths.
+	freeMilliCPU, totalMilliCPU int64
 	// lowestPriority is the lowest priority of runs that save their progress, once
 	// prioritiesKnown is set.
 	lowestPriority  int
@@ -36,8 +39,14 @@
 func (pool *servicePool) add(cand *candidate) {
 	pool.candidates = append(pool.candidates, cand)
 	pool.maxFree = pool.maxFree.Max(cand.free)
+	pool.freeMilliCPU += cand.free.MilliCPU
+	pool.totalMilliCPU += cand.w.Capacity.MilliCPU
 }
 
+// mostlyFree reports whether under half of the workers' processors are in use. Then a gang
+// that waits does not lack room, but workers that may run it and are free together.
+func (pool *servicePool) mostlyFree() bool { return 2*pool.freeMilliCPU > pool.totalMilliCPU }
+
 // hasRoom reports whether a worker has room for the need, whatever else prevents its use.
 func (pool *servicePool) hasRoom(need resource.Vector) bool {
 	if !need.Fits(pool.maxFree) || slices.ContainsFunc(pool.tooLarge, func(v resource.Vector) bool { return v.Fits(need) }) {
--- a/cell/reservation.go
+++ b/cell/reservation.go
@@ -62,6 +62,15 @@
 		c.requestMoreAdvice(pool, s, true)
 		return
 	}
+	if !pool.mostlyFree() {
+		s.claim = claim{}
+	} else if !s.claim.renew(c.now.Steady, at) {
+		c.logGangWait(s, "room did not open in time", int((at - c.now.Steady).Milliseconds()))
+		if s.advice.needed {
+			c.requestMoreAdvice(pool, s, true)
+		}
+		return
+	}
 	p.reservingGangs++
 	assignments, spare := assignOpenings(openings, len(s.tasks))
 	p.reserve(s, assignments, at)
--- a/cell/reservation_test.go
+++ b/cell/reservation_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -51,3 +52,27 @@
 	require.Equal(t, 1, f.adviceCalls["refret"])
 	require.NotZero(t, gang.startedAt)
 }
+
+// TestGangDoesNotWaitForRoomThatOthersAlwaysTake simulates a gang that is expected to have room
+// within a second, and for which workers are reserved. Each time, steps that come before it
+// take the room. A gang behind it has room beside these on the same workers.
+func TestGangDoesNotWaitForRoomThatOthersAlwaysTake(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 24)
+	f.submit(2*time.Second, plainJob("dd00000000000000", workload.Step{Count: 6, Need: resource.Vector{MilliCPU: 30_000}, Estimate: time.Minute, Label: "k0", MaxPerWorker: 1}))
+	for i := range 240 {
+		urgent := plainJob(fmt.Sprintf("aa%014x", i), workload.Step{Count: 1, Need: resource.Vector{MilliCPU: 20_000}, Estimate: 600 * time.Millisecond, Label: "k0"})
+		urgent.Queue.Priority = 0
+		f.submit(2*time.Second+time.Duration(i)*75*time.Millisecond, urgent)
+	}
+	members := func(id string, priority, count int, milliCPU int64) *workload.Job {
+		spec := gangJob(id)
+		spec.Queue.Advice, spec.Queue.Slack, spec.Queue.Priority = nil, 60, priority
+		spec.Steps = []workload.Step{{Count: count, Gang: true, Need: resource.Vector{MilliCPU: milliCPU}, Estimate: 5 * time.Second, Label: "k0"}}
+		return spec
+	}
+	f.submit(4*time.Second, members("cc00000000000000", 1, 6, 20_000))
+	behind := f.submit(6*time.Second, members("cc00000000000001", 2, 3, 12_000))
+	f.runUntil(20 * time.Second)
+	f.requireStartedWithin(behind, behind.submittedAt)
+}
