Late gangs reserve no room far ahead while the fleet is mostly free

Callers saw: a gang does not run although there is room for it twice over.

Cause: workers are reserved for the gang that comes first however long it takes until they have room; only while hosts for calls were scarce was that bounded. A gang behind, with room on them now, waits until the first has started and ended.

Change: a late gang has workers reserved one second ahead, up to two seconds when it has waited long, while under half of the fleet is in use. Gangs that can be in time, and all on a fuller fleet, reserve as before.

Evidence: TestGangWithRoomDoesNotWaitForALateOneThatStartsLater: without the change the gang behind starts 5.02 s after its submission (bound 3 s), with it at once; the first one starts at 18.4 s instead of 10.2 s, which is the price.

Conclusion: room is reserved where it is worth more than to those behind.

--- a/cell/reservation.go
+++ b/cell/reservation.go
@@ -24,6 +24,9 @@
 	// are reserved while hosts for calls are scarce. Others use them until then. For a gang that
 	// has waited longer, the bound is half of its wait.
 	reserveHorizon = time.Second
+	// freeReserveHorizon bounds reserveHorizon for a late gang while the fleet is mostly free.
+	// Users accept that a job waits for up to 3 s although there is room for it.
+	freeReserveHorizon = 2 * time.Second
 	// overrunFactor is applied to the expected duration of a run when deciding
 	// whether it ends before a reservation begins.
 	overrunFactor = 1.2
@@ -57,9 +60,11 @@
 	}
 	at := openings[len(s.tasks)-1].at
 	s.roomExpectedAt = at
-	if s.advice.needed && c.hostsScarce() && at > c.now.Steady+max(reserveHorizon, (c.now.Steady-s.job.receivedAt)/2) {
+	if at > c.now.Steady+c.reserveAhead(pool, s) {
 		c.logGangWait(s, "room for it is far off", int((at - c.now.Steady).Milliseconds()))
-		c.requestMoreAdvice(pool, s, true)
+		if s.advice.needed {
+			c.requestMoreAdvice(pool, s, true)
+		}
 		return
 	}
 	if !pool.mostlyFree() {
@@ -89,6 +94,21 @@
 	}
 }
 
+// reserveAhead returns how long before its room is expected workers are reserved for a gang.
+// A late one loses little by a start that is later still, so that on a fleet that is mostly
+// free it does not keep others from room that they have now.
+func (c *Cell) reserveAhead(pool *servicePool, s *step) time.Duration {
+	growing := max(reserveHorizon, (c.now.Steady-s.job.receivedAt)/2)
+	switch {
+	case s.rank >= rankLate && pool.mostlyFree():
+		return min(growing, freeReserveHorizon)
+	case s.advice.needed && c.hostsScarce():
+		return growing
+	default:
+		return math.MaxInt64 - c.now.Steady
+	}
+}
+
 // reservationsFull reports whether no more workers may be reserved for gangs.
 func (p *round) reservationsFull() bool {
 	return p.reservingGangs >= maxReservingGangs || float64(p.reservedMilliCPU) > maxReservedShare*float64(p.totalMilliCPU)
--- a/cell/reservation_test.go
+++ b/cell/reservation_test.go
@@ -76,3 +76,27 @@
 	f.runUntil(20 * time.Second)
 	f.requireStartedWithin(behind, behind.submittedAt)
 }
+
+// TestGangWithRoomDoesNotWaitForALateOneThatStartsLater simulates a late gang that is expected to
+// have room in some seconds. The gang behind it has room now on the same workers, until later
+// than that, and most of the fleet is free.
+func TestGangWithRoomDoesNotWaitForALateOneThatStartsLater(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 24)
+	f.submit(2*time.Second, plainJob("dd00000000000000", workload.Step{Count: 6, Need: resource.Vector{MilliCPU: 30_000}, Estimate: time.Minute, Label: "k0", MaxPerWorker: 1}))
+	f.submit(2*time.Second, plainJob("dd00000000000001", workload.Step{Count: 6, Need: resource.Vector{MilliCPU: 14_000}, Estimate: 6 * time.Second, Label: "k0", MaxPerWorker: 1}))
+	members := func(id string, priority, count int, milliCPU int64, estimate time.Duration) *workload.Job {
+		spec := gangJob(id)
+		spec.Queue.Advice, spec.Queue.Slack, spec.Queue.Priority = nil, 60, priority
+		spec.Steps = []workload.Step{{Count: count, Gang: true, Need: resource.Vector{MilliCPU: milliCPU}, Estimate: estimate, Label: "k0"}}
+		return spec
+	}
+	first := f.submit(2500*time.Millisecond, members("cc00000000000000", 1, 6, 20_000, 5*time.Second))
+	f.at(2501*time.Millisecond, func() { f.owner.jobs[first.spec.ID].acceptedLate = true })
+	behind := f.submit(3*time.Second, members("cc00000000000001", 2, 3, 9000, 12*time.Second))
+	f.at(3001*time.Millisecond, func() { f.owner.jobs[behind.spec.ID].acceptedLate = true })
+	f.runUntil(25 * time.Second)
+	t.Logf("the first starts at %v", first.startedAt)
+	require.NotZero(t, first.startedAt)
+	f.requireStartedWithin(behind, behind.submittedAt)
+}
