Renewed tickets do not raise the share of eligible workers

Callers saw: gangs ask again and again, about too few workers each time.

Cause: the share of eligible workers of a queue is averaged over all calls. A call that renews tickets names workers that are known to be eligible; while many gangs wait most calls are of that kind, so the share rises towards 1, and calls that look for workers name as few as if all were eligible.

Change: only workers for which there was no answer yet count.

Conclusion: a call is sized by what the service allows, whatever was asked before.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -105,6 +105,12 @@
 	return known && v.eligible, known
 }
 
+// knows reports whether the service has answered for w.
+func (a *adviceState) knows(w *worker) bool {
+	_, known := a.lookup(w)
+	return known
+}
+
 // eligibleOn reports whether w has the step's label and is known to be allowed to
 // run the step.
 func (s *step) eligibleOn(w *worker) bool { return s.advice.mayRun(w) && w.hasLabel(s.spec.Label) }
@@ -569,12 +575,18 @@
 		s.advice.answers = map[*worker]eligibility{}
 		s.advice.tickets = map[*worker]ticket{}
 	}
-	eligible := 0
+	eligible, asked, allowed := 0, 0, 0
 	for id, text := range e.Tickets {
 		w := c.workers[id]
 		if text != "" {
 			eligible++
 		}
+		if w == nil || !s.advice.knows(w) {
+			asked++
+			if text != "" {
+				allowed++
+			}
+		}
 		if w == nil || w.restartSeenAt > s.advice.askedAt {
 			continue // the answer may be for the previous incarnation
 		}
@@ -586,7 +598,7 @@
 	}
 	c.logInfo("advice", slog.String("step", e.Step), slog.String("host", e.Host), slog.Int("asked", len(e.Tickets)), slog.Int("eligible", eligible),
 		slog.Duration("took", c.now.Steady-s.advice.askedAt))
-	c.recordEligible(s.job.Queue.Name, eligible, len(e.Tickets))
+	c.recordEligible(s.job.Queue.Name, allowed, asked)
 }
 
 // totalExpected returns the expected number of tasks that can start on the
--- a/cell/queuestats.go
+++ b/cell/queuestats.go
@@ -81,7 +81,9 @@
 	return max(expected/8, expected-age)
 }
 
-// recordEligible updates the average share of eligible workers.
+// recordEligible updates the average share of eligible workers with an answer about workers
+// for which there was none yet. Those that are asked about again, for new tickets, are all
+// eligible and say nothing of the others.
 func (c *Cell) recordEligible(queue string, eligible, asked int) {
 	if asked == 0 {
 		return
--- a/cell/queuestats_test.go
+++ b/cell/queuestats_test.go
@@ -93,3 +93,31 @@
 	require.InDelta(t, float64(time.Second), float64(q.typicalDuration(time.Second)), float64(20*time.Millisecond))
 	require.Greater(t, q.remainingDuration(time.Second, 2*time.Second), 4*time.Second, "the run is one of the long ones")
 }
+
+// TestRenewedTicketsDoNotRaiseTheEligibleShare guards against a share of eligible workers that
+// counts those that are asked about again, for tickets, because they are eligible.
+func TestRenewedTicketsDoNotRaiseTheEligibleShare(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 48)
+	f.fillWorkers(2*time.Second, "", 48, time.Minute)
+	spec := gangJob("cc00000000000000")
+	spec.Queue.Slack = 60
+	f.submit(3*time.Second, spec)
+	f.runUntil(3100 * time.Millisecond)
+	answer := func(workers []string, eligible func(i int) bool) {
+		tickets := map[string]string{}
+		for i, id := range workers {
+			tickets[id] = ""
+			if eligible(i) {
+				tickets[id] = "1"
+			}
+		}
+		f.update(AdviceResult{Host: "a1", Step: spec.ID + ".0.0", Tickets: tickets, Validity: time.Second})
+	}
+	ids := f.owner.sortedWorkerIDs()
+	answer(ids, func(i int) bool { return i < len(ids)/4 })
+	for range maxAdviceSamples {
+		answer(ids[:len(ids)/4], func(int) bool { return true })
+	}
+	require.InDelta(t, 0.25, f.owner.queueStats(spec.Queue.Name).eligibleShare, 0.01)
+}
