--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -109,9 +109,10 @@
 	cutOff           bool              // no command reaches it
 	cutOffFrom       map[*Cell]bool    // owners that cannot reach it
 	gone             bool
-	failing          bool   // every run on it fails
-	lastReported     uint64 // sequence number of the last reported result
-	pendingPoll      func() // answers the poll that waits for a result
+	refuses          Failure // how commands fail at a worker that is gone, if at once
+	failing          bool    // every run on it fails
+	lastReported     uint64  // sequence number of the last reported result
+	pendingPoll      func()  // answers the poll that waits for a result
 }
 
 type simRun struct {
@@ -404,6 +405,15 @@
 
 func (w *simWorker) unreachable(c *Cell) bool { return w.gone || w.cutOff || w.cutOffFrom[c] }
 
+// fail answers a command to a worker that cannot be reached.
+func (f *simFleet) fail(w *simWorker, answer func(Failure)) {
+	if w != nil && w.refuses != None {
+		answer(w.refuses)
+		return
+	}
+	f.after(simCommandTimeout, func() { answer(NoAnswer) })
+}
+
 // handleStart handles a start command that arrives at its worker.
 func (f *simFleet) handleStart(c *Cell, e Start) {
 	w := f.workers[e.Worker]
@@ -413,7 +423,7 @@
 		})
 	}
 	if w == nil || w.unreachable(c) {
-		f.after(simCommandTimeout, func() { answer(NoAnswer) })
+		f.fail(w, answer)
 		return
 	}
 	if f.rng.Float64() < f.lateStartShare {
@@ -688,7 +698,7 @@
 	}
 	switch {
 	case w == nil || w.unreachable(c):
-		f.after(simCommandTimeout, func() { answer(NoAnswer) })
+		f.fail(w, answer)
 	case f.stopsLost:
 		f.after(simCommandTimeout, func() { answer(NoAnswer) })
 	case f.stopDelay > 0:
@@ -722,7 +732,7 @@
 	}
 	switch {
 	case w == nil || w.unreachable(c):
-		f.after(simCommandTimeout, func() { fail(NoAnswer) })
+		f.fail(w, fail)
 		return
 	case e.Token < w.token && f.fault != noFencing:
 		fail(Fenced)
