Gangs take room that is free elsewhere

Cause: a quarter of the workers may run a gang, and these are not free together. Runs were stopped for a gang only if it would miss its latest start, which on this queue is over a minute off.

Change: where the fleet is mostly free and a gang would start more than 3 s after it became ready, which is what users accept beside free room, runs of a lower priority that save their progress are stopped for it, within the budget for thrown away work. They resume on other workers.

Conclusion: one way in which eligible workers are not free together is closed; the reservations of other gangs are another.

--- a/cell/job.go
+++ b/cell/job.go
@@ -49,8 +49,9 @@
 	tasks           []*task
 	tasksLeft       int // tasks that are not done
 	tasksWithRuns   int
-	ready           bool // its dependencies are done and its occurrence is due to start
-	waiting         bool // in Cell.waiting
+	ready           bool    // its dependencies are done and its occurrence is due to start
+	readyAt         Instant // when it became ready under this owner
+	waiting         bool    // in Cell.waiting
 	done            bool
 	lastRun         uint64              // number of the last run of a gang; the runs of other steps are numbered in task
 	failedRuns      workload.FailedRuns // of a gang; other steps use task.failedRuns
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -32,6 +32,8 @@
 	// roomCheckInterval is the minimum time between two searches for runs to stop for the
 	// same step.
 	roomCheckInterval = 100 * time.Millisecond
+	// acceptedWait is how long users accept that a job waits although there is room for it.
+	acceptedWait = 3 * time.Second
 	// maxRoomChecks bounds these searches in a placement round.
 	maxRoomChecks = 4
 )
@@ -55,14 +57,25 @@
 }
 
 // takeRoomBack stops runs of lower priority if the tasks of an urgent step would otherwise
-// start, at the given time, after their latest start. It reports whether it stopped any.
+// start, at the given time, after their latest start, or if a gang lacks room that is free
+// elsewhere. It reports whether it stopped any.
 func (c *Cell) takeRoomBack(p *round, pool *servicePool, s *step, expected Instant, tasks int) bool {
-	if expected <= s.latestStart-c.evictionTime(s) || !c.mayTakeRoomBack(p, pool, s) {
+	late := expected > s.latestStart-c.evictionTime(s) && c.mayTakeRoomBack(p, pool, s)
+	if !late && !c.mayMoveRunsFor(p, pool, s, expected) {
 		return false
 	}
 	return c.stopRunsFor(p, pool, s, tasks)
 }
 
+// mayMoveRunsFor reports whether runs may be stopped for a gang that waits on a fleet that is
+// mostly free, because the few workers that may run it are not free together. The runs resume
+// on others at once. Users accept a wait of acceptedWait although there is room.
+func (c *Cell) mayMoveRunsFor(p *round, pool *servicePool, s *step, expected Instant) bool {
+	now := c.now.Steady
+	return s.spec.Gang && s.job.stored && pool.mostlyFree() && expected > max(now+c.evictionTime(s), s.readyAt+acceptedWait) &&
+		now >= s.roomCheckAt && p.roomChecks < maxRoomChecks && pool.evictsFor(s)
+}
+
 // stopRunsFor stops runs of lower priority to make room for tasks of the step, if that is
 // possible within the budget, and reports whether it was.
 func (c *Cell) stopRunsFor(p *round, pool *servicePool, s *step, tasks int) bool {
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -123,7 +123,7 @@
 		notYetDue := false
 		for _, o := range j.occurrences {
 			for _, s := range o.readySteps(c.now.Wall) {
-				s.ready = true
+				s.ready, s.readyAt = true, c.now.Steady
 				c.enqueue(s)
 			}
 			notYetDue = notYetDue || !o.due.IsZero() && o.due.After(c.now.Wall)
--- a/cell/reservation_test.go
+++ b/cell/reservation_test.go
@@ -100,3 +100,33 @@
 	require.NotZero(t, first.startedAt)
 	f.requireStartedWithin(behind, behind.submittedAt)
 }
+
+// TestGangTakesRoomThatIsFreeElsewhere simulates a gang whose workers each run a task that saves
+// its progress, while the rest of the fleet is free: it waited for the end of these tasks.
+func TestGangTakesRoomThatIsFreeElsewhere(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 24)
+	for i := range 12 {
+		bulk := bulkJob(fmt.Sprintf("bb%014x", i), 40*time.Second)
+		bulk.Steps[0].Count, bulk.Steps[0].Need = 1, resource.Vector{MilliCPU: 17_000}
+		f.submit(2500*time.Millisecond, bulk)
+	}
+	drain := func(draining bool) func() {
+		return func() {
+			for _, w := range f.workers {
+				w.info.Draining = draining && w.info.Labels[0] == "k1"
+			}
+		}
+	}
+	f.at(1200*time.Millisecond, drain(true)) // the tasks begin on the others
+	f.at(6*time.Second, drain(false))
+	spec := gangJob("cc00000000000000")
+	spec.Queue.Advice, spec.Queue.Slack, spec.Queue.Priority = nil, 60, 1
+	spec.Steps = []workload.Step{{Count: 12, Gang: true, Need: resource.Vector{MilliCPU: 18_000}, Estimate: 5 * time.Second, Label: "k0", MaxPerWorker: 1}}
+	gang := f.submit(8*time.Second, spec)
+	f.runUntil(12 * time.Second)
+	f.requireStartedWithin(gang, gang.submittedAt)
+	f.runUntil(80 * time.Second)
+	f.requireNoViolations()
+	f.requireAllEnded()
+}
