--- a/cell/advice.go
+++ b/cell/advice.go
@@ -85,7 +85,8 @@
 	askedAt       Instant                 // when the last call was sent
 	answers       map[*worker]eligibility // workers that the service has answered for
 	tickets       map[*worker]ticket
-	eligible      []*worker // workers that an answer has allowed, sorted by ID
+	asked         map[string]bool // IDs of the workers that the calls in flight name
+	eligible      []*worker       // workers that an answer has allowed, sorted by ID
 }
 
 // asking reports whether a call is in flight.
@@ -104,6 +105,12 @@
 	return known && v.eligible, known
 }
 
+// knows reports whether the service has answered for w.
+func (a *adviceState) knows(w *worker) bool {
+	_, known := a.lookup(w)
+	return known
+}
+
 // eligibleOn reports whether w has the step's label and is known to be allowed to
 // run the step.
 func (s *step) eligibleOn(w *worker) bool { return s.advice.mayRun(w) && w.hasLabel(s.spec.Label) }
@@ -121,6 +128,23 @@
 	return ok && now < t.validUntil && t.startedAt == w.StartedAt
 }
 
+// recordAsked records a call about the workers.
+func (a *adviceState) recordAsked(ids []string) {
+	if a.asked == nil {
+		a.asked = map[string]bool{}
+	}
+	for _, id := range ids {
+		a.asked[id] = true
+	}
+	a.callsInFlight++
+}
+
+// expectsTicket reports whether there is a valid ticket for w, or a call for one is in
+// flight.
+func (a *adviceState) expectsTicket(w *worker, now Instant) bool {
+	return a.hasTicket(w, now) || a.asked[w.ID]
+}
+
 // startAllowed reports whether tasks of the step may start on w now.
 func (a *adviceState) startAllowed(w *worker, now Instant) bool {
 	return a.mayRun(w) && a.hasTicket(w, now)
@@ -347,7 +371,7 @@
 			return
 		}
 		c.recordCall(host, s, n)
-		s.advice.callsInFlight++
+		s.advice.recordAsked(ids[:n])
 		s.advice.askedAt = c.now.Steady
 		c.emit(RequestAdvice{Host: host, Step: s.name, Workers: ids[:n:n]})
 		ids = ids[n:]
@@ -539,6 +563,9 @@
 	}
 	s := t.step
 	s.advice.callsInFlight = max(0, s.advice.callsInFlight-1)
+	if !s.advice.asking() {
+		clear(s.advice.asked)
+	}
 	if e.Failure != None {
 		s.notBefore = c.now.Steady + adviceRetryDelay
 		return
@@ -548,12 +575,18 @@
 		s.advice.answers = map[*worker]eligibility{}
 		s.advice.tickets = map[*worker]ticket{}
 	}
-	eligible := 0
+	eligible, asked, allowed := 0, 0, 0
 	for id, text := range e.Tickets {
 		w := c.workers[id]
 		if text != "" {
 			eligible++
 		}
+		if w == nil || !s.advice.knows(w) {
+			asked++
+			if text != "" {
+				allowed++
+			}
+		}
 		if w == nil || w.restartSeenAt > s.advice.askedAt {
 			continue // the answer may be for the previous incarnation
 		}
@@ -565,7 +598,7 @@
 	}
 	c.logInfo("advice", slog.String("step", e.Step), slog.String("host", e.Host), slog.Int("asked", len(e.Tickets)), slog.Int("eligible", eligible),
 		slog.Duration("took", c.now.Steady-s.advice.askedAt))
-	c.recordEligible(s.job.Queue.Name, eligible, len(e.Tickets))
+	c.recordEligible(s.job.Queue.Name, allowed, asked)
 }
 
 // totalExpected returns the expected number of tasks that can start on the
--- a/cell/job.go
+++ b/cell/job.go
@@ -49,8 +49,9 @@
 	tasks           []*task
 	tasksLeft       int // tasks that are not done
 	tasksWithRuns   int
-	ready           bool // its dependencies are done and its occurrence is due to start
-	waiting         bool // in Cell.waiting
+	ready           bool    // its dependencies are done and its occurrence is due to start
+	readyAt         Instant // when it became ready under this owner
+	waiting         bool    // in Cell.waiting
 	done            bool
 	lastRun         uint64              // number of the last run of a gang; the runs of other steps are numbered in task
 	failedRuns      workload.FailedRuns // of a gang; other steps use task.failedRuns
@@ -69,6 +70,7 @@
 	nextWaitLog    Instant         // when the step's wait is logged next
 	waitLogDelay   time.Duration   // time between the last log of its wait and the next; 0 before the first
 	roomExpectedAt Instant         // when the workers are expected to have room for a waiting gang
+	claim          claim           // of a waiting gang, to workers
 	latestStart    Instant         // latest start that meets the objective
 	roomOn         map[*worker]int // workers whose runs were stopped for it, with the tasks that they then hold
 	roomCheckAt    Instant         // no search for runs to stop for it before
