simFleet: tasks that crash their workers, workers that crash by themselves

A worker that crashes breaks its connections, then refuses them; 3 s to 3.5 s later another incarnation answers at its address, under a new ID or the same. The fleet checks BUDGET from what the workers see, that no job is failed without cause, and records the jobs that were failed though none of their tasks is guilty.

--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -63,6 +63,7 @@
 	storeUnreachable  map[*Cell]bool // owners that the store does not answer
 	forgetsLearned    bool           // no learned state is stored
 	violations        []string
+	crashes           simCrashes
 	onUpdate          func(c *Cell, event any, effects []any, took time.Duration) // called after each Update, if set
 	starts            int
 	wastedCoreSeconds float64 // core-seconds spent on runs that did not end as done, less what they saved
@@ -94,6 +95,7 @@
 	ackedDone     map[string]bool               // done tasks whose result was acknowledged
 	done          map[string]bool               // done tasks, acknowledged or not
 	ackedFailures map[string]int                // number of acknowledged failed runs, by task
+	failedRuns    int                           // acknowledged or not
 	checkpoints   map[string]map[string]float64 // share of the work done by checkpoint, by task
 }
 
@@ -109,9 +111,12 @@
 	cutOff           bool              // no command reaches it
 	cutOffFrom       map[*Cell]bool    // owners that cannot reach it
 	gone             bool
-	failing          bool   // every run on it fails
-	lastReported     uint64 // sequence number of the last reported result
-	pendingPoll      func() // answers the poll that waits for a result
+	failing          bool    // every run on it fails
+	lastReported     uint64  // sequence number of the last reported result
+	pendingPoll      func()  // answers the poll that waits for a result
+	failPoll         func()  // ends that poll without an answer
+	down             bool    // it has crashed and refuses connections
+	unlistedAt       Instant // when its entry expires after a crash
 }
 
 type simRun struct {
@@ -254,7 +259,7 @@
 	}
 	var infos []WorkerInfo
 	for _, w := range f.workers {
-		if !w.gone {
+		if !w.gone && (!w.down || f.now < w.unlistedAt) {
 			infos = append(infos, w.info)
 		}
 	}
@@ -378,6 +383,9 @@
 			if p.State == workload.Completed && !j.allDone() {
 				f.violate("MIXED", "job %s is completed although not all its tasks are done", r.Key)
 			}
+			if p.State == workload.Failed {
+				f.checkFailed(j)
+			}
 		}
 	case Roster:
 		refs, err := DecodeRoster(r.Value)
@@ -412,6 +420,10 @@
 			f.send(c, Started{Worker: e.Worker, Task: e.Task, Run: e.Run, Received: f.now, Failure: failure, Clock: f.now})
 		})
 	}
+	if failure := w.refuses(); failure != None {
+		answer(failure)
+		return
+	}
 	if w == nil || w.unreachable(c) {
 		f.after(simCommandTimeout, func() { answer(NoAnswer) })
 		return
@@ -430,7 +442,7 @@
 // executeStart starts a run if the worker's rules allow it.
 func (f *simFleet) executeStart(w *simWorker, e Start) Failure {
 	switch {
-	case w.gone || w.cutOff:
+	case w.gone || w.cutOff || w.down:
 		return NoAnswer
 	case e.Token < w.token && f.fault != noFencing:
 		return Fenced
@@ -470,6 +482,7 @@
 		j.startedAt = f.now
 	}
 	f.scheduleLeaseExpiry(w)
+	f.startGuilty(w, e.Task, r)
 	if step.Gang {
 		f.joinGang(w, r, step.Count)
 	} else {
@@ -632,6 +645,9 @@
 			}
 		}
 	} else {
+		if outcome == Failed {
+			j.failedRuns++
+		}
 		lost := f.now - r.startedAt
 		if r.saves && outcome == Stopped {
 			lost = 0
@@ -687,6 +703,8 @@
 		})
 	}
 	switch {
+	case w.refuses() != None:
+		answer(w.refuses())
 	case w == nil || w.unreachable(c):
 		f.after(simCommandTimeout, func() { answer(NoAnswer) })
 	case f.stopsLost:
@@ -721,6 +739,9 @@
 		})
 	}
 	switch {
+	case w.refuses() != None:
+		fail(w.refuses())
+		return
 	case w == nil || w.unreachable(c):
 		f.after(simCommandTimeout, func() { fail(NoAnswer) })
 		return
@@ -763,6 +784,12 @@
 		return
 	}
 	w.pendingPoll = answer
+	w.failPoll = func() {
+		if !answered {
+			answered = true
+			fail(NoAnswer)
+		}
+	}
 	f.after(e.Wait, func() {
 		if answered {
 			return
