--- a/cell/simcrash_test.go
+++ b/cell/simcrash_test.go
@@ -28,15 +28,19 @@
 	guilty      map[string]time.Duration   // time from the start to the crash, by task or job
 	sameID      bool                       // crashed workers are back under their IDs
 	crashedWith map[string]map[string]bool // incarnations of workers that crashed under a task
-	lateStarts  map[string]int             // starts of a guilty task after simCrashLimit crashes
+	starts      map[string]int             // of guilty tasks
+	lateStarts  map[string]int             // of these, after simCrashLimit crashes
 	byTasks     int                        // crashes that guilty tasks brought about
+	backAt      Instant                    // when the last crashed worker was back
+	onCrash     func()                     // called after a guilty task has crashed a worker, if set
+	answerLost  func(e Commit) bool        // reports whether the owner gets no answer to a stored commit, if set
 	innocent    []string                   // jobs that were failed although none of their tasks is guilty
 }
 
 // markGuilty makes a task, or all tasks of a job, crash the workers that start them.
 func (f *simFleet) markGuilty(taskOrJob string) {
 	if f.crashes.guilty == nil {
-		f.crashes.guilty = map[string]time.Duration{}
+		f.crashes.guilty, f.crashes.starts, f.crashes.lateStarts = map[string]time.Duration{}, map[string]int{}, map[string]int{}
 	}
 	f.crashes.guilty[taskOrJob] = simCrashDelay
 }
@@ -69,10 +73,8 @@
 	if !guilty {
 		return
 	}
+	f.crashes.starts[name]++
 	if len(f.crashes.crashedWith[name]) >= simCrashLimit {
-		if f.crashes.lateStarts == nil {
-			f.crashes.lateStarts = map[string]int{}
-		}
 		if f.crashes.lateStarts[name]++; f.crashes.lateStarts[name] >= simExtraStarts {
 			f.violate("BUDGET", "task %s is started %d times more after %d workers crashed under it", name, f.crashes.lateStarts[name], simCrashLimit)
 		}
@@ -81,6 +83,9 @@
 		if w.runs[name] == r && !w.gone {
 			f.crashes.byTasks++
 			f.crashWorker(w)
+			if f.crashes.onCrash != nil {
+				f.crashes.onCrash()
+			}
 		}
 	})
 }
@@ -88,7 +93,7 @@
 // crashWorker ends all runs of a worker. Its connections break and are refused until
 // another incarnation answers at its address, under its ID or another one.
 func (f *simFleet) crashWorker(w *simWorker) {
-	if w.gone || w.down {
+	if w.gone || w.refuses {
 		return
 	}
 	if f.crashes.crashedWith == nil {
@@ -101,24 +106,38 @@
 		f.crashes.crashedWith[name][w.info.ID+" "+w.ticket()] = true
 		f.wastedCoreSeconds += (f.now - r.startedAt).Seconds() * float64(r.need.MilliCPU) / 1000
 	}
+	f.after(simEntryTime, func() { w.gone = w.gone || w.refuses })
+	f.replaceWorker(w, simDownTime+time.Duration(f.rng.Int64N(int64(simDownSpread))), f.crashes.sameID)
+}
+
+// leave ends a worker that has drained, and all its runs. It is replaced after the given
+// time.
+func (f *simFleet) leave(w *simWorker, after time.Duration, sameID bool) {
+	f.replaceWorker(w, after, sameID)
+	w.gone = true
+}
+
+// replaceWorker ends a worker with all its runs. After the given time, another incarnation
+// answers at its address.
+func (f *simFleet) replaceWorker(w *simWorker, after time.Duration, sameID bool) {
 	startedAt := w.info.StartedAt
 	f.restartWorker(w)
-	w.info.StartedAt = startedAt // its entry stays as it was until it is back
-	w.down, w.unlistedAt = true, f.now+simEntryTime
-	w.lease, w.pendingPoll = 0, nil
+	w.info.StartedAt = startedAt // its entry stays as it was
+	w.refuses, w.lease, w.pendingPoll = true, 0, nil
 	if fail := w.failPoll; fail != nil {
 		w.failPoll = nil
 		fail()
 	}
-	f.after(simDownTime+time.Duration(f.rng.Int64N(int64(simDownSpread))), func() {
-		started := f.now.Milliseconds()
-		if f.crashes.sameID {
-			w.down, w.info.StartedAt = false, started
+	f.after(after, func() {
+		info := w.info
+		info.StartedAt, info.Draining = f.now.Milliseconds(), false
+		f.crashes.backAt = f.now
+		if sameID {
+			w.refuses, w.gone, w.info = false, false, info
 			return
 		}
-		w.gone = true
-		info := w.info
-		info.ID, info.StartedAt = fmt.Sprintf("%s-%d", w.info.Addr, started), started
+		w.refuses, w.replaced, w.gone = false, true, true
+		info.ID = fmt.Sprintf("%s-%d", info.Addr, info.StartedAt)
 		f.workers[info.ID] = &simWorker{info: info, speed: w.speed, runs: map[string]*simRun{}, highestBarredRun: map[string]uint64{}}
 	})
 }
@@ -132,18 +151,6 @@
 	}
 }
 
-// refuses returns the failure of a command to a worker that has crashed.
-func (w *simWorker) refuses() Failure {
-	switch {
-	case w == nil || !w.down:
-		return None
-	case w.gone:
-		return OtherWorker
-	default:
-		return NotSent
-	}
-}
-
 // checkFailed checks that a job that is shown as failed may be failed.
 func (f *simFleet) checkFailed(j *simJob) {
 	if j.failedRuns >= j.spec.Queue.MaxAttempts {
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -111,12 +111,12 @@
 	cutOff           bool              // no command reaches it
 	cutOffFrom       map[*Cell]bool    // owners that cannot reach it
 	gone             bool
-	failing          bool    // every run on it fails
-	lastReported     uint64  // sequence number of the last reported result
-	pendingPoll      func()  // answers the poll that waits for a result
-	failPoll         func()  // ends that poll without an answer
-	down             bool    // it has crashed and refuses connections
-	unlistedAt       Instant // when its entry expires after a crash
+	refuses          bool   // connections to it are refused
+	replaced         bool   // another worker answers at its address
+	failing          bool   // every run on it fails
+	lastReported     uint64 // sequence number of the last reported result
+	pendingPoll      func() // answers the poll that waits for a result
+	failPoll         func() // ends that poll without an answer
 }
 
 type simRun struct {
@@ -259,7 +259,7 @@
 	}
 	var infos []WorkerInfo
 	for _, w := range f.workers {
-		if !w.gone && (!w.down || f.now < w.unlistedAt) {
+		if !w.gone {
 			infos = append(infos, w.info)
 		}
 	}
@@ -364,6 +364,9 @@
 				delete(f.store.progress, r.Key)
 			}
 		}
+		if lost := f.crashes.answerLost; lost != nil && lost(e) {
+			return
+		}
 		f.send(c, Committed{Seq: e.Seq, Sent: sent})
 	})
 }
@@ -410,6 +413,20 @@
 // not rely on the results that workers list, as a restarted worker has lost them.
 func (j *simJob) allDone() bool { return len(j.done) >= j.tasks() }
 
+// connectFailure returns the failure of any command to a worker to which no connection can
+// be made, or at whose address another one answers.
+func (w *simWorker) connectFailure() Failure {
+	switch {
+	case w == nil:
+		return None
+	case w.refuses:
+		return NotSent
+	case w.replaced:
+		return OtherWorker
+	}
+	return None
+}
+
 func (w *simWorker) unreachable(c *Cell) bool { return w.gone || w.cutOff || w.cutOffFrom[c] }
 
 // handleStart handles a start command that arrives at its worker.
@@ -420,7 +437,7 @@
 			f.send(c, Started{Worker: e.Worker, Task: e.Task, Run: e.Run, Received: f.now, Failure: failure, Clock: f.now})
 		})
 	}
-	if failure := w.refuses(); failure != None {
+	if failure := w.connectFailure(); failure != None {
 		answer(failure)
 		return
 	}
@@ -442,7 +459,7 @@
 // executeStart starts a run if the worker's rules allow it.
 func (f *simFleet) executeStart(w *simWorker, e Start) Failure {
 	switch {
-	case w.gone || w.cutOff || w.down:
+	case w.gone || w.cutOff || w.refuses:
 		return NoAnswer
 	case e.Token < w.token && f.fault != noFencing:
 		return Fenced
@@ -703,8 +720,8 @@
 		})
 	}
 	switch {
-	case w.refuses() != None:
-		answer(w.refuses())
+	case w.connectFailure() != None:
+		answer(w.connectFailure())
 	case w == nil || w.unreachable(c):
 		f.after(simCommandTimeout, func() { answer(NoAnswer) })
 	case f.stopsLost:
@@ -739,8 +756,8 @@
 		})
 	}
 	switch {
-	case w.refuses() != None:
-		fail(w.refuses())
+	case w.connectFailure() != None:
+		fail(w.connectFailure())
 		return
 	case w == nil || w.unreachable(c):
 		f.after(simCommandTimeout, func() { fail(NoAnswer) })
