A failed job is told with its reason

Callers who ask for a failed job got its state only. workload.Progress has a reason (key 7; rows without it still decode), which a GET answers beside the state, from the owner as from the row read without one.

explain prints run suspected and job failed by crashes, which name the task or the job, and of the records worker crashed, which name no job, those of workers that the job's lines name.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -283,7 +283,11 @@
 		c.emit(Answer{Reply: e.Reply, Verdict: Unknown})
 		return
 	}
-	c.emit(Answer{Reply: e.Reply, Verdict: Accepted, State: j.reportedState})
+	answer := Answer{Reply: e.Reply, Verdict: Accepted, State: j.reportedState}
+	if answer.State == workload.Failed {
+		answer.Reason = j.progress.Reason
+	}
+	c.emit(answer)
 }
 
 func (c *Cell) countQueued(e CountQueued) {
--- a/cell/crashbudget_test.go
+++ b/cell/crashbudget_test.go
@@ -502,3 +502,18 @@
 	require.Equal(t, workload.Completed, j.state)
 	require.Empty(t, f.crashes.innocent)
 }
+
+// TestReasonOfAFailedJobOutlivesItsOwner guards against a failed job whose reason is lost
+// when the cell changes owner.
+func TestReasonOfAFailedJobOutlivesItsOwner(t *testing.T) {
+	t.Parallel()
+	const reason = "its task crashed 2 workers"
+	c := New(Config{MaxLease: simMaxLease, StatusRetention: time.Minute})
+	clock := Clock{Steady: time.Hour, Wall: time.Unix(1, 0)}
+	c.Update(clock, Claimed{Token: 9, Sent: clock.Steady, Jobs: []StoredJob{
+		{ID: "dd00000000000001", Progress: &workload.Progress{State: workload.Failed, Reason: reason}},
+		{ID: "dd00000000000002", Progress: &workload.Progress{State: workload.Failed}},
+	}})
+	require.Equal(t, []any{Answer{Reply: 1, State: workload.Failed, Reason: reason}}, c.Update(clock, Query{Reply: 1, ID: "dd00000000000001"}))
+	require.Equal(t, []any{Answer{Reply: 2, State: workload.Failed}}, c.Update(clock, Query{Reply: 2, ID: "dd00000000000002"}))
+}
--- a/cell/effect.go
+++ b/cell/effect.go
@@ -42,7 +42,7 @@
 	State      workload.State
 	Count      int
 	RetryAfter time.Duration
-	Reason     string
+	Reason     string // of a refusal, or why the job failed
 }
 
 // Verdict is the outcome of a caller's request.
--- a/cellhost/cellhost.go
+++ b/cellhost/cellhost.go
@@ -69,9 +69,9 @@
 	// LoadLearned reads the row of what the last owner had learned, which is empty if there
 	// is none. A new owner can do without it, and without the function.
 	LoadLearned func(ctx context.Context) ([]byte, error)
-	// LookUp reads the state of one job from the store. It reports false if the
+	// LookUp reads the progress of one job from the store. It reports false if the
 	// store does not hold the job.
-	LookUp func(ctx context.Context, id string) (workload.State, bool, error)
+	LookUp func(ctx context.Context, id string) (workload.Progress, bool, error)
 	// ListWorkers reads the list of workers from the store.
 	ListWorkers func(ctx context.Context) ([]cell.WorkerInfo, error)
 	// FollowRules waits for a limited time for rules newer than those of the last call,
--- a/cellhost/client_calls.go
+++ b/cellhost/client_calls.go
@@ -77,7 +77,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	state, found, err := h.LookUp(callCtx, id)
+	progress, found, err := h.LookUp(callCtx, id)
 	switch {
 	case err != nil:
 		h.Log.Info("state unknown", "id", id, "owner", out.Reason, "error", err)
@@ -85,7 +85,11 @@
 	case !found:
 		return Outcome{Verdict: cell.Unknown}
 	default:
-		return Outcome{Verdict: cell.Accepted, State: state}
+		out := Outcome{Verdict: cell.Accepted, State: progress.State}
+		if out.State == workload.Failed {
+			out.Reason = progress.Reason
+		}
+		return out
 	}
 }
 
--- a/cellhost/client_calls_test.go
+++ b/cellhost/client_calls_test.go
@@ -19,7 +19,9 @@
 func TestUncertainOwnerDoesNotReportJobUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newOwner(&fakeStore{})
-		h.LookUp = func(context.Context, string) (workload.State, bool, error) { return workload.Active, true, nil }
+		h.LookUp = func(context.Context, string) (workload.Progress, bool, error) {
+			return workload.Progress{State: workload.Active}, true, nil
+		}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go func() { // stands in for a cell without jobs
@@ -44,6 +46,19 @@
 	})
 }
 
+// TestOwnerTellsWhyAJobFailed guards against a reason that is lost on the way from the owner.
+func TestOwnerTellsWhyAJobFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const reason = "its task crashed 2 workers"
+		h := newOwner(&fakeStore{})
+		go func() {
+			call := (<-h.events).(pendingCall)
+			call.answer <- cell.Answer{State: workload.Failed, Reason: reason}
+		}()
+		require.Equal(t, Outcome{State: workload.Failed, Reason: reason}, h.Query(t.Context(), "aa00000000000001"))
+	})
+}
+
 // TestCallersReturnInTimeAfterAnOutage submits jobs while no owner has been in reach for
 // six seconds. Callers must not all return in the same second, nor when their jobs can no
 // longer be of use.
--- a/logquery/logquery.go
+++ b/logquery/logquery.go
@@ -38,7 +38,8 @@
 	source  string
 	text    string
 	fields  map[string]any
-	general bool // one of generalMessages
+	general bool   // one of generalMessages
+	crashed string // worker that the line says has crashed
 }
 
 // generalMessages holds the messages that concern all requests. Their lines name no
@@ -50,6 +51,9 @@
 	"started": true, "stopping": true, "stopped": true, "log lines dropped": true,
 }
 
+// crashMessage says that a worker has crashed, with all its runs. Its lines name no request.
+const crashMessage = "worker crashed"
+
 // Read adds the lines of one host's log. It skips text before the JSON object of a
 // line, and ignores lines without a JSON object.
 func (q *Query) Read(source string, r io.Reader) error {
@@ -73,8 +77,11 @@
 // add keeps a line that names the request or has a general message.
 func (q *Query) add(source string, fields map[string]any) {
 	text, _ := fields["msg"].(string) // "" if missing
-	general := generalMessages[text]
-	if !general && !q.matches(fields) {
+	general, crashed := generalMessages[text], ""
+	if text == crashMessage && !q.matches(fields) {
+		crashed, _ = fields["worker"].(string) // "" if missing
+	}
+	if !general && crashed == "" && !q.matches(fields) {
 		return
 	}
 	stamp, _ := fields["time"].(string) // a missing time becomes the zero time, which sorts first
@@ -85,7 +92,7 @@
 	for _, key := range []string{"time", "level", "msg"} {
 		delete(fields, key)
 	}
-	q.lines = append(q.lines, line{at, source, text, fields, general})
+	q.lines = append(q.lines, line{at, source, text, fields, general, crashed})
 }
 
 // matches reports whether a line names the request, one of its steps or one of its
@@ -99,11 +106,14 @@
 	return false
 }
 
+// named reports whether the line names the request.
+func (l *line) named() bool { return !l.general && l.crashed == "" }
+
 // Matches returns the number of lines that name the request.
 func (q *Query) Matches() int {
 	n := 0
 	for _, l := range q.lines {
-		if !l.general {
+		if l.named() {
 			n++
 		}
 	}
@@ -111,22 +121,28 @@
 }
 
 // Print writes the lines in order of time. Lines with a general message are included
-// from 5 seconds before the first line that names the request until the last one.
+// from 5 seconds before the first line that names the request until the last one, and so
+// are crashes of workers that the request's lines name.
 func (q *Query) Print(w io.Writer) error {
 	const contextBefore = 5 * time.Second
 	slices.SortStableFunc(q.lines, func(a, b line) int { return a.at.Compare(b.at) })
 	first, last := time.Time{}, time.Time{}
+	workers := map[any]bool{}
 	for _, l := range q.lines {
-		if l.general {
+		if !l.named() {
 			continue
 		}
+		workers[l.fields["worker"]] = true
 		if first.IsZero() {
 			first = l.at
 		}
 		last = l.at
 	}
 	for _, l := range q.lines {
-		if l.general && (l.at.Before(first.Add(-contextBefore)) || l.at.After(last)) {
+		if !l.named() && (l.at.Before(first.Add(-contextBefore)) || l.at.After(last)) {
+			continue
+		}
+		if l.crashed != "" && !workers[l.crashed] {
 			continue
 		}
 		if _, err := fmt.Fprintf(w, "%s  %+9.3f s  %s: %s%s\n", l.at.Format("15:04:05.000"), l.at.Sub(first).Seconds(), l.source, l.text, formatFields(l.fields)); err != nil {
@@ -156,5 +172,5 @@
 
 // isDuration reports whether a field holds a duration in nanoseconds.
 func isDuration(name string) bool {
-	return slices.Contains([]string{"retryAfter", "wait", "slack", "sinceFirst", "commitAge", "took", "waited", "after", "silent", "gain", "age"}, name)
+	return slices.Contains([]string{"retryAfter", "wait", "slack", "sinceFirst", "commitAge", "took", "waited", "after", "silent", "gain", "age", "youngest"}, name)
 }
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -12,7 +12,8 @@
 	State State        `cbor:"1,keyasint"`
 	Steps []StepRecord `cbor:"2,keyasint,omitempty"`
 	// Keys 3 to 5 were used by earlier versions; do not reuse them.
-	Team string `cbor:"6,keyasint,omitempty"`
+	Team   string `cbor:"6,keyasint,omitempty"`
+	Reason string `cbor:"7,keyasint,omitempty"` // why the job failed; empty if its runs ended as failed
 }
 
 // StepRecord is the stored progress of one step of one occurrence.
