--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -108,6 +108,7 @@
 	lastSeq          uint64            // sequence number of the last result
 	highestBarredRun map[string]uint64 // highest run stopped or ended, by task
 	lease            Instant           // end of the lease
+	failPoll         func()            // ends the pending poll without an answer
 	cutOff           bool              // no command reaches it
 	cutOffFrom       map[*Cell]bool    // owners that cannot reach it
 	gone             bool
@@ -116,7 +117,6 @@
 	failing          bool   // every run on it fails
 	lastReported     uint64 // sequence number of the last reported result
 	pendingPoll      func() // answers the poll that waits for a result
-	failPoll         func() // ends that poll without an answer
 }
 
 type simRun struct {
