--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -66,6 +66,7 @@
 	storeUnreachable  map[*Cell]bool // owners that the store does not answer
 	forgetsLearned    bool           // no learned state is stored
 	violations        []string
+	crashes           simCrashes
 	onUpdate          func(c *Cell, event any, effects []any, took time.Duration) // called after each Update, if set
 	starts            int
 	wastedCoreSeconds float64 // core-seconds spent on runs that did not end as done, less what they saved
@@ -98,6 +99,7 @@
 	ackedDone     map[string]bool               // done tasks whose result was acknowledged
 	done          map[string]bool               // done tasks, acknowledged or not
 	ackedFailures map[string]int                // number of acknowledged failed runs, by task
+	failedRuns    int                           // acknowledged or not
 	checkpoints   map[string]map[string]float64 // share of the work done by checkpoint, by task
 }
 
@@ -110,6 +112,7 @@
 	lastSeq          uint64            // sequence number of the last result
 	highestBarredRun map[string]uint64 // highest run stopped or ended, by task
 	lease            Instant           // end of the lease
+	failPoll         func()            // ends the pending poll without an answer
 	cutOff           bool              // no command reaches it
 	cutOffFrom       map[*Cell]bool    // owners that cannot reach it
 	gone             bool
@@ -366,6 +369,9 @@
 				delete(f.store.progress, r.Key)
 			}
 		}
+		if lost := f.crashes.answerLost; lost != nil && lost(e) {
+			return
+		}
 		f.send(c, Committed{Seq: e.Seq, Sent: sent})
 	})
 }
@@ -385,6 +391,9 @@
 			if p.State == workload.Completed && !j.allDone() {
 				f.violate("MIXED", "job %s is completed although not all its tasks are done", r.Key)
 			}
+			if p.State == workload.Failed {
+				f.checkFailed(j)
+			}
 		}
 	case Roster:
 		refs, err := DecodeRoster(r.Value)
@@ -466,7 +475,7 @@
 // executeStart starts a run if the worker's rules allow it.
 func (f *simFleet) executeStart(w *simWorker, e Start) Failure {
 	switch {
-	case w.gone || w.cutOff:
+	case w.gone || w.cutOff || w.refuses:
 		return NoAnswer
 	case e.Token < w.token && f.fault != noFencing:
 		return Fenced
@@ -506,6 +515,7 @@
 		j.startedAt = f.now
 	}
 	f.scheduleLeaseExpiry(w)
+	f.startGuilty(w, e.Task, r)
 	if step.Gang {
 		f.joinGang(w, r, step.Count)
 	} else {
@@ -670,6 +680,9 @@
 			}
 		}
 	} else {
+		if outcome == Failed {
+			j.failedRuns++
+		}
 		lost := f.now - r.startedAt
 		if r.saves && outcome == Stopped {
 			lost = 0
@@ -808,6 +821,12 @@
 		return
 	}
 	w.pendingPoll = answer
+	w.failPoll = func() {
+		if !answered {
+			answered = true
+			fail(NoAnswer)
+		}
+	}
 	f.after(e.Wait, func() {
 		if answered {
 			return
