cell: placements on a worker that has shrunk are withdrawn

What callers saw: a worker whose capacity shrank between a placement and its commit got all that had been placed there (rule LIMIT once the store takes longer than the grace), and what runs there competed for the rest.

Cause: sendStart checked ticket, lease and use of the worker, but no room; the list only replaced the capacity.

Change: when the list shows another capacity, placements that have not been sent are dropped, the least urgent first, until what is left fits; of a gang, all members. What is starting, running, unconfirmed or stopping counts as before and is left alone.

The simulated workers check LIMIT with the grace of the rule (3 s and one heartbeat) once they have been resized; others are checked as before.

Conclusion: between two lists nothing that was placed for more room is sent.

--- /dev/null
+++ b/cell/capacity_test.go
@@ -0,0 +1,106 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/workload"
+)
+
+const (
+	// simHeartbeat is how often a worker writes its entry.
+	simHeartbeat = 1500 * time.Millisecond
+	// simShrinkGrace is how long after a worker has shrunk starts may still use the room
+	// that it had.
+	simShrinkGrace = 3*time.Second + simHeartbeat
+)
+
+// simSize is a capacity that a worker has from the given time on.
+type simSize struct {
+	from     Instant
+	capacity resource.Vector
+}
+
+// limit returns the capacity that a start may not exceed.
+func (w *simWorker) limit(now Instant) resource.Vector {
+	if len(w.sizes) == 0 {
+		return w.info.Capacity
+	}
+	limit := resource.Vector{}
+	for i, size := range w.sizes {
+		if i+1 == len(w.sizes) || now-w.sizes[i+1].from <= simShrinkGrace {
+			limit = limit.Max(size.capacity)
+		}
+	}
+	return limit
+}
+
+// resize changes the capacity of a worker. Its entry shows it after the delay.
+func (f *simFleet) resize(w *simWorker, capacity resource.Vector, delay time.Duration) {
+	if len(w.sizes) == 0 {
+		w.sizes = []simSize{{0, w.info.Capacity}}
+	}
+	w.sizes = append(w.sizes, simSize{f.now, capacity})
+	f.after(delay, func() { w.info.Capacity = w.sizes[len(w.sizes)-1].capacity })
+}
+
+// requireStartsFit checks at each start that is sent that what the owner knows to be on
+// the worker fits its listed capacity.
+func (f *simFleet) requireStartsFit() {
+	f.onUpdate = func(c *Cell, _ any, effects []any, _ time.Duration) {
+		for _, effect := range effects {
+			if start, ok := effect.(Start); ok {
+				w := c.workers[start.Worker]
+				require.True(f.t, w.used.Fits(w.Capacity), "%s: %v used of %v", w.ID, w.used, w.Capacity)
+			}
+		}
+	}
+}
+
+// plainJob returns a job of one step that needs no advice.
+func plainJob(id string, step workload.Step) *workload.Job {
+	spec := quoteJob(id)
+	spec.Queue.Advice = nil
+	spec.Steps = []workload.Step{step}
+	return spec
+}
+
+// TestPlacementsOnAShrunkenWorkerAreWithdrawn shrinks a worker between the placement of
+// tasks, or of a gang, and their commit: only what fits is sent, and no part of a gang.
+func TestPlacementsOnAShrunkenWorkerAreWithdrawn(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang %v", gang), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 1, 2)
+			f.storeLatency = 200 * time.Millisecond
+			spec := plainJob("bb00000000000001", workload.Step{Count: 6, Gang: gang, Need: resource.Vector{MilliCPU: 8000, MemoryMB: 2000}, Estimate: time.Second})
+			f.submit(2*time.Second, spec)
+			for f.owner.jobs[spec.ID] == nil || len(f.owner.jobs[spec.ID].unstoredRuns()) == 0 {
+				f.runUntil(f.now + time.Millisecond)
+				require.Less(t, f.now, 3*time.Second)
+			}
+			f.requireStartsFit()
+			f.resize(f.workers["w000"], resource.Vector{MilliCPU: 9000, MemoryMB: 65536}, 0)
+			f.runUntil(f.now + time.Millisecond)
+			f.listWorkers()
+			left := f.owner.jobs[spec.ID].unstoredRuns()
+			if gang {
+				require.Empty(t, left)
+			} else {
+				onShrunken := slices.DeleteFunc(left, func(r *run) bool { return r.w.ID != "w000" })
+				require.Len(t, onShrunken, 1)
+			}
+			f.runUntil(4 * time.Second)
+			f.resize(f.workers["w000"], resource.Vector{MilliCPU: 32000, MemoryMB: 65536}, 0)
+			f.runUntil(30 * time.Second)
+			f.requireNoViolations()
+			f.requireAllEnded()
+			require.Zero(t, f.wastedCoreSeconds)
+		})
+	}
+}
--- a/cell/evacuate.go
+++ b/cell/evacuate.go
@@ -58,17 +58,25 @@
 // withdrawPlacements drops the runs of a worker that have not been sent, and the gangs
 // that they belong to.
 func (c *Cell) withdrawPlacements(w *worker) {
+	for _, r := range w.placements() {
+		c.dropRun(r)
+		c.abortGang(r.task.step, r.number)
+	}
+}
+
+// placements returns the runs of a worker that have not been sent, those with the least
+// urgent rank first.
+func (w *worker) placements() []*run {
 	var placed []*run
 	for _, r := range w.runs {
 		if r.state == placing {
 			placed = append(placed, r)
 		}
 	}
-	slices.SortFunc(placed, func(a, b *run) int { return cmp.Compare(a.task.name, b.task.name) })
-	for _, r := range placed {
-		c.dropRun(r)
-		c.abortGang(r.task.step, r.number)
-	}
+	slices.SortFunc(placed, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(b.task.step.rank, a.task.step.rank), cmp.Compare(a.task.name, b.task.name))
+	})
+	return placed
 }
 
 // policyExpired reports whether the policy was read so long ago that the operators may
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -37,9 +37,12 @@
 		c.handleRestart(w)
 		w.synced = false
 	}
-	clock, startedAt := w.Clock, max(w.StartedAt, info.StartedAt)
+	clock, startedAt, before := w.Clock, max(w.StartedAt, info.StartedAt), w.Capacity
 	w.WorkerInfo = info
 	w.Clock, w.StartedAt = clock, startedAt
+	if w.Capacity != before {
+		c.capacityChanged(w, before)
+	}
 	w.listed = true
 	c.restoreSpeed(w)
 	w.evacuated = c.evacuated.Covers(w.Zone)
