cell, eviction: a worker that is over its capacity has no room at all

What callers saw: on a worker whose memory had shrunk below what its runs take, gangs that need processors only went on starting (rule LIMIT: a start on a worker that is over).

Cause: room and eviction's fit looked at the dimensions that a task needs, and took a negative one for 0; placeTasks also asks whether the need fits, which gangs, openings and advice did not.

Change: a need that does not fit the room in every dimension, also one of which it needs nothing, has room for no task. The next releases then fill the deficit first, as they are added before the comparison.

Evidence: TestNothingStartsOnAWorkerThatIsOver failed before for a gang (started beside 64,000 MB on 40,000 MB), and passes; the plain tasks passed before. TestWorkerThatIsOverHasNoRoom failed before: no victim where two are needed.

Conclusion: a worker that is over gets nothing, whatever a step needs.

--- a/cell/capacity_test.go
+++ b/cell/capacity_test.go
@@ -104,3 +104,29 @@
 		})
 	}
 }
+
+// TestNothingStartsOnAWorkerThatIsOver shrinks the memory of both workers below what runs
+// there, and submits tasks that need processors only.
+func TestNothingStartsOnAWorkerThatIsOver(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang %v", gang), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 1, 2)
+			f.requireStartsFit()
+			f.submit(2*time.Second, plainJob("bb00000000000001", workload.Step{Count: 4, Need: resource.Vector{MilliCPU: 2000, MemoryMB: 32_000}, Estimate: 8 * time.Second}))
+			f.at(3*time.Second, func() {
+				for _, w := range f.workers {
+					f.resize(w, resource.Vector{MilliCPU: 32000, MemoryMB: 40_000}, 0)
+				}
+			})
+			late := f.submit(4*time.Second, plainJob("bb00000000000002", workload.Step{Count: 4, Gang: gang, Need: resource.Vector{MilliCPU: 4000}, Estimate: time.Second}))
+			f.runUntil(8 * time.Second)
+			require.Equal(t, 4, f.starts)
+			f.runUntil(40 * time.Second)
+			f.requireNoViolations()
+			f.requireAllEnded()
+			require.Zero(t, f.wastedCoreSeconds, "what runs goes on")
+			require.True(t, late.accepted)
+		})
+	}
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -129,15 +129,19 @@
 	return s.job.stored || s.advice.needed
 }
 
-// room returns how many tasks of the step fit on the worker.
+// room returns how many tasks of the step fit on the worker: none on one whose runs take more
+// of any resource than it has.
 func (s *step) room(w *worker, free resource.Vector) int {
 	n := len(s.tasks)
 	fit := func(have, need int64) {
 		if need > 0 {
-			n = min(n, int(max(0, have)/need))
+			n = min(n, int(have/need))
 		}
 	}
 	need := s.need()
+	if !need.Fits(free) {
+		return 0
+	}
 	fit(free.MilliCPU, need.MilliCPU)
 	fit(free.MemoryMB, need.MemoryMB)
 	fit(free.Accelerators, need.Accelerators)
--- a/eviction/eviction.go
+++ b/eviction/eviction.go
@@ -151,15 +151,19 @@
 	return o
 }
 
-// fit returns how many tasks fit into the room, up to most.
+// fit returns how many tasks fit into the room, up to most: none if it is negative in any
+// dimension, on a worker that has less than its tasks take.
 func (w *Worker) fit(need, free resource.Vector, most int) int {
+	if !need.Fits(free) {
+		return 0
+	}
 	n := int64(most)
 	if w.Limit > 0 {
 		n = min(n, int64(w.Limit))
 	}
 	divide := func(have, need int64) {
 		if need > 0 {
-			n = min(n, max(0, have)/need)
+			n = min(n, have/need)
 		}
 	}
 	divide(free.MilliCPU, need.MilliCPU)
--- a/eviction/eviction_test.go
+++ b/eviction/eviction_test.go
@@ -66,6 +66,18 @@
 	}
 }
 
+// TestWorkerThatIsOverHasNoRoom asks for processors on a worker whose runs take more memory
+// than it has: the stops must make up for that first.
+func TestWorkerThatIsOverHasNoRoom(t *testing.T) {
+	w := full("a", 1, 1, 1)
+	w.Free.MemoryMB = -8000
+	need := resource.Vector{MilliCPU: 9000}
+	plan := Plan{Budget: 100}
+	require.Equal(t, map[string]int{"a": 2}, tasks(plan.Choose([]Worker{w}, need, 1)))
+	w.Free.MemoryMB = -22_000
+	require.Empty(t, plan.Choose([]Worker{w}, need, 1))
+}
+
 // TestChosenVictimsMakeRoom checks on random fleets that the chosen victims free the room,
 // none of them in vain, within the budget.
 func TestChosenVictimsMakeRoom(t *testing.T) {
