cell, scarcity: the deficit of one worker is no debt of the others

What callers saw: while one worker ran more than its shrunken capacity, jobs that fit elsewhere were expected to wait, and refused if that was too long; teams counted as competing for too little room, and no slow run was copied.

Cause: the room of a service was the sum over its workers, negative ones included, in Holes.total (admission), crowded (shares) and spareRoom (copies and moves). What is free beside a shortage of another resource counted too, though nothing can use it.

Change: Vector.Usable is no room at all where a dimension is negative; the three sums use it.

Evidence: TestDeficitOfOneWorkerIsNoDebtOfOthers (29 cores missing on one worker, 100 free on two others) failed before with a wait of 2.56 s for 80 cores; 0 now.

Conclusion: a shrunken worker takes away its own room and no more.

--- a/cell/capacity_test.go
+++ b/cell/capacity_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/scarcity"
 	"github.com/cowslipgap/cowslipgap/workload"
 )
 
@@ -130,3 +131,29 @@
 		})
 	}
 }
+
+// TestDeficitOfOneWorkerIsNoDebtOfOthers shrinks a worker far below what runs on it: the
+// room on the others is as before.
+func TestDeficitOfOneWorkerIsNoDebtOfOthers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 3)
+	f.submit(2*time.Second, plainJob("bb00000000000001", workload.Step{Count: 3, Need: resource.Vector{MilliCPU: 30_000, MemoryMB: 1000}, Estimate: 20 * time.Second}))
+	f.runUntil(3 * time.Second)
+	for _, w := range f.workers {
+		f.resize(w, resource.Vector{MilliCPU: 80_000, MemoryMB: 65536}, 0)
+	}
+	f.resize(f.workers["w000"], resource.Vector{MilliCPU: 1000, MemoryMB: 65536}, 0)
+	f.runUntil(4 * time.Second)
+	c := f.owner
+	c.estimateLoad()
+	fleet := c.fleet("s")
+	r := scarcity.Request{Need: resource.Vector{MilliCPU: 40_000, MemoryMB: 1000}, Tasks: 2}
+	require.Zero(t, fleet.Wait(r, scarcity.Ahead{Running: scarcity.Demand{Now: resource.Vector{MilliCPU: 90_000}, Work: resource.Vector{MilliCPU: 90_000 * 20_000}}}))
+	p := c.newRound()
+	spare, _ := c.spareRoom(p.pools["s"], "s")
+	require.EqualValues(t, 100_000-0.1*161_000, spare)
+	j := newJob(plainJob("bb00000000000002", workload.Step{Count: 1, Need: resource.Vector{MilliCPU: 40_000}}), workload.Progress{}, 0)
+	s := j.occurrences[0].steps[0]
+	require.False(t, c.crowded([]*step{s, s}))
+	require.True(t, c.crowded([]*step{s, s, s}))
+}
--- a/cell/share.go
+++ b/cell/share.go
@@ -69,7 +69,7 @@
 	free, total := map[string]resource.Vector{}, resource.Vector{}
 	for _, w := range c.sortedWorkers {
 		if w.usable(c.now.Steady) {
-			free[w.Service] = free[w.Service].Add(w.free())
+			free[w.Service] = free[w.Service].Add(w.free().Usable())
 			total = total.Add(w.Capacity)
 		}
 	}
--- a/cell/slowrun.go
+++ b/cell/slowrun.go
@@ -97,7 +97,7 @@
 	total := int64(0)
 	for _, cand := range pool.candidates {
 		total += cand.w.Capacity.MilliCPU
-		spare += cand.free.MilliCPU
+		spare += cand.free.Usable().MilliCPU
 		for _, r := range cand.w.runs {
 			if r.hastened {
 				budget -= r.task.step.spec.Need.MilliCPU
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -63,6 +63,15 @@
 	return v.Slots < 0 || v.MilliCPU < 0 || v.MemoryMB < 0 || v.Accelerators < 0
 }
 
+// Usable returns v, or the zero Vector if any dimension is below zero: what is short of one
+// resource can use none of the others.
+func (v Vector) Usable() Vector {
+	if v.Negative() {
+		return Vector{}
+	}
+	return v
+}
+
 // DominantShare returns the largest fraction of total that v takes in any
 // dimension. Dimensions in which total is zero or less are ignored.
 func (v Vector) DominantShare(total Vector) float64 {
--- a/scarcity/scarcity.go
+++ b/scarcity/scarcity.go
@@ -177,7 +177,7 @@
 // Holes is the free room of all workers. It is sorted when it is looked up often.
 type Holes struct {
 	list    []Hole
-	total   resource.Vector
+	total   resource.Vector // usable
 	lookups int
 	// byCPU and byMemory are indexes into list, the largest hole first; nil until sorted.
 	byCPU, byMemory []int32
@@ -187,7 +187,7 @@
 func NewHoles(holes []Hole) *Holes {
 	h := &Holes{list: holes}
 	for i := range holes {
-		h.total = h.total.Add(holes[i].Free)
+		h.total = h.total.Add(holes[i].Free.Usable())
 	}
 	return h
 }
