cell: what a worker releases fills its deficit before urgent demand counts on it

What callers saw: long tasks started while a wave of urgent demand came, as room was counted on that a shrunken worker will not have.

Cause: urgentRoom took negative room for 0 and then added what the runs release.

Change: the release is added first; what is left of it counts if it is positive.

Evidence: TestNextReleaseFillsTheDeficitFirst (runs of 30 cores on a worker of 4) expected 30 cores after 2 s before, 4 now. The openings of gangs were right: four, at the end of the third run; the test keeps that.

Conclusion: room expected on a worker never exceeds its capacity.

--- a/cell/capacity_test.go
+++ b/cell/capacity_test.go
@@ -157,3 +157,25 @@
 	require.False(t, c.crowded([]*step{s, s}))
 	require.True(t, c.crowded([]*step{s, s, s}))
 }
+
+// TestNextReleaseFillsTheDeficitFirst shrinks a worker below what runs on it: room for urgent
+// demand is expected only of what its runs release beyond the deficit.
+func TestNextReleaseFillsTheDeficitFirst(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 1)
+	f.submit(2*time.Second, plainJob("bb00000000000001", workload.Step{Count: 3, Need: resource.Vector{MilliCPU: 10_000, MemoryMB: 1000}, Estimate: 2 * time.Second}))
+	f.runUntil(2500 * time.Millisecond)
+	f.resize(f.workers["w000"], resource.Vector{MilliCPU: 4000, MemoryMB: 65536}, 0)
+	f.runUntil(3 * time.Second)
+	c := f.owner
+	require.EqualValues(t, -26_000, c.workers["w000"].free().MilliCPU)
+	p := c.newRound()
+	rooms := c.urgentRoom(p.pools["s"], &urgentDemand{tasks: map[string]int64{"lookup": 1000}})
+	require.Zero(t, rooms[0])
+	require.EqualValues(t, 4000, rooms[len(rooms)-1])
+	cand := p.pools["s"].candidates[0]
+	j := newJob(plainJob("bb00000000000002", workload.Step{Count: 9, Gang: true, Need: resource.Vector{MilliCPU: 1000}}), workload.Progress{}, 0)
+	openings := c.openings(nil, j.occurrences[0].steps[0], cand)
+	require.Len(t, openings, 4)
+	require.Equal(t, c.releases(cand)[2].at, openings[0].at)
+}
--- a/cell/forecast.go
+++ b/cell/forecast.go
@@ -152,7 +152,7 @@
 	for _, cand := range pool.candidates {
 		var on [len(forecastMoments)]int64
 		for i := range on {
-			on[i] = max(0, cand.free.MilliCPU)
+			on[i] = cand.free.MilliCPU
 		}
 		for _, r := range cand.w.runs {
 			left := time.Duration(0)
@@ -166,7 +166,8 @@
 			}
 		}
 		for i := range on {
-			rooms[i] += on[i] - on[i]%smallest
+			left := max(0, on[i]) // what is released first makes up for what is short
+			rooms[i] += left - left%smallest
 		}
 	}
 	return rooms
