cell: a worker that has lost its processors is not preferred to all others

What callers saw: a task that uses idle processors went to a worker without any, on another rack than its data, past every penalty.

Cause: the score divides by the worker's processors. They can now be fewer than the task names, down to none, so the score fell to minus thousands.

Change: it divides by the larger of both; otherwise the same, as any other task fits.

Evidence: TestWorkerWithoutProcessorsIsNotPreferred failed before (the worker on the rack of the data got nothing) and passes.

Conclusion: the share of processors left unused stays between -1 and 1.

--- a/cell/capacity_test.go
+++ b/cell/capacity_test.go
@@ -179,3 +179,16 @@
 	require.Len(t, openings, 4)
 	require.Equal(t, c.releases(cand)[2].at, openings[0].at)
 }
+
+// TestWorkerWithoutProcessorsIsNotPreferred places tasks that use idle processors, with their
+// data on a rack, while a worker elsewhere has lost its processors.
+func TestWorkerWithoutProcessorsIsNotPreferred(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 2)
+	f.workers["w001"].info.Rack = "r9"
+	f.resize(f.workers["w001"], resource.Vector{MemoryMB: 65536}, 0)
+	spec := plainJob("bb00000000000001", workload.Step{Count: 1, UsesIdleCPU: true, Need: resource.Vector{MilliCPU: 9000, MemoryMB: 1000}, Estimate: time.Second, Rack: "r0"})
+	f.submit(3*time.Second, spec)
+	f.runUntil(3500 * time.Millisecond)
+	require.Len(t, f.workers["w000"].runs, 1)
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -225,7 +225,7 @@
 		if s.room(cand.w, cand.free) == 0 {
 			continue
 		}
-		score := float64(cand.free.MilliCPU-s.spec.Need.MilliCPU) / float64(max(1, cand.w.Capacity.MilliCPU))
+		score := float64(cand.free.MilliCPU-s.spec.Need.MilliCPU) / float64(max(1, cand.w.Capacity.MilliCPU, s.spec.Need.MilliCPU))
 		score += speedScore(cand.w.placementSpeed(), max(needed, t.minSpeed))
 		if from := cand.w.reservedFrom; from > c.now.Steady && c.now.Steady+cand.w.duration(duration) > from {
 			score += penaltyReserved
