cell: nothing starts on what a worker said of its capacity before an outage

Cause: when the store is back, the commit that waited is confirmed at once and its placements are sent, up to 400 ms and a heartbeat before a list shows what workers wrote since. Neither the age of the list nor that of an entry mattered.

Change: an entry is as old as the worker's clock says (clock_ms), and at least since it was first listed. After Config.MaxCapacityAge (bounds.contact_ms and heartbeat_ms less the time of a call and the interval of the lists) the worker gets nothing and placements there are dropped; starts carry that limit, also through relays. Without bounds.contact_ms the age does not matter. In the simulation the limit is on for all tests.

Ruled out: the age of the list alone, as entries from before an outage are listed after it; giving the cell up, as no other host could read the list either.

Conclusion: with a store that answers, entries are at most some 2 s old and nothing changes. After an outage of over 2 s a worker gets nothing until it has written its entry again.

--- a/cell/capacity_test.go
+++ b/cell/capacity_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -19,6 +21,11 @@
 	// simShrinkGrace is how long after a worker has shrunk starts may still use the room
 	// that it had.
 	simShrinkGrace = 3*time.Second + simHeartbeat
+	// simCallTime is the time that a start may take to reach its worker.
+	simCallTime = 350 * time.Millisecond
+	// simCapacityAge is the age up to which an entry is relied on. The age may be known from
+	// the lists only.
+	simCapacityAge = simShrinkGrace - simCallTime - simListInterval
 )
 
 // simSize is a capacity that a worker has from the given time on.
@@ -41,13 +48,38 @@
 	return limit
 }
 
-// resize changes the capacity of a worker. Its entry shows it after the delay.
-func (f *simFleet) resize(w *simWorker, capacity resource.Vector, delay time.Duration) {
+// resize changes the capacity of a worker. Its entry shows it at once, unless writeEntries
+// was called.
+func (f *simFleet) resize(w *simWorker, capacity resource.Vector) {
 	if len(w.sizes) == 0 {
 		w.sizes = []simSize{{0, w.info.Capacity}}
 	}
 	w.sizes = append(w.sizes, simSize{f.now, capacity})
-	f.after(delay, func() { w.info.Capacity = w.sizes[len(w.sizes)-1].capacity })
+	if w.info.Clock == 0 {
+		w.info.Capacity = capacity
+	}
+}
+
+// writeEntries makes all workers write their entries at heartbeats only, each at a time of
+// its own, and none while the store is down.
+func (f *simFleet) writeEntries() {
+	i := 0
+	for _, id := range slices.Sorted(maps.Keys(f.workers)) {
+		w, first := f.workers[id], time.Duration(i)*simHeartbeat/time.Duration(len(f.workers))
+		w.info.Clock = f.now
+		f.after(first, func() {
+			f.every(simHeartbeat, func() {
+				if f.storeDown {
+					return
+				}
+				w.info.Clock = f.now
+				if len(w.sizes) > 0 {
+					w.info.Capacity = w.sizes[len(w.sizes)-1].capacity
+				}
+			})
+		})
+		i++
+	}
 }
 
 // requireStartsFit checks at each start that is sent that what the owner knows to be on
@@ -86,7 +118,7 @@
 				require.Less(t, f.now, 3*time.Second)
 			}
 			f.requireStartsFit()
-			f.resize(f.workers["w000"], resource.Vector{MilliCPU: 9000, MemoryMB: 65536}, 0)
+			f.resize(f.workers["w000"], resource.Vector{MilliCPU: 9000, MemoryMB: 65536})
 			f.runUntil(f.now + time.Millisecond)
 			f.listWorkers()
 			left := f.owner.jobs[spec.ID].unstoredRuns()
@@ -97,7 +129,7 @@
 				require.Len(t, onShrunken, 1)
 			}
 			f.runUntil(4 * time.Second)
-			f.resize(f.workers["w000"], resource.Vector{MilliCPU: 32000, MemoryMB: 65536}, 0)
+			f.resize(f.workers["w000"], resource.Vector{MilliCPU: 32000, MemoryMB: 65536})
 			f.runUntil(30 * time.Second)
 			f.requireNoViolations()
 			f.requireAllEnded()
@@ -117,7 +149,7 @@
 			f.submit(2*time.Second, plainJob("bb00000000000001", workload.Step{Count: 4, Need: resource.Vector{MilliCPU: 2000, MemoryMB: 32_000}, Estimate: 8 * time.Second}))
 			f.at(3*time.Second, func() {
 				for _, w := range f.workers {
-					f.resize(w, resource.Vector{MilliCPU: 32000, MemoryMB: 40_000}, 0)
+					f.resize(w, resource.Vector{MilliCPU: 32000, MemoryMB: 40_000})
 				}
 			})
 			late := f.submit(4*time.Second, plainJob("bb00000000000002", workload.Step{Count: 4, Gang: gang, Need: resource.Vector{MilliCPU: 4000}, Estimate: time.Second}))
@@ -140,9 +172,9 @@
 	f.submit(2*time.Second, plainJob("bb00000000000001", workload.Step{Count: 3, Need: resource.Vector{MilliCPU: 30_000, MemoryMB: 1000}, Estimate: 20 * time.Second}))
 	f.runUntil(3 * time.Second)
 	for _, w := range f.workers {
-		f.resize(w, resource.Vector{MilliCPU: 80_000, MemoryMB: 65536}, 0)
+		f.resize(w, resource.Vector{MilliCPU: 80_000, MemoryMB: 65536})
 	}
-	f.resize(f.workers["w000"], resource.Vector{MilliCPU: 1000, MemoryMB: 65536}, 0)
+	f.resize(f.workers["w000"], resource.Vector{MilliCPU: 1000, MemoryMB: 65536})
 	f.runUntil(4 * time.Second)
 	c := f.owner
 	c.estimateLoad()
@@ -165,7 +197,7 @@
 	f := newFleet(t, 1, 1)
 	f.submit(2*time.Second, plainJob("bb00000000000001", workload.Step{Count: 3, Need: resource.Vector{MilliCPU: 10_000, MemoryMB: 1000}, Estimate: 2 * time.Second}))
 	f.runUntil(2500 * time.Millisecond)
-	f.resize(f.workers["w000"], resource.Vector{MilliCPU: 4000, MemoryMB: 65536}, 0)
+	f.resize(f.workers["w000"], resource.Vector{MilliCPU: 4000, MemoryMB: 65536})
 	f.runUntil(3 * time.Second)
 	c := f.owner
 	require.EqualValues(t, -26_000, c.workers["w000"].free().MilliCPU)
@@ -186,9 +218,115 @@
 	t.Parallel()
 	f := newFleet(t, 1, 2)
 	f.workers["w001"].info.Rack = "r9"
-	f.resize(f.workers["w001"], resource.Vector{MemoryMB: 65536}, 0)
+	f.resize(f.workers["w001"], resource.Vector{MemoryMB: 65536})
 	spec := plainJob("bb00000000000001", workload.Step{Count: 1, UsesIdleCPU: true, Need: resource.Vector{MilliCPU: 9000, MemoryMB: 1000}, Estimate: time.Second, Rack: "r0"})
 	f.submit(3*time.Second, spec)
 	f.runUntil(3500 * time.Millisecond)
 	require.Len(t, f.workers["w000"].runs, 1)
 }
+
+// resizeAtRandom shrinks and grows workers until the given time. Then all are as before.
+func (f *simFleet) resizeAtRandom(rng *rand.Rand, until Instant) {
+	f.writeEntries()
+	ids := slices.Sorted(maps.Keys(f.workers))
+	full := f.workers[ids[0]].info.Capacity
+	size := func(n int64) int64 { return n * rng.Int64N(101) / 100 }
+	for at := 2 * time.Second; at < until; at += time.Duration(50+rng.IntN(200)) * time.Millisecond {
+		w := f.workers[ids[rng.IntN(len(ids))]]
+		to := resource.Vector{MilliCPU: size(full.MilliCPU), MemoryMB: size(full.MemoryMB)}
+		f.at(at, func() { f.resize(w, to) })
+	}
+	f.at(until, func() {
+		for _, id := range ids {
+			f.resize(f.workers[id], full)
+		}
+	})
+}
+
+// TestLimitHoldsWhileWorkersShrink shrinks and grows workers on end while owners die and the
+// store is down for longer than the grace of the rule.
+func TestLimitHoldsWhileWorkersShrink(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 7))
+			f := newFleet(t, seed, 24)
+			f.resizeAtRandom(rng, 20*time.Second)
+			f.submitMix("00", 2*time.Second, 16*time.Second, 20, 3, 0.4)
+			f.at(time.Duration(3+seed%4)*time.Second, func() { f.killOwner(700 * time.Millisecond) })
+			f.at(9*time.Second, func() { f.killOwner(1200 * time.Millisecond) })
+			f.at(11*time.Second, func() { f.storeDown = true })
+			f.at(time.Duration(15500+rng.IntN(2000))*time.Millisecond, func() { f.storeDown = false })
+			f.runUntil(120 * time.Second)
+			f.requireNoViolations()
+			f.requireAllEnded()
+		})
+	}
+}
+
+// TestSuccessorUsesListedCapacity shrinks workers while an owner dies: its successor, which
+// has only the roster until it reads the list, starts nothing before and nothing that does
+// not fit after.
+func TestSuccessorUsesListedCapacity(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 4)
+	f.requireStartsFit()
+	f.submit(2*time.Second, plainJob("bb00000000000001", workload.Step{Count: 12, Need: resource.Vector{MilliCPU: 8000, MemoryMB: 1000}, Estimate: 6 * time.Second}))
+	f.submit(2*time.Second, plainJob("bb00000000000002", workload.Step{Count: 12, Need: resource.Vector{MilliCPU: 8000, MemoryMB: 1000}, Estimate: 2500 * time.Millisecond}))
+	f.runUntil(3 * time.Second)
+	require.Equal(t, 16, f.starts)
+	for _, w := range f.workers {
+		f.resize(w, resource.Vector{MilliCPU: 12_000, MemoryMB: 65536})
+	}
+	f.storeDown = true // the successor claims, and cannot read the list yet
+	f.killOwner(500 * time.Millisecond)
+	f.runUntil(4 * time.Second)
+	require.Equal(t, 16, f.starts)
+	for _, w := range f.owner.workers {
+		require.True(t, w.synced)
+		require.False(t, w.usable(f.now))
+	}
+	f.storeDown = false
+	f.runUntil(60 * time.Second)
+	f.requireNoViolations()
+	f.requireAllEnded()
+}
+
+// TestOldEntrySaysNothingOfCapacity stops the writing of one worker's entry, which stays in
+// the list: the worker gets work until the entry is too old, and again once it is written.
+func TestOldEntrySaysNothingOfCapacity(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 2)
+	silent, until := f.workers["w000"], Instant(0)
+	f.every(simHeartbeat, func() {
+		f.workers["w001"].info.Clock = f.now
+		if f.now < 6*time.Second || f.now > 14*time.Second {
+			silent.info.Clock = f.now
+			until = f.now + simShrinkGrace - simCallTime
+		}
+	})
+	last, after := Instant(0), 0
+	f.onUpdate = func(_ *Cell, _ any, effects []any, _ time.Duration) {
+		for _, effect := range effects {
+			if start, ok := effect.(Start); ok && start.Worker == "w000" && until > 0 {
+				require.LessOrEqual(t, start.NotAfter, until)
+				if f.now < 14*time.Second {
+					last = f.now
+				} else {
+					after++
+				}
+			}
+		}
+	}
+	for i := range 400 {
+		spec := lookupJob(fmt.Sprintf("aa%014x", i))
+		spec.Queue.Advice = nil
+		f.submit(time.Duration(2000+40*i)*time.Millisecond, spec)
+	}
+	f.runUntil(30 * time.Second)
+	require.Greater(t, last, 8*time.Second)
+	require.Less(t, last, 10*time.Second)
+	require.NotZero(t, after)
+	f.requireNoViolations()
+	f.requireAllEnded()
+}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -56,6 +56,7 @@
 	StatusRetention time.Duration // how long the state of an ended job is kept
 	KeepUrgentRoom  bool          // long starts leave room to the most urgent queues while their demand rises
 	MaxPolicyAge    time.Duration // age of the last reading of the policy above which nothing starts; 0: any age
+	MaxCapacityAge  time.Duration // age of what a worker last said of its capacity above which nothing starts there; 0: any age
 }
 
 // Cell is the state of one cell on one host. While the host does not own the cell,
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -40,6 +40,7 @@
 	clock, startedAt, before := w.Clock, max(w.StartedAt, info.StartedAt), w.Capacity
 	w.WorkerInfo = info
 	w.Clock, w.StartedAt = clock, startedAt
+	c.readEntry(w, info)
 	if w.Capacity != before {
 		c.capacityChanged(w, before)
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -59,7 +59,7 @@
 		checkpoint = s.checkpoint
 	}
 	cmd := c.command(w)
-	cmd.NotAfter = c.startLimit()
+	cmd.NotAfter = min(c.startLimit(), w.capacityKnownUntil(c.now.Steady))
 	r.saved, r.resumed = checkpoint, checkpoint != ""
 	c.emit(Start{
 		Command: cmd, Task: t.name, Run: r.number, Spec: s.job.Spec, Checkpoint: checkpoint,
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -230,7 +230,7 @@
 func (f *simFleet) claim() {
 	f.store.version++
 	f.store.token = f.store.version
-	c := New(Config{MaxLease: simMaxLease, StopTimeout: 200 * time.Millisecond, StatusRetention: 120 * time.Second})
+	c := New(Config{MaxLease: simMaxLease, StopTimeout: 200 * time.Millisecond, StatusRetention: 120 * time.Second, MaxCapacityAge: simCapacityAge})
 	previous := f.owner != nil
 	f.owner = c
 	claimed := Claimed{Token: f.store.token, Sent: f.now, Previous: previous, Workers: f.store.roster, Learned: f.store.learned}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -61,6 +61,7 @@
 	runs          map[string]*run   // by task
 	strays        map[string]uint64 // run numbers of the stray runs, by task
 	used          resource.Vector
+	capacity      capacityReading
 	leaseEnd      Instant // when all its leases have certainly expired unless renewed
 	pausedUntil   Instant // no new work before this time
 	reservedFrom  Instant // when a gang needs it, according to the last placement round
@@ -131,7 +132,7 @@
 // not, as the resource use of those is unknown.
 func (w *worker) usable(now Instant) bool {
 	return w.listed && w.onRoster && w.synced && !w.Draining && !w.evacuated && len(w.strays) == 0 &&
-		now >= w.pausedUntil && !w.silent(now)
+		now >= w.pausedUntil && !w.silent(now) && now < w.capacityKnownUntil(now)
 }
 
 func (w *worker) silent(now Instant) bool {
--- a/cellhost/cellhost.go
+++ b/cellhost/cellhost.go
@@ -104,7 +104,10 @@
 	// EvacuationBound is how long after an operator's request to evacuate a zone work may
 	// still start there; 0 if there is no such bound.
 	EvacuationBound time.Duration
-	Log             *slog.Logger
+	// ShrinkGrace is how long after a worker has shrunk starts may still use the room that
+	// it had; 0 if there is no such bound.
+	ShrinkGrace time.Duration
+	Log         *slog.Logger
 	// Now is a monotonic clock that must keep running while the host is
 	// suspended.
 	Now func() cell.Instant
@@ -178,6 +181,7 @@
 func (h *Host) runCell(ctx context.Context) {
 	cfg := h.Cell
 	cfg.MaxPolicyAge = h.maxRequestsAge()
+	cfg.MaxCapacityAge = h.maxCapacityAge()
 	state := cell.New(cfg)
 	pending := map[uint64]chan cell.Answer{}
 	timer := time.NewTimer(idleRoundInterval)
@@ -246,6 +250,16 @@
 	}
 }
 
+// maxCapacityAge returns how old what a worker said of its capacity may be when a start is
+// sent to it, by a clock that may be read as late as its entry is listed; 0 if its age does
+// not matter.
+func (h *Host) maxCapacityAge() time.Duration {
+	if h.ShrinkGrace <= 0 {
+		return 0
+	}
+	return max(h.ShrinkGrace-commandTimeout-workerListInterval, h.ShrinkGrace/2)
+}
+
 // pollWorkerList posts the store's list of workers to the cell while this host
 // owns it.
 func (h *Host) pollWorkerList(ctx context.Context) {
