cell, cellhost, platform: the capacity in a worker's report counts, if there is one

Cause: capacity was taken from the store's list only.

Of entries and reports of one life of a worker, the one with the later clock_ms counts; a later life counts more than an earlier one. Another capacity withdraws placements, whichever way it came.

--- a/cell/capacity.go
+++ b/cell/capacity.go
@@ -11,20 +11,31 @@
 // This file follows the capacities of workers, which shrink and grow while they run. What
 // runs goes on. A worker with less room than its runs take gets nothing until they fit.
 
-// capacityReading is when a worker said what its capacity is.
+// capacityReading is what a worker last said of its capacity, in its entry or in a report.
 type capacityReading struct {
-	at     Instant       // when that was first read
-	clock  time.Duration // on the worker's clock, when it was said; 0 if unknown
-	maxAge time.Duration // as Config.MaxCapacityAge
+	capacity  resource.Vector
+	at        Instant       // when it was first read
+	clock     time.Duration // on the worker's clock, when it was said; 0 if unknown
+	startedAt int64         // WorkerInfo.StartedAt of the incarnation that said it; 0 if unknown
+	maxAge    time.Duration // as Config.MaxCapacityAge
 }
 
-// readEntry records a reading of a worker's entry, which it writes at each heartbeat. One
-// that is read again is as old as it was.
-func (c *Cell) readEntry(w *worker, info WorkerInfo) {
-	if info.Clock == 0 || info.Clock != w.capacity.clock {
-		w.capacity.at = c.now.Steady
+// readCapacity puts in force what a worker says of its capacity, unless it has said something
+// else since. An entry that is read again is as old as it was.
+func (c *Cell) readCapacity(w *worker, capacity resource.Vector, startedAt int64, clock time.Duration) {
+	last, before := &w.capacity, w.capacity.capacity
+	sameLife := startedAt > 0 && startedAt == last.startedAt && clock > 0
+	if startedAt >= last.startedAt && !(sameLife && clock < last.clock) || startedAt == 0 {
+		at := c.now.Steady
+		if sameLife && clock == last.clock {
+			at = last.at
+		}
+		*last = capacityReading{capacity: capacity, at: at, clock: clock, startedAt: startedAt, maxAge: c.MaxCapacityAge}
+	}
+	w.Capacity = last.capacity
+	if w.Capacity != before {
+		c.capacityChanged(w, before)
 	}
-	w.capacity.clock, w.capacity.maxAge = info.Clock, c.MaxCapacityAge
 }
 
 // capacityKnownUntil returns the time from which on the worker may have shrunk so long ago
--- a/cell/capacity_test.go
+++ b/cell/capacity_test.go
@@ -330,3 +330,41 @@
 	f.requireNoViolations()
 	f.requireAllEnded()
 }
+
+// TestNewestWordOnCapacityCounts interleaves entries and reports of a worker.
+func TestNewestWordOnCapacityCounts(t *testing.T) {
+	t.Parallel()
+	f, known, report, list := newTalkingWorker(t)
+	report(5, 102*time.Second, 8000)
+	require.EqualValues(t, 8000, known.Capacity.MilliCPU)
+	list(5, 101*time.Second, 32000)
+	require.EqualValues(t, 8000, known.Capacity.MilliCPU, "the entry was written before")
+	report(5, 103*time.Second, 0)
+	list(5, 104*time.Second, 16000)
+	require.EqualValues(t, 16000, known.Capacity.MilliCPU)
+	report(5, 103500*time.Millisecond, 8000)
+	require.EqualValues(t, 16000, known.Capacity.MilliCPU, "the report was written before")
+	require.True(t, known.usable(f.now))
+}
+
+// newTalkingWorker returns a fleet of one worker of 32 cores in its fifth life, and functions
+// that bring a report, in which 0 cores are not named, and a list.
+func newTalkingWorker(t *testing.T) (f *simFleet, known *worker, report, list func(startedAt int64, clock time.Duration, cores int64)) {
+	f = newFleet(t, 1, 1)
+	w := f.workers["w000"]
+	w.info.StartedAt, w.info.Clock = 5, 100*time.Second
+	f.runUntil(2 * time.Second)
+	size := func(cores int64) resource.Vector { return resource.Vector{MilliCPU: cores, MemoryMB: 65536} }
+	report = func(startedAt int64, clock time.Duration, cores int64) {
+		r := Report{StartedAt: startedAt, Clock: clock}
+		if capacity := size(cores); cores > 0 {
+			r.Capacity = &capacity
+		}
+		f.update(PollResult{Worker: "w000", Sent: f.now, Received: f.now, Report: r})
+	}
+	list = func(startedAt int64, clock time.Duration, cores int64) {
+		w.info.StartedAt, w.info.Clock, w.info.Capacity = startedAt, clock, size(cores)
+		f.listWorkers()
+	}
+	return f, f.owner.workers["w000"], report, list
+}
--- a/cell/event.go
+++ b/cell/event.go
@@ -135,6 +135,7 @@
 type Report struct {
 	StartedAt int64 // as in WorkerInfo; 0 if unknown
 	Clock     time.Duration
+	Capacity  *resource.Vector // nil if the report does not say
 	Running   []RunningTask
 	Ended     []RunResult
 }
--- a/cell/report.go
+++ b/cell/report.go
@@ -42,6 +42,9 @@
 		w.StartedAt = e.Report.StartedAt
 	}
 	w.synced = true
+	if e.Report.Capacity != nil {
+		c.readCapacity(w, *e.Report.Capacity, e.Report.StartedAt, e.Report.Clock)
+	}
 	c.processResults(w, e.Report.Ended)
 	c.reconcileRuns(w, e)
 	c.releaseHeld(w.ID)
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -37,13 +37,10 @@
 		c.handleRestart(w)
 		w.synced = false
 	}
-	clock, startedAt, before := w.Clock, max(w.StartedAt, info.StartedAt), w.Capacity
+	clock, startedAt := w.Clock, max(w.StartedAt, info.StartedAt)
 	w.WorkerInfo = info
 	w.Clock, w.StartedAt = clock, startedAt
-	c.readEntry(w, info)
-	if w.Capacity != before {
-		c.capacityChanged(w, before)
-	}
+	c.readCapacity(w, info.Capacity, info.StartedAt, info.Clock)
 	w.listed = true
 	c.restoreSpeed(w)
 	w.evacuated = c.evacuated.Covers(w.Zone)
--- a/cellhost/relay_messages.go
+++ b/cellhost/relay_messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/cell"
+	"github.com/cowslipgap/cowslipgap/resource"
 )
 
 // This file defines the messages between the owner and its relays. They are most of
@@ -58,6 +59,7 @@
 	StartedAt int64         `cbor:"4,keyasint,omitempty"`
 	Running   []runningItem `cbor:"5,keyasint,omitempty"`
 	Ended     []endedItem   `cbor:"6,keyasint,omitempty"`
+	Capacity  *capacityItem `cbor:"7,keyasint,omitempty"`
 }
 
 // runningItem is a cell.RunningTask.
@@ -69,6 +71,14 @@
 	Percent    int
 }
 
+// capacityItem is the capacity that a worker reports.
+type capacityItem struct {
+	_            struct{} `cbor:",toarray"`
+	MilliCPU     int64
+	MemoryMB     int64
+	Accelerators int64
+}
+
 // endedItem is a cell.RunResult.
 type endedItem struct {
 	_          struct{} `cbor:",toarray"`
@@ -148,6 +158,9 @@
 		m.Failure = o.Failure
 	case cell.PollResult:
 		m.Failure, m.Clock, m.StartedAt = o.Failure, o.Report.Clock, o.Report.StartedAt
+		if v := o.Report.Capacity; v != nil {
+			m.Capacity = &capacityItem{MilliCPU: v.MilliCPU, MemoryMB: v.MemoryMB, Accelerators: v.Accelerators}
+		}
 		for _, r := range o.Report.Running {
 			m.Running = append(m.Running, runningItem{Task: r.Task, Run: r.Run, Checkpoint: r.Checkpoint, Percent: r.Percent})
 		}
@@ -167,6 +180,9 @@
 		return cell.StopDone{Worker: c.Worker, Task: c.Task, Run: c.Run, Received: now, Failure: m.Failure}
 	case cell.Poll:
 		report := cell.Report{StartedAt: m.StartedAt, Clock: m.Clock}
+		if v := m.Capacity; v != nil {
+			report.Capacity = &resource.Vector{MilliCPU: v.MilliCPU, MemoryMB: v.MemoryMB, Accelerators: v.Accelerators}
+		}
 		for _, e := range m.Running {
 			report.Running = append(report.Running, cell.RunningTask{Task: e.Task, Run: e.Run, Checkpoint: e.Checkpoint, Percent: e.Percent})
 		}
--- a/cellhost/relay_test.go
+++ b/cellhost/relay_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cowslipgap/cowslipgap/cell"
 	"github.com/cowslipgap/cowslipgap/peer"
+	"github.com/cowslipgap/cowslipgap/resource"
 )
 
 // eventTimeout bounds the wait for an event of a host.
@@ -76,8 +77,9 @@
 func testReport() cell.Report {
 	return cell.Report{
 		StartedAt: 1700000000000, Clock: time.Minute,
-		Running: []cell.RunningTask{{Task: "5c0e7a21d94b36f8.0.0.1", Run: 4097, Checkpoint: "c1", Percent: 40}},
-		Ended:   []cell.RunResult{{Seq: 3, Task: "5c0e7a21d94b36f8.0.0.2", Run: 4098, Outcome: cell.Failed, Checkpoint: "c2"}},
+		Running:  []cell.RunningTask{{Task: "5c0e7a21d94b36f8.0.0.1", Run: 4097, Checkpoint: "c1", Percent: 40}},
+		Capacity: &resource.Vector{MilliCPU: 9000, MemoryMB: 512, Accelerators: 1},
+		Ended:    []cell.RunResult{{Seq: 3, Task: "5c0e7a21d94b36f8.0.0.2", Run: 4098, Outcome: cell.Failed, Checkpoint: "c2"}},
 	}
 }
 
