cell: a new life of a worker gets nothing until it has said what it has

Cause: a report with a later start made the worker usable at once, with the capacity of the entry of the life before, until the next heartbeat was listed.

Change: a capacity that an earlier life named is not known, so the worker is not usable; an entry or a report of the new life ends that.

Evidence: TestNewLifeMustSayWhatItHas failed before (usable) and passes.

Conclusion: costs a restarted worker at most the time until its first entry is listed.

--- a/cell/capacity.go
+++ b/cell/capacity.go
@@ -39,8 +39,11 @@
 }
 
 // capacityKnownUntil returns the time from which on the worker may have shrunk so long ago
-// that what it said before no longer counts.
+// that what it said before no longer counts. What an earlier life said never does.
 func (w *worker) capacityKnownUntil(now Instant) Instant {
+	if w.capacity.startedAt > 0 && w.capacity.startedAt < w.StartedAt {
+		return 0
+	}
 	if w.capacity.maxAge == 0 {
 		return math.MaxInt64
 	}
--- a/cell/capacity_test.go
+++ b/cell/capacity_test.go
@@ -368,3 +368,23 @@
 	}
 	return f, f.owner.workers["w000"], report, list
 }
+
+// TestNewLifeMustSayWhatItHas restarts a worker under its ID: it gets nothing until the new
+// life, which may be of another size, has said what it has.
+func TestNewLifeMustSayWhatItHas(t *testing.T) {
+	t.Parallel()
+	f, known, report, list := newTalkingWorker(t)
+	require.True(t, known.usable(f.now))
+	report(7, time.Second, 0)
+	require.False(t, known.usable(f.now))
+	list(5, 104*time.Second, 32000)
+	require.False(t, known.usable(f.now), "the entry is that of the life before")
+	list(7, time.Second, 4000)
+	require.EqualValues(t, 4000, known.Capacity.MilliCPU)
+	require.True(t, known.usable(f.now))
+	report(9, time.Second, 2000)
+	require.EqualValues(t, 2000, known.Capacity.MilliCPU)
+	list(7, 3*time.Second, 4000)
+	require.EqualValues(t, 2000, known.Capacity.MilliCPU)
+	require.True(t, known.usable(f.now))
+}
