soak: workers shrink and grow

Beside each fault a worker drawn at random has less room for up to 6.2 s (-shrink=false leaves it out); the draws have a source of their own, so the other faults of known seeds stay.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -43,6 +43,7 @@
 	seconds = flag.Int("seconds", 8, "seconds for which faults are injected, per seed")
 	hosts   = flag.Int("hosts", 4, "number of entry hosts")
 	workers = flag.Int("workers", 8, "number of workers")
+	shrink  = flag.Bool("shrink", true, "workers shrink and grow")
 )
 
 // regressions lists the seeds that once failed because of a bug in cowslipgapd, each
@@ -183,6 +184,7 @@
 	seed          uint64
 	rng           *rand.Rand
 	sequenceRNG   *rand.Rand // separate from rng, so that drawing sequences does not change the faults of known seeds
+	shrinkRNG     *rand.Rand // also separate
 	platform      *platformtest.Platform
 	hosts         []*process
 	workerProxies []*faultproxy.Proxy // in front of the workers
@@ -219,7 +221,7 @@
 // newCluster starts the simulated platform and the entry hosts. Proxies stand
 // between each host and the store and in front of each worker.
 func newCluster(t *testing.T, seed uint64) *cluster {
-	c := &cluster{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 2)), sequenceRNG: rand.New(rand.NewPCG(seed, 3)),
+	c := &cluster{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 2)), sequenceRNG: rand.New(rand.NewPCG(seed, 3)), shrinkRNG: rand.New(rand.NewPCG(seed, 4)),
 		accepted: map[string]int{}, cancelled: map[string]bool{}}
 	c.platform = &platformtest.Platform{Workers: *workers, DelayedStartFraction: 0.02}
 	c.platform.ProxyAddr = func(addr string) (string, error) {
@@ -287,6 +289,9 @@
 		if c.sequenceRNG.Float64() < sequenceProbability {
 			faults.Go(c.drawFaultSequence())
 		}
+		if *shrink {
+			faults.Go(c.drawShrink())
+		}
 		time.Sleep(time.Duration(100+c.rng.IntN(900)) * time.Millisecond)
 	}
 	faults.Wait()
@@ -351,6 +356,18 @@
 	}
 }
 
+// drawShrink draws a worker that shrinks for a while, and returns a function that shrinks it.
+func (c *cluster) drawShrink() func() {
+	worker, cpu := c.shrinkRNG.IntN(*workers), c.shrinkRNG.Int64N(platformtest.WorkerCPU)
+	length := time.Duration(200+c.shrinkRNG.IntN(6000)) * time.Millisecond
+	return func() {
+		c.logEvent("worker %d shrinks to %d thousandths of a processor for %v", worker, cpu, length)
+		c.platform.Worker(worker).Resize(cpu)
+		time.Sleep(length)
+		c.platform.Worker(worker).Resize(platformtest.WorkerCPU)
+	}
+}
+
 // drawFaultSequence draws a sequence of faults that overlap or follow each other
 // closely, and returns a function that injects it.
 func (c *cluster) drawFaultSequence() func() {
