--- a/cell/capacity_test.go
+++ b/cell/capacity_test.go
@@ -155,6 +155,7 @@
 			late := f.submit(4*time.Second, plainJob("bb00000000000002", workload.Step{Count: 4, Gang: gang, Need: resource.Vector{MilliCPU: 4000}, Estimate: time.Second}))
 			f.runUntil(8 * time.Second)
 			require.Equal(t, 4, f.starts)
+			require.Equal(t, 2, f.owner.Summary().Over)
 			f.runUntil(40 * time.Second)
 			f.requireNoViolations()
 			f.requireAllEnded()
@@ -323,7 +324,10 @@
 		spec.Queue.Advice = nil
 		f.submit(time.Duration(2000+40*i)*time.Millisecond, spec)
 	}
+	f.runUntil(12 * time.Second)
+	require.Equal(t, 1, f.owner.Summary().OldEntries)
 	f.runUntil(30 * time.Second)
+	require.Zero(t, f.owner.Summary().OldEntries)
 	require.Greater(t, last, 8*time.Second)
 	require.Less(t, last, 10*time.Second)
 	require.NotZero(t, after)
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -320,6 +320,8 @@
 	HeldTasks  int    `json:"heldTasks"`          // tasks that may still have a run of an earlier owner
 	Evacuated  int    `json:"evacuatedWorkers"`   // listed workers in zones that are being evacuated
 	Cold       int    `json:"coldWorkers"`        // usable workers that are still slow after their start
+	Over       int    `json:"overfullWorkers"`    // listed workers with less room than their runs take
+	OldEntries int    `json:"unknownCapacities"`  // listed workers that said too long ago what their capacity is
 	Withheld   bool   `json:"startsWithheld"`     // the operators' requests were read too long ago to start anything
 	KeepsRoom  bool   `json:"roomKept"`           // long starts are withheld because urgent demand rises
 	Uneven     int    `json:"unevenServices"`     // services with workers of uneven speeds
@@ -348,6 +350,12 @@
 		if w.listed && w.evacuated {
 			summary.Evacuated++
 		}
+		if w.listed && w.free().Negative() {
+			summary.Over++
+		}
+		if w.listed && c.now.Steady >= w.capacityKnownUntil(c.now.Steady) {
+			summary.OldEntries++
+		}
 		if _, known := w.speed.Value(); known {
 			summary.Speeds++
 		}
