--- a/cell/capacity.go
+++ b/cell/capacity.go
@@ -25,7 +25,8 @@
 func (c *Cell) readCapacity(w *worker, capacity resource.Vector, startedAt int64, clock time.Duration) {
 	last, before := &w.capacity, w.capacity.capacity
 	sameLife := startedAt > 0 && startedAt == last.startedAt && clock > 0
-	if startedAt >= last.startedAt && !(sameLife && clock < last.clock) || startedAt == 0 {
+	older := startedAt > 0 && startedAt < last.startedAt || sameLife && clock < last.clock
+	if !older {
 		at := c.now.Steady
 		if sameLife && clock == last.clock {
 			at = last.at
