--- a/cell/roster.go
+++ b/cell/roster.go
@@ -47,6 +47,7 @@
 	clock, startedAt := w.Clock, max(w.StartedAt, info.StartedAt)
 	w.WorkerInfo = info
 	w.Clock, w.StartedAt = clock, startedAt
+	c.readCapacity(w, info.Capacity, info.StartedAt, info.Clock)
 	w.listed = true
 	c.restoreSpeed(w)
 	w.evacuated = c.evacuated.Covers(w.Zone)
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -122,6 +122,7 @@
 	failing          bool   // every run on it fails
 	lastReported     uint64 // sequence number of the last reported result
 	pendingPoll      func() // answers the poll that waits for a result
+	sizes            []simSize
 }
 
 type simRun struct {
@@ -239,7 +240,7 @@
 func (f *simFleet) claim() {
 	f.store.version++
 	f.store.token = f.store.version
-	c := New(Config{MaxLease: simMaxLease, StopTimeout: 200 * time.Millisecond, GangTimeout: simGangTimeout, StatusRetention: 120 * time.Second})
+	c := New(Config{MaxLease: simMaxLease, StopTimeout: 200 * time.Millisecond, GangTimeout: simGangTimeout, StatusRetention: 120 * time.Second, MaxCapacityAge: simCapacityAge})
 	previous := f.owner != nil
 	f.owner = c
 	claimed := Claimed{Token: f.store.token, Sent: f.now, Previous: previous, Workers: f.store.roster, Learned: f.store.learned}
@@ -633,8 +634,8 @@
 	for _, m := range w.runs {
 		used = used.Add(m.need)
 	}
-	if !used.Fits(w.info.Capacity) {
-		f.violate("LIMIT", "task %s on %s: %v used of %v", e.Task, w.info.ID, used, w.info.Capacity)
+	if limit := w.limit(f.now); !used.Fits(limit) {
+		f.violate("LIMIT", "task %s on %s: %v used of %v", e.Task, w.info.ID, used, limit)
 	}
 	if ceiling := f.teams[j.spec.Team].Ceiling.MilliCPU; ceiling > 0 && f.usedByTeam[j.spec.Team]+r.need.MilliCPU > ceiling {
 		f.violate("QUOTA", "team %s uses %d of %d", j.spec.Team, f.usedByTeam[j.spec.Team]+r.need.MilliCPU, ceiling)
