poison: a ledger of tasks that crash the workers that start them

Cause: nothing counts a crash, and a count alone would fail the innocent runs beside a guilty one.

A first crash makes suspects of the young runs; a crash under the only run on probation names its culprit; two named crashes, or one after two others or in a class that crashes workers again and again, prove it. A class that crashes workers may hold a limited number of workers at risk.

Evidence: go test ./poison.

--- /dev/null
+++ b/poison/poison_test.go
@@ -0,0 +1,217 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	checks = Class{Queue: "check", Team: "blue"}
+	packs  = Class{Queue: "pack", Team: "blue"}
+)
+
+func young(c Class) Run {
+	return Run{Record: &Record{}, Class: c, Number: 1, Age: 10 * time.Millisecond}
+}
+
+// onProbation returns a run of a record that is the only one on probation on its worker.
+func onProbation(r *Record, c Class, n uint64) Run {
+	return Run{Record: r, Class: c, Number: n, Age: 10 * time.Millisecond, Probation: true}
+}
+
+func TestYoungRunsBecomeSuspects(t *testing.T) {
+	var l Ledger
+	old := Run{Record: &Record{}, Class: packs, Number: 1, Age: 10 * time.Second}
+	findings := l.Judge(Crash{Worker: "w1", At: time.Second, Runs: []Run{young(checks), old}})
+	require.Equal(t, []Finding{Suspected, Counted}, findings)
+	require.False(t, old.Suspect)
+	require.Equal(t, []string{"w1"}, old.Workers)
+}
+
+func TestOldRunBecomesSuspectAtItsSecondCrash(t *testing.T) {
+	var l Ledger
+	old := Run{Record: &Record{}, Class: packs, Number: 1, Age: 10 * time.Second}
+	l.Judge(Crash{Worker: "w1", At: time.Second, Runs: []Run{old}})
+	old.Number = 2
+	require.Equal(t, []Finding{Suspected}, l.Judge(Crash{Worker: "w2", At: 20 * time.Second, Runs: []Run{old}}))
+	require.Greater(t, l.Probation(packs, old.Record), 10*time.Second)
+}
+
+// An innocent task that stood beside a guilty one twice was failed with it.
+func TestCrashesBesideOthersProveNothing(t *testing.T) {
+	var l Ledger
+	a, b := young(checks), young(checks)
+	for n := range uint64(2) {
+		a.Number, b.Number = n+1, n+1
+		findings := l.Judge(Crash{Worker: fmt.Sprint(n), At: time.Duration(n) * time.Second, Runs: []Run{a, b}})
+		require.Equal(t, []Finding{Suspected, Suspected}, findings)
+	}
+}
+
+func TestCrashOnProbationProves(t *testing.T) {
+	var l Ledger
+	r := &Record{}
+	require.Equal(t, []Finding{Suspected}, l.Judge(Crash{Worker: "w1", At: time.Second, Runs: []Run{onProbation(r, checks, 1)}}))
+	beside := Run{Record: &Record{}, Class: packs, Number: 1, Age: time.Second}
+	findings := l.Judge(Crash{Worker: "w2", At: 5 * time.Second, Runs: []Run{beside, onProbation(r, checks, 2)}})
+	require.Equal(t, []Finding{Counted, Guilty}, findings)
+}
+
+func TestOneProofIsEnoughInAClassThatCrashesWorkers(t *testing.T) {
+	for _, others := range []int{0, strongEvidence} {
+		var l Ledger
+		r := young(checks)
+		l.Judge(Crash{Worker: "w1", At: time.Second, Runs: []Run{r, young(checks)}})
+		for n := range others {
+			l.Judge(Crash{Worker: fmt.Sprint("x", n), At: time.Second, Runs: []Run{onProbation(&Record{}, checks, 1)}})
+		}
+		want := Suspected
+		if others > 0 {
+			want = Guilty
+		}
+		require.Equal(t, []Finding{want}, l.Judge(Crash{Worker: "w2", At: 5 * time.Second, Runs: []Run{onProbation(r.Record, checks, 2)}}))
+	}
+}
+
+func TestSameWorkerTwiceProvesNothing(t *testing.T) {
+	var l Ledger
+	r := &Record{}
+	for n := range uint64(3) {
+		findings := l.Judge(Crash{Worker: "w1", At: time.Duration(n) * time.Second, Runs: []Run{onProbation(r, checks, n+1)}})
+		require.Equal(t, []Finding{Suspected}, findings)
+	}
+}
+
+// A task that crashed each worker was started without end.
+func TestCrashesAreCapped(t *testing.T) {
+	var l Ledger
+	r := young(checks)
+	for n := range uint64(maxCrashes) {
+		r.Number = n + 1
+		finding := l.Judge(Crash{Worker: fmt.Sprint(n), At: time.Duration(n) * time.Second, Mass: true, Runs: []Run{r}})[0]
+		require.Equal(t, n+1 == maxCrashes, finding == Guilty, n)
+		require.Equal(t, n+1 >= aloneFrom, r.Alone())
+	}
+}
+
+// An innocent task that stood in three crashes of a whole rack was failed.
+func TestMassCrashesProveNothing(t *testing.T) {
+	var l Ledger
+	r := &Record{}
+	for n := range uint64(3) {
+		findings := l.Judge(Crash{Worker: fmt.Sprint(n), At: time.Duration(n) * time.Second, Mass: true, Runs: []Run{onProbation(r, checks, n+1)}})
+		require.NotEqual(t, Guilty, findings[0])
+	}
+	require.True(t, l.Quiet())
+	r.Clear(LongLife)
+	require.True(t, r.Empty())
+}
+
+func TestWorkerThatCrashesByItselfProvesNothing(t *testing.T) {
+	var l Ledger
+	r := &Record{}
+	l.Judge(Crash{Worker: "w0", Address: "a", At: 0, Runs: nil})
+	l.Judge(Crash{Worker: "w1", Address: "b", At: time.Second, Runs: []Run{onProbation(r, checks, 1)}})
+	require.Equal(t, []Finding{Suspected}, l.Judge(Crash{Worker: "w2", Address: "a", At: 5 * time.Second, Runs: []Run{onProbation(r, checks, 2)}}))
+	require.Equal(t, 1, r.Proofs)
+}
+
+func TestRunOfAGangCountsOnce(t *testing.T) {
+	var l Ledger
+	gang := onProbation(&Record{}, packs, 1)
+	l.Judge(Crash{Worker: "w1", At: time.Second, Runs: []Run{gang}})
+	l.Judge(Crash{Worker: "w2", At: time.Second, Runs: []Run{gang}})
+	require.Equal(t, []string{"w1"}, gang.Workers)
+}
+
+func TestClassIsEndangeredByTwoCrashesOrOneCulprit(t *testing.T) {
+	var l Ledger
+	l.Judge(Crash{Worker: "w1", At: time.Second, Runs: []Run{young(checks)}})
+	_, endangered := l.Scope(checks)
+	require.False(t, endangered)
+	l.Judge(Crash{Worker: "w2", At: 2 * time.Second, Runs: []Run{young(checks)}})
+	scope, endangered := l.Scope(checks)
+	require.True(t, endangered)
+	require.Equal(t, checks, scope)
+	_, endangered = l.Scope(Class{Queue: "check", Team: "red"})
+	require.False(t, endangered)
+
+	l = Ledger{}
+	l.Judge(Crash{Worker: "w1", At: time.Second, Runs: []Run{onProbation(&Record{}, packs, 1)}})
+	_, endangered = l.Scope(packs)
+	require.True(t, endangered)
+	l.Expire(time.Second + memory + 1)
+	require.True(t, l.Quiet())
+}
+
+func TestSecondTeamEndangersTheQueue(t *testing.T) {
+	var l Ledger
+	for i, team := range []string{"blue", "red"} {
+		l.Judge(Crash{Worker: fmt.Sprint(i), At: time.Second, Runs: []Run{onProbation(&Record{}, Class{"check", team}, 1)}})
+	}
+	scope, endangered := l.Scope(Class{"check", "green"})
+	require.True(t, endangered)
+	require.Equal(t, Class{Queue: "check"}, scope)
+}
+
+func TestSilentWorkersAreEvidenceUntilTheyAnswer(t *testing.T) {
+	var l Ledger
+	for i := range 2 {
+		l.Suspect(Crash{Worker: fmt.Sprint(i), At: time.Second, Runs: []Run{young(checks)}})
+	}
+	require.Equal(t, 1, l.Endangered())
+	l.Withdraw("0")
+	l.Withdraw("1")
+	require.True(t, l.Quiet())
+}
+
+func TestLimitGrowsBySuccessesAndHalvesByCrashes(t *testing.T) {
+	const workers = 48
+	var l Ledger
+	crash := func() {
+		l.Judge(Crash{Worker: "w", At: time.Second, Runs: []Run{onProbation(&Record{}, checks, 1)}})
+	}
+	crash()
+	require.Equal(t, 8, l.Limit(checks, workers))
+	for range 100 {
+		l.Survived(checks)
+	}
+	require.Equal(t, workers/3, l.Limit(checks, workers))
+	crash()
+	require.Equal(t, workers/6, l.Limit(checks, workers))
+	for range 10 {
+		crash()
+	}
+	require.Equal(t, workers/16, l.Limit(checks, workers))
+	require.Equal(t, minLimit, l.Limit(checks, 1))
+}
+
+// A class that only stood beside the guilty one was limited as long.
+func TestClassWithoutCulpritIsAcquitted(t *testing.T) {
+	var l Ledger
+	for i := range 2 {
+		l.Judge(Crash{Worker: fmt.Sprint(i), At: time.Second, Runs: []Run{young(checks), young(packs)}})
+	}
+	l.Judge(Crash{Worker: "2", At: time.Second, Runs: []Run{onProbation(&Record{}, checks, 1), young(packs)}})
+	for range acquittal {
+		l.Survived(packs)
+		l.Survived(checks)
+	}
+	l.Expire(2 * time.Second)
+	_, endangered := l.Scope(packs)
+	require.False(t, endangered)
+	_, endangered = l.Scope(checks)
+	require.True(t, endangered)
+}
+
+func TestProbationFollowsTheDelayOfCrashes(t *testing.T) {
+	var l Ledger
+	first := l.Probation(checks, &Record{})
+	l.Judge(Crash{Worker: "w", At: time.Second, Runs: []Run{onProbation(&Record{}, checks, 1)}})
+	require.Less(t, l.Probation(checks, &Record{}), first/2)
+	require.False(t, l.Young(checks, 500*time.Millisecond))
+	require.True(t, l.Young(packs, 500*time.Millisecond))
+}
