--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -63,6 +63,7 @@
 	storeUnreachable  map[*Cell]bool // owners that the store does not answer
 	forgetsLearned    bool           // no learned state is stored
 	violations        []string
+	crashes           simCrashes
 	onUpdate          func(c *Cell, event any, effects []any, took time.Duration) // called after each Update, if set
 	starts            int
 	wastedCoreSeconds float64 // core-seconds spent on runs that did not end as done, less what they saved
@@ -94,6 +95,7 @@
 	ackedDone     map[string]bool               // done tasks whose result was acknowledged
 	done          map[string]bool               // done tasks, acknowledged or not
 	ackedFailures map[string]int                // number of acknowledged failed runs, by task
+	failedRuns    int                           // acknowledged or not
 	checkpoints   map[string]map[string]float64 // share of the work done by checkpoint, by task
 }
 
@@ -106,9 +108,12 @@
 	lastSeq          uint64            // sequence number of the last result
 	highestBarredRun map[string]uint64 // highest run stopped or ended, by task
 	lease            Instant           // end of the lease
+	failPoll         func()            // ends the pending poll without an answer
 	cutOff           bool              // no command reaches it
 	cutOffFrom       map[*Cell]bool    // owners that cannot reach it
 	gone             bool
+	refuses          bool   // connections to it are refused
+	replaced         bool   // another worker answers at its address
 	failing          bool   // every run on it fails
 	lastReported     uint64 // sequence number of the last reported result
 	pendingPoll      func() // answers the poll that waits for a result
@@ -359,6 +364,9 @@
 				delete(f.store.progress, r.Key)
 			}
 		}
+		if lost := f.crashes.answerLost; lost != nil && lost(e) {
+			return
+		}
 		f.send(c, Committed{Seq: e.Seq, Sent: sent})
 	})
 }
@@ -378,6 +386,9 @@
 			if p.State == workload.Completed && !j.allDone() {
 				f.violate("MIXED", "job %s is completed although not all its tasks are done", r.Key)
 			}
+			if p.State == workload.Failed {
+				f.checkFailed(j)
+			}
 		}
 	case Roster:
 		refs, err := DecodeRoster(r.Value)
@@ -402,6 +413,20 @@
 // not rely on the results that workers list, as a restarted worker has lost them.
 func (j *simJob) allDone() bool { return len(j.done) >= j.tasks() }
 
+// connectFailure returns the failure of any command to a worker to which no connection can
+// be made, or at whose address another one answers.
+func (w *simWorker) connectFailure() Failure {
+	switch {
+	case w == nil:
+		return None
+	case w.refuses:
+		return NotSent
+	case w.replaced:
+		return OtherWorker
+	}
+	return None
+}
+
 func (w *simWorker) unreachable(c *Cell) bool { return w.gone || w.cutOff || w.cutOffFrom[c] }
 
 // handleStart handles a start command that arrives at its worker.
@@ -412,6 +437,10 @@
 			f.send(c, Started{Worker: e.Worker, Task: e.Task, Run: e.Run, Received: f.now, Failure: failure, Clock: f.now})
 		})
 	}
+	if failure := w.connectFailure(); failure != None {
+		answer(failure)
+		return
+	}
 	if w == nil || w.unreachable(c) {
 		f.after(simCommandTimeout, func() { answer(NoAnswer) })
 		return
@@ -430,7 +459,7 @@
 // executeStart starts a run if the worker's rules allow it.
 func (f *simFleet) executeStart(w *simWorker, e Start) Failure {
 	switch {
-	case w.gone || w.cutOff:
+	case w.gone || w.cutOff || w.refuses:
 		return NoAnswer
 	case e.Token < w.token && f.fault != noFencing:
 		return Fenced
@@ -470,6 +499,7 @@
 		j.startedAt = f.now
 	}
 	f.scheduleLeaseExpiry(w)
+	f.startGuilty(w, e.Task, r)
 	if step.Gang {
 		f.joinGang(w, r, step.Count)
 	} else {
@@ -632,6 +662,9 @@
 			}
 		}
 	} else {
+		if outcome == Failed {
+			j.failedRuns++
+		}
 		lost := f.now - r.startedAt
 		if r.saves && outcome == Stopped {
 			lost = 0
@@ -687,6 +720,8 @@
 		})
 	}
 	switch {
+	case w.connectFailure() != None:
+		answer(w.connectFailure())
 	case w == nil || w.unreachable(c):
 		f.after(simCommandTimeout, func() { answer(NoAnswer) })
 	case f.stopsLost:
@@ -721,6 +756,9 @@
 		})
 	}
 	switch {
+	case w.connectFailure() != None:
+		fail(w.connectFailure())
+		return
 	case w == nil || w.unreachable(c):
 		f.after(simCommandTimeout, func() { fail(NoAnswer) })
 		return
@@ -763,6 +801,12 @@
 		return
 	}
 	w.pendingPoll = answer
+	w.failPoll = func() {
+		if !answered {
+			answered = true
+			fail(NoAnswer)
+		}
+	}
 	f.after(e.Wait, func() {
 		if answered {
 			return
