poison: known suspects, shares of guilty tasks, nearer blame

Cause, from runs of TestJobsBesideACrashingTaskAreNotFailed on the way: the limit fell to its floor because the second crash of a known suspect, which is expected, lowered it, too; a class that only had runs beside the guilty one was limited for seconds; a class of which 2 % crash waited as long as one of which 10 % do.

Change: only crashes of untried tasks lower the limit; a run on probation counts by the share of the class that crashes, which also sets the most that it may hold (a fifth to two fifths of the workers); a crash blames the classes of the runs that are nearly as young as the youngest. The delay is learned as soon as a worker fails.

Evidence: go test ./poison.

--- /dev/null
+++ b/poison/danger.go
@@ -0,0 +1,266 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+// This file limits the workers that classes of tasks may take down.
+
+const (
+	// firstDelay is assumed to pass from a start to the crash until one of the class has
+	// been seen.
+	firstDelay = 150 * time.Millisecond
+	// maxDelay bounds the delay that is learned of a class.
+	maxDelay = 2 * time.Second
+	// delaySamples is how many crashes of a class its delay is taken from.
+	delaySamples = 16
+	// delayFactor and delayMargin widen a delay to the length of a probation.
+	delayFactor = 2
+	delayMargin = 30 * time.Millisecond
+	// youngFactor widens the probation of a class to the age up to which a run counts as a
+	// possible cause.
+	youngFactor = 1.5
+	// nearFactor and nearMargin widen the age of the youngest run of a crash to the age up to
+	// which others make their classes endangered, too.
+	nearFactor = 3
+	nearMargin = 20 * time.Millisecond
+
+	// memory is how long a class stays endangered after its last crash.
+	memory = 20 * time.Second
+	// pairWindow is the time between two crashes without a culprit that endanger a class.
+	pairWindow = 3 * time.Second
+	// acquittal is how many runs of a class without a culprit must survive since its last
+	// crash to end the danger before that.
+	acquittal = 40
+
+	// startShare and floorShare are the shares of the workers that an endangered class may
+	// hold at risk at first and at least; unsafeShare and safeShare what it may at most, if
+	// many or few of its tasks crash their worker. Below half of the workers, a zone or rack
+	// that loses its power always takes others with it.
+	startShare  = 1.0 / 6
+	floorShare  = 1.0 / 8
+	unsafeShare = 0.2
+	safeShare   = 0.4
+	// crashFactor is applied to the limit at each crash under an untried task.
+	crashFactor = 0.5
+	// fullWeight is the share of untried tasks that crash their worker from which a run on
+	// probation counts as much as a worker that is down; minWeight is the least that it counts.
+	fullWeight = 0.1
+	minWeight  = 0.25
+	// priorShare is what this share is taken for at first, and priorTasks for how many tasks
+	// this counts.
+	priorShare = 0.05
+	priorTasks = 10
+	// maxTasks is the number of tasks that the share is taken from.
+	maxTasks = 200
+	// minLimit is the least number of workers that may be at risk.
+	minLimit = 2
+)
+
+// danger is the state of a class that may crash workers.
+type danger struct {
+	evidence   []evidence
+	endangered bool
+	limit      float64 // workers at risk; 0: not used yet
+	survived   int     // since the last crash
+	passed     float64 // decayed number of tasks that survived
+	failed     float64 // decayed number of tasks that crashed a worker for the first time
+}
+
+// evidence is a crash of a worker that a class may have caused.
+type evidence struct {
+	worker  string
+	at      time.Duration
+	exact   bool // it had one culprit
+	settled bool // the worker did crash
+	again   bool // a task was to blame that had crashed a worker before
+}
+
+// Quiet reports whether no class has crashed a worker lately.
+func (l *Ledger) Quiet() bool { return len(l.classes) == 0 }
+
+// Endangered returns the number of classes whose untried tasks are limited.
+func (l *Ledger) Endangered() int {
+	n := 0
+	for c, d := range l.classes {
+		if d.endangered && c.Team != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Scope returns the class whose limit holds for untried tasks of c, and whether there is
+// one: c itself, or its queue if two teams' tasks crash workers.
+func (l *Ledger) Scope(c Class) (Class, bool) {
+	queue := Class{Queue: c.Queue}
+	if l.classes[queue] != nil {
+		return queue, true
+	}
+	d := l.classes[c]
+	return c, d != nil && d.endangered
+}
+
+// Limit returns how many of the given number of workers a class may hold at risk.
+func (l *Ledger) Limit(c Class, workers int) int {
+	floor := max(minLimit, floorShare*float64(workers))
+	safety := (1 - l.Weight(c)) / (1 - minWeight)
+	most := max(floor, (unsafeShare+(safeShare-unsafeShare)*safety)*float64(workers))
+	d := l.classes[c]
+	if d == nil {
+		return int(most)
+	}
+	if d.limit == 0 {
+		d.limit = startShare * float64(workers)
+	}
+	d.limit = min(most, max(floor, d.limit))
+	return int(d.limit)
+}
+
+// Weight returns what a worker with a run on probation counts for, beside one that is down.
+func (l *Ledger) Weight(c Class) float64 {
+	d := l.classes[c]
+	if d == nil {
+		return 1
+	}
+	share := (d.failed + priorShare*priorTasks) / (d.failed + d.passed + priorTasks)
+	return min(1, max(minWeight, share/fullWeight))
+}
+
+// Probation returns how long a run must go on to show that its task doesn't crash workers.
+func (l *Ledger) Probation(c Class, r *Record) time.Duration {
+	if r.Alone() {
+		return LongLife
+	}
+	need := l.classProbation(c)
+	if r.Suspect {
+		need = max(need, time.Duration(delayFactor*float64(r.Age))+delayMargin)
+	}
+	return min(need, LongLife)
+}
+
+func (l *Ledger) classProbation(c Class) time.Duration {
+	delay := firstDelay
+	if samples := l.delays[Class{Queue: c.Queue}]; len(samples) > 0 {
+		delay = slices.Max(samples)
+	}
+	return time.Duration(delayFactor*float64(delay)) + delayMargin
+}
+
+// Young reports whether a run of the given age may be the cause of a crash.
+func (l *Ledger) Young(c Class, age time.Duration) bool {
+	return age <= time.Duration(youngFactor*float64(l.classProbation(c)))
+}
+
+// hasCulprit reports whether a crash has named a task of the class.
+func (l *Ledger) hasCulprit(c Class) bool {
+	d := l.classes[c]
+	return d != nil && slices.ContainsFunc(d.evidence, func(e evidence) bool { return e.exact })
+}
+
+// add records evidence against a class.
+func (l *Ledger) add(c Class, e evidence) {
+	if l.classes == nil {
+		l.classes = map[Class]*danger{}
+	}
+	d := l.classes[c]
+	if d == nil {
+		d = &danger{}
+		l.classes[c] = d
+	}
+	near := func(other evidence) bool {
+		return other.worker != e.worker && max(e.at-other.at, other.at-e.at) <= pairWindow
+	}
+	d.endangered = d.endangered || e.exact || slices.ContainsFunc(d.evidence, near)
+	d.crashed(e)
+	queue := Class{Queue: c.Queue}
+	if shared := l.classes[queue]; shared != nil {
+		shared.crashed(e)
+	} else if l.endangeredTeams(c.Queue) > 1 {
+		l.classes[queue] = &danger{evidence: []evidence{e}, endangered: true}
+	}
+}
+
+// crashed adds evidence. What settles earlier evidence lowers the limit no further.
+func (d *danger) crashed(e evidence) {
+	d.survived = 0
+	for i, other := range d.evidence {
+		if other.worker == e.worker && !other.settled {
+			d.evidence[i] = e
+			return
+		}
+	}
+	if !e.again {
+		d.limit *= crashFactor
+		d.failed++
+		d.decay()
+	}
+	d.evidence = append(d.evidence, e)
+}
+
+// decay forgets the oldest tasks.
+func (d *danger) decay() {
+	if d.failed+d.passed > maxTasks {
+		d.failed, d.passed = d.failed/2, d.passed/2
+	}
+}
+
+// endangeredTeams returns the number of teams whose tasks of the queue crash workers.
+func (l *Ledger) endangeredTeams(queue string) int {
+	n := 0
+	for class, d := range l.classes {
+		if class.Queue == queue && class.Team != "" && d.endangered {
+			n++
+		}
+	}
+	return n
+}
+
+// learnDelay takes the delay of a class from a crash with a culprit, once.
+func (l *Ledger) learnDelay(class Class, b blame, c Crash) {
+	if b.culprit == nil {
+		return
+	}
+	if d := l.classes[class]; d != nil && slices.ContainsFunc(d.evidence, func(e evidence) bool { return e.worker == c.Worker && e.at == c.At }) {
+		return
+	}
+	if l.delays == nil {
+		l.delays = map[Class][]time.Duration{}
+	}
+	queue := Class{Queue: class.Queue}
+	l.delays[queue] = append(l.delays[queue], min(b.culprit.Age, maxDelay))
+	if extra := len(l.delays[queue]) - delaySamples; extra > 0 {
+		l.delays[queue] = l.delays[queue][extra:]
+	}
+}
+
+// Survived records that a run on probation has ended, or gone on for long enough.
+func (l *Ledger) Survived(c Class) {
+	for _, class := range []Class{c, {Queue: c.Queue}} {
+		if d := l.classes[class]; d != nil {
+			d.limit++
+			d.survived++
+			d.passed++
+			d.decay()
+		}
+	}
+}
+
+// Expire forgets the classes that have not crashed a worker for long, or whose part in the
+// crashes was chance.
+func (l *Ledger) Expire(now time.Duration) {
+	for class, d := range l.classes {
+		old := func(e evidence) bool { return now-e.at > memory }
+		d.evidence = slices.DeleteFunc(d.evidence, old)
+		exact := slices.ContainsFunc(d.evidence, func(e evidence) bool { return e.exact })
+		if len(d.evidence) == 0 || !exact && d.survived >= acquittal {
+			delete(l.classes, class)
+		}
+	}
+	for address, at := range l.selfCrash {
+		if now-at > selfMemory {
+			delete(l.selfCrash, address)
+		}
+	}
+}
