cell: crashes of workers are told from lapses, stored, and tasks that cause them given up

Cause: removeLostWorker and handleRestart drop the runs of a crashed worker like runs that lapsed. Nothing counts a crash, so a task that crashes its worker takes the fleet down in turn.

Crashes are in the step's record (key 8), in the commit with the next placement; a placement holds the start of the worker's incarnation (key 3), so a new owner counts a crash that the last one didn't see. Rows of earlier versions still decode. Suspects and the untried tasks of endangered classes run on a limited number of workers, one on each; nothing is placed beside them; no copies or moves of them. A proven task fails its job at once, with a reason. While no class crashes workers nothing changes.

A run on a worker that has just begun to fail isn't copied either: the copy crashed a second worker before the first crash was known.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -110,6 +110,7 @@
 	promises         promise.Book     // refused callers
 	shares           fairshare.Ledger // use of the fleet by jobs within their team's rate
 	intakes          map[teamRank]intake
+	crashes          crashState
 	aboveShare       map[string]bool // teams above their share in the last round; empty if the fleet was not crowded
 }
 
@@ -145,6 +146,7 @@
 	c.load = loadEstimate{}
 	c.eviction.restart(c.now.Steady)
 	c.promises, c.shares = promise.Book{}, fairshare.Ledger{}
+	c.crashes = crashState{}
 	c.aboveShare, c.intakes = map[string]bool{}, map[teamRank]intake{}
 	c.recovered, c.listedOnce = false, false
 	c.held, c.heldUse = map[string][]*task{}, nil
@@ -197,8 +199,10 @@
 		c.handleListed(e)
 	case PollResult:
 		c.handlePollResult(e)
+		c.noteContact(e.Worker)
 	case Started:
 		c.handleStarted(e)
+		c.noteContact(e.Worker)
 	case StopDone:
 		c.handleStopDone(e)
 	case AdviceResult:
@@ -237,6 +241,7 @@
 		c.housekeeping()
 	}
 	c.queueReadySteps()
+	c.checkProbations()
 	c.place()
 	c.hastenSlowRuns()
 	c.pollAndCommit()
@@ -251,6 +256,7 @@
 // housekeeping does the periodic work that need not run in every placement round.
 func (c *Cell) housekeeping() {
 	c.expireWorkers()
+	c.checkCrashes()
 	c.checkRuns()
 	c.checkPolicyAge()
 	c.checkRecovery()
@@ -335,11 +341,14 @@
 	Moves      int    `json:"moves"`              // moves of slow runs to faster workers since the claim
 	Restored   int    `json:"restoredSpeeds"`     // speeds of workers taken over from the owner before
 	Learned    int    `json:"learnedBytes"`       // size of the last row of learned state
+	Suspects   int    `json:"suspects"`           // tasks under which a worker crashed, whose next run is on probation
+	Endangered int    `json:"endangeredClasses"`  // queues of a team whose tasks crash workers
+	AtRisk     int    `json:"workersAtRisk"`      // workers with a run on probation
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom(), Evicted: c.eviction.runs, LostWork: int(c.eviction.lost), Promised: c.promises.Len(), AboveShare: len(c.aboveShare), Copies: c.hastening.copies, Moves: c.hastening.moves, Restored: c.learned.restored, Learned: len(c.learned.row)}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom(), Evicted: c.eviction.runs, LostWork: int(c.eviction.lost), Promised: c.promises.Len(), AboveShare: len(c.aboveShare), Copies: c.hastening.copies, Moves: c.hastening.moves, Restored: c.learned.restored, Learned: len(c.learned.row), Suspects: c.suspects(), Endangered: c.crashes.ledger.Endangered(), AtRisk: len(c.crashes.onProbation)}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
--- /dev/null
+++ b/cell/crash_test.go
@@ -0,0 +1,211 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/poison"
+	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/workload"
+)
+
+const crashedJob = "dd00000000000001"
+
+// crashCell drives a cell with one job of one task directly.
+type crashCell struct {
+	*Cell
+	t       *testing.T
+	clock   Clock
+	stored  map[string]*workload.Progress
+	starts  []Start
+	workers []WorkerInfo
+}
+
+// newCrashCell returns a cell that has claimed the given jobs and has the given workers,
+// which have started at 1.
+func newCrashCell(t *testing.T, jobs []StoredJob, workers ...string) *crashCell {
+	c := &crashCell{Cell: New(Config{MaxLease: simMaxLease, StatusRetention: time.Minute}), t: t,
+		clock: Clock{Steady: time.Hour, Wall: time.Unix(1_700_000_000, 0)}, stored: map[string]*workload.Progress{}}
+	var refs []WorkerRef
+	for _, id := range workers {
+		c.workers = append(c.workers, WorkerInfo{ID: id, Addr: id, Service: "s", Capacity: resource.Vector{MilliCPU: 32000, MemoryMB: 64000}, StartedAt: 1})
+		refs = append(refs, WorkerRef{ID: id, Addr: id, Service: "s"})
+	}
+	c.send(Policy{Teams: map[string]Team{"blue": {Rate: 10}}})
+	c.send(Claimed{Token: 9, Sent: c.clock.Steady, Previous: len(jobs) > 0, Jobs: jobs, Workers: refs})
+	c.send(Listed{Workers: c.workers})
+	return c
+}
+
+func crashedSpec() *workload.Job {
+	spec := lookupJob(crashedJob)
+	spec.Queue.Advice, spec.Steps[0].Count = nil, 1
+	return spec
+}
+
+// send applies an event, confirms commits at once and keeps the starts.
+func (c *crashCell) send(event any) {
+	for _, effect := range append([]any(nil), c.Update(c.clock, event)...) {
+		switch e := effect.(type) {
+		case Commit:
+			for _, row := range e.Puts {
+				if row.Table == Progress {
+					p, err := workload.DecodeProgress(row.Value)
+					require.NoError(c.t, err)
+					c.stored[row.Key] = p
+				}
+			}
+			c.send(Committed{Seq: e.Seq, Sent: c.clock.Steady})
+		case Start:
+			c.starts = append(c.starts, e)
+		}
+	}
+}
+
+// round lets time pass and runs a placement round.
+func (c *crashCell) round() {
+	c.clock.Steady += 300 * time.Millisecond
+	c.send(PlacementRound{})
+}
+
+// report answers a poll of a worker that started at the given time.
+func (c *crashCell) report(w string, startedAt int64, running ...RunningTask) {
+	c.clock.Steady += time.Millisecond
+	c.send(PollResult{Worker: w, Sent: c.clock.Steady, Received: c.clock.Steady, Report: Report{StartedAt: startedAt, Clock: c.clock.Steady, Running: running}})
+}
+
+// start submits the job and starts its task.
+func (c *crashCell) start() Start {
+	for _, w := range c.workers {
+		c.report(w.ID, 1)
+	}
+	c.send(Submit{Reply: 1, Job: crashedSpec()})
+	for range 3 {
+		c.round()
+	}
+	require.Len(c.t, c.starts, 1)
+	s := c.starts[0]
+	c.send(Started{Worker: s.Worker, Task: s.Task, Run: s.Run, Received: c.clock.Steady, Clock: c.clock.Steady})
+	return s
+}
+
+// crashes returns the stored crashes of the task.
+func (c *crashCell) crashes() []string {
+	c.round()
+	p := c.stored[crashedJob]
+	if p == nil || len(p.Steps) == 0 {
+		return nil
+	}
+	r := p.Steps[0].Crashes[0]
+	return r.Workers
+}
+
+func TestCrashIsStoredWithTheNextPlacement(t *testing.T) {
+	c := newCrashCell(t, nil, "w1", "w2")
+	first := c.start()
+	c.send(PollResult{Worker: first.Worker, Sent: c.clock.Steady, Received: c.clock.Steady, Failure: NoAnswer})
+	c.report(first.Worker, 2)
+	require.Equal(t, []string{first.Worker}, c.crashes())
+	require.Len(t, c.starts, 2)
+	require.NotEqual(t, first.Worker, c.starts[1].Worker)
+	record := c.stored[crashedJob].Steps[0]
+	require.True(t, record.Crashes[0].Suspect)
+	require.EqualValues(t, 1, record.Placed[0].StartedAt)
+}
+
+func TestWorkerReplacedAtItsAddressHasCrashed(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		c := newCrashCell(t, nil, "w1", "w2")
+		first := c.start()
+		for i := range c.workers {
+			c.workers[i].Draining = draining && c.workers[i].ID == first.Worker
+		}
+		c.send(Listed{Workers: c.workers})
+		c.send(PollResult{Worker: first.Worker, Sent: c.clock.Steady, Received: c.clock.Steady, Failure: OtherWorker})
+		if draining {
+			require.Empty(t, c.crashes())
+		} else {
+			require.Equal(t, []string{first.Worker}, c.crashes())
+		}
+	}
+}
+
+// A start that reached the new incarnation was counted as a crash.
+func TestRunOfTheNewIncarnationIsNoCrash(t *testing.T) {
+	c := newCrashCell(t, nil, "w1")
+	s := c.start()
+	c.report(s.Worker, 2, RunningTask{Task: s.Task, Run: s.Run})
+	require.Empty(t, c.crashes())
+}
+
+// A new owner started a task from nothing whose worker had crashed before it knew.
+func TestNewOwnerCountsCrashesUnderEarlierPlacements(t *testing.T) {
+	for startedAt, crashed := range map[int64]bool{1: false, 2: true} {
+		progress := &workload.Progress{State: workload.Active, Steps: []workload.StepRecord{{
+			Placed:  map[int]workload.Placement{0: {Worker: "w1", Run: 7, StartedAt: 1}},
+			Crashes: map[int]poison.Record{0: {Workers: []string{"w0"}, Suspect: true}},
+		}}}
+		c := newCrashCell(t, []StoredJob{{ID: crashedJob, Job: crashedSpec(), Progress: progress}}, "w1", "w2")
+		require.Equal(t, 1, c.Summary().Suspects)
+		c.report("w2", 1)
+		c.report("w1", startedAt)
+		want := []string{"w0"}
+		if crashed {
+			want = []string{"w0", "w1"}
+		}
+		require.Equal(t, want, c.crashes())
+	}
+}
+
+func TestPlacementsOfEarlierVersionsCountNoCrash(t *testing.T) {
+	progress := &workload.Progress{State: workload.Active, Steps: []workload.StepRecord{{Placed: map[int]workload.Placement{0: {Worker: "w1", Run: 7}}}}}
+	c := newCrashCell(t, []StoredJob{{ID: crashedJob, Job: crashedSpec(), Progress: progress}}, "w1", "w2")
+	c.report("w2", 1)
+	c.report("w1", 2)
+	require.Empty(t, c.crashes())
+}
+
+// Other work was placed beside a task that may crash its worker.
+func TestNothingIsPlacedBesideARunOnProbation(t *testing.T) {
+	c := newCrashCell(t, nil, "w1", "w2")
+	first := c.start()
+	c.report(first.Worker, 2)
+	c.round()
+	require.Len(t, c.starts, 2)
+	tried := c.starts[1].Worker
+	require.NotNil(t, c.Cell.workers[tried].probation)
+	other := lookupJob("aa00000000000001")
+	other.Queue.Advice = nil
+	c.send(Submit{Reply: 2, Job: other})
+	for range 3 {
+		c.round()
+	}
+	require.Len(t, c.starts, 2+other.Steps[0].Count)
+	for _, s := range c.starts[2:] {
+		require.NotEqual(t, tried, s.Worker)
+	}
+}
+
+// A job was failed only when its caller had given up, and without a reason.
+func TestProofFailsTheJobAtOnce(t *testing.T) {
+	progress := &workload.Progress{State: workload.Active, Steps: []workload.StepRecord{{
+		Crashes: map[int]poison.Record{0: {Workers: []string{"w0"}, Proofs: 1, Suspect: true}},
+	}}}
+	c := newCrashCell(t, []StoredJob{{ID: crashedJob, Job: crashedSpec(), Progress: progress}}, "w1", "w2")
+	c.report("w1", 1)
+	c.report("w2", 1)
+	for range 2 {
+		c.round()
+	}
+	require.Len(t, c.starts, 1)
+	c.report(c.starts[0].Worker, 2)
+	c.round()
+	require.Equal(t, workload.Failed, c.stored[crashedJob].State)
+	require.Contains(t, c.stored[crashedJob].Reason, c.starts[0].Worker)
+	answers := c.Update(c.clock, Query{Reply: 3, ID: crashedJob})
+	require.Equal(t, Answer{Reply: 3, State: workload.Failed, Reason: c.stored[crashedJob].Reason}, answers[0])
+	c.round()
+	require.Zero(t, c.Summary().Suspects)
+}
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -57,6 +57,10 @@
 		c.logGangWait(s, "an earlier owner may run it", 0)
 		return
 	}
+	if !c.mayTry(s.tasks[0]) {
+		c.logGangWait(s, "tasks of its class crash workers", len(c.crashes.onProbation))
+		return
+	}
 	assignments, ready := c.prepareGang(p, pool, s)
 	if !ready {
 		if s.roomExpectedAt <= c.now.Steady+quotaReserveHorizon && !c.exceedsCeiling(s.job.Job) && c.fitsOnEmptyWorkers(pool, s) {
@@ -138,10 +142,11 @@
 func (c *Cell) assignMembers(pool *servicePool, s *step) (assignments, spare []assignment) {
 	duration := c.queueStats(s.job.Queue.Name).expectedDuration(s.spec.Estimate)
 	for _, cand := range pool.mayRunOn(s) {
-		if n := s.room(cand.w, cand.free); n > 0 && !cand.blocks(c.now.Steady, cand.w.duration(duration)) && s.eligibleOn(cand.w) {
+		if n := s.room(cand.w, cand.free); n > 0 && cand.w.probation == nil && !cand.blocks(c.now.Steady, cand.w.duration(duration)) && s.eligibleOn(cand.w) {
 			assignments = append(assignments, assignment{cand, n})
 		}
 	}
+	trial := c.trialOf(s.tasks[0])
 	preference := func(w *worker) int {
 		if s.advice.hasTicket(w, c.now.Steady) {
 			return 2 * s.workerPenalty(w, c.now.Steady)
@@ -149,7 +154,7 @@
 		return 2*s.workerPenalty(w, c.now.Steady) + 1
 	}
 	slices.SortStableFunc(assignments, func(a, b assignment) int {
-		return cmp.Or(cmp.Compare(preference(a.w), preference(b.w)), cmp.Compare(b.n, a.n))
+		return cmp.Or(cmp.Compare(trial.penalty(a.w), trial.penalty(b.w)), cmp.Compare(preference(a.w), preference(b.w)), cmp.Compare(b.n, a.n))
 	})
 	if s.spec.RackLocal {
 		if onRack := singleRack(assignments, len(s.tasks)); onRack != nil {
--- a/cell/job.go
+++ b/cell/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cowslipgap/cowslipgap/poison"
 	"github.com/cowslipgap/cowslipgap/workload"
 )
 
@@ -57,6 +58,7 @@
 	checkpoint      string              // of a gang; other steps use task.checkpoint
 	peers           []peerRun           // runs that have ended and are not compared yet
 	peerWork        float64             // median work of its tasks, in nanoseconds at speed 1; 0: unknown
+	crashes         crashRecord         // of a gang; other steps use task.crashes
 	gangRemainingAt Instant             // when gangRemaining was computed
 	gangRemaining   time.Duration       // longest remaining work of a gang's members
 
@@ -86,7 +88,9 @@
 	evictions  int             // how often its run was stopped to make room
 	copies     int             // copies of slow runs that have been started
 	minSpeed   float64         // preferred speed of its worker, after a move from a slow one
-	heldFor    string          // worker that may still execute a run that an earlier owner started; until that is known, no run starts
+	crashes    crashRecord
+	heldSince  int64  // start of that worker when the run was placed; 0: unknown
+	heldFor    string // worker that may still execute a run that an earlier owner started; until that is known, no run starts
 }
 
 // runState is the last known state of a run.
@@ -104,6 +108,7 @@
 type run struct {
 	task           *task
 	number         uint64
+	workerStart    int64 // start of the worker when it was placed there, Unix milliseconds
 	w              *worker
 	state          runState
 	sentAt         Instant
@@ -177,9 +182,14 @@
 			s.checkpoint = saved
 		}
 	}
+	for i, r := range rec.Crashes {
+		if i < len(s.tasks) {
+			s.tasks[i].crashRecord().Record = r
+		}
+	}
 	for i, at := range rec.Placed {
 		if i < len(s.tasks) {
-			s.tasks[i].heldFor = at.Worker
+			s.tasks[i].heldFor, s.tasks[i].heldSince = at.Worker, at.StartedAt
 		}
 	}
 	if rec.AllDone || s.tasksLeft == 0 {
@@ -234,6 +244,12 @@
 			}
 			rec.Placed[t.index] = at
 		}
+		if crashes := t.crashRecord(); !crashes.Empty() && (t.index == 0 || !s.spec.Gang) {
+			if rec.Crashes == nil {
+				rec.Crashes = map[int]poison.Record{}
+			}
+			rec.Crashes[t.index] = crashes.Record
+		}
 		failedRuns, saved := t.failedRuns, t.checkpoint
 		if s.spec.Gang {
 			if t.index > 0 {
@@ -254,7 +270,7 @@
 			rec.Checkpoints[t.index] = saved
 		}
 	}
-	return rec, len(rec.Done)+len(rec.FailedRuns)+len(rec.Checkpoints)+len(rec.Placed) > 0
+	return rec, len(rec.Done)+len(rec.FailedRuns)+len(rec.Checkpoints)+len(rec.Placed)+len(rec.Crashes) > 0
 }
 
 // placement returns the worker on which the task may be running and the number of the
@@ -263,9 +279,9 @@
 func (t *task) placement() (workload.Placement, bool) {
 	if len(t.runs) > 0 {
 		r := t.runs[0] // the most advanced, if there are copies
-		return workload.Placement{Worker: r.w.ID, Run: r.number}, true
+		return workload.Placement{Worker: r.w.ID, Run: r.number, StartedAt: r.workerStart}, true
 	}
-	return workload.Placement{Worker: t.heldFor}, t.heldFor != ""
+	return workload.Placement{Worker: t.heldFor, StartedAt: t.heldSince}, t.heldFor != ""
 }
 
 // readySteps returns the steps that become ready now: all their dependencies are
--- a/cell/place.go
+++ b/cell/place.go
@@ -188,7 +188,7 @@
 	needed := c.neededSpeed(s)
 	left, placed := 0, 0
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || t.heldFor != "" || allowed == 0 {
+		if t.done || len(t.runs) > 0 || t.heldFor != "" || allowed == 0 || !c.mayTry(t) {
 			continue
 		}
 		allowed--
@@ -215,10 +215,14 @@
 // leaves the least processor time unused. On an uneven fleet it prefers slow workers, if
 // they are fast enough.
 func (c *Cell) bestCandidate(s *step, t *task, duration time.Duration, needed float64, candidates []*candidate) *candidate {
+	trial := c.trialOf(t)
+	if trial.alone {
+		return c.emptyCandidate(t, candidates)
+	}
 	var best *candidate
 	bestScore := 0.0
 	for _, cand := range candidates {
-		if s.room(cand.w, cand.free) == 0 {
+		if s.room(cand.w, cand.free) == 0 || cand.w.probation != nil {
 			continue
 		}
 		score := float64(cand.free.MilliCPU-s.spec.Need.MilliCPU) / float64(max(1, cand.w.Capacity.MilliCPU))
@@ -229,6 +233,7 @@
 		if cand.w.cold(c.now.Steady) {
 			score += penaltyCold
 		}
+		score += trial.penalty(cand.w)
 		if t.avoid[cand.w.ID] {
 			score += penaltyFailed
 		}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -11,6 +11,7 @@
 // the restart was noticed; the worker's reports show which runs are lost.
 func (c *Cell) handleRestart(w *worker) {
 	c.logInfo("worker restarted", slog.String("worker", w.ID), slog.Int("runs", len(w.runs)))
+	c.noteRestart(w)
 	w.lastProcessed, w.lastStored, w.lastAcked, w.ackInFlight, w.ackable = 0, 0, 0, 0, 0
 	w.incarnation++
 	w.restartSeenAt = c.now.Steady
--- /dev/null
+++ b/cell/probation.go
@@ -0,0 +1,295 @@
+package cell
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/cowslipgap/cowslipgap/poison"
+)
+
+const (
+	// penaltyShared applies to workers with other runs, for a task whose run may crash its
+	// worker; each of them adds penaltyBeside.
+	penaltyShared = 6
+	penaltyBeside = 0.1
+	// penaltyGang applies to workers with a member of a gang, whose work would end everywhere.
+	penaltyGang = 4
+	// penaltyZone applies to workers outside the risk zone for tasks on probation, and to
+	// those inside for others.
+	penaltyZone = 2
+	// riskZoneParts is the number of parts of the fleet of which one is the risk zone.
+	riskZoneParts = 3
+	// maxIdleRisk is the share of the workers that may be at risk while more than
+	// minIdleShare of them are idle.
+	maxIdleRisk  = 1.0 / 2
+	minIdleShare = 1.0 / 4
+	// unbrokenMargin is how much longer than its probation a run must have gone on if only
+	// a poll that is still unanswered shows that the worker lives.
+	unbrokenMargin = 20 * time.Millisecond
+	// maxEmptying is how long a worker is kept for a task that must run alone.
+	maxEmptying = 15 * time.Second
+)
+
+// This file tries the tasks that may crash their workers where they can harm least: on a
+// limited number of workers, one on each, with nothing else placed there meanwhile.
+
+// probation is a run, or the members of a gang, on a worker that it may crash.
+type probation struct {
+	task     *task
+	record   *crashRecord
+	scope    poison.Class // class whose limit it counts for
+	need     time.Duration
+	since    Instant
+	emptying bool // the task waits until nothing else runs on the worker
+}
+
+// trial is how a task has to be placed for the sake of crashes. The zero value is a task of
+// a fleet without crashes.
+type trial struct {
+	active bool // tasks of some class crash workers
+	needed bool // its run is on probation
+	alone  bool // nothing else may run on its worker
+}
+
+// inRiskZone reports whether a worker at the address belongs to the part of the fleet on
+// which tasks are tried, so that few others are lost with it.
+func inRiskZone(address string) bool {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(address)) // never fails
+	return hash.Sum32()%riskZoneParts == 0
+}
+
+// crashesQuiet reports whether no task has crashed a worker of late.
+func (c *Cell) crashesQuiet() bool {
+	state := &c.crashes
+	return len(state.recorded) == 0 && len(state.onProbation) == 0 && state.ledger.Quiet()
+}
+
+// trialOf returns how the task has to be placed.
+func (c *Cell) trialOf(t *task) trial {
+	if c.crashesQuiet() {
+		return trial{}
+	}
+	record := t.crashRecord()
+	_, endangered := c.crashes.ledger.Scope(t.step.crashClass())
+	return trial{
+		active: c.crashes.ledger.Endangered() > 0,
+		needed: record.Suspect || record.Alone() || endangered && !record.tried,
+		alone:  record.Alone() && !t.step.spec.Gang,
+	}
+}
+
+// penalty orders workers for a task; a lower one is better.
+func (t trial) penalty(w *worker) float64 {
+	penalty := 0.0
+	switch {
+	case t.needed && !w.riskZone, t.active && !t.needed && w.riskZone:
+		penalty = penaltyZone
+	}
+	if t.needed && len(w.runs) > 0 {
+		penalty += penaltyShared + penaltyBeside*float64(len(w.runs))
+		for _, r := range w.runs {
+			if r.task.step.spec.Gang {
+				return penalty + penaltyGang
+			}
+		}
+	}
+	return penalty
+}
+
+// mayCrash reports whether another run of the task may crash its worker, or this one may have
+// done so.
+func (c *Cell) mayCrash(r *run) bool {
+	class := r.task.step.crashClass()
+	if r.w.failing && c.crashes.ledger.Young(class, c.crashedAt(r.w)-r.sentAt) {
+		return true
+	}
+	if c.crashesQuiet() {
+		return false
+	}
+	_, endangered := c.crashes.ledger.Scope(class)
+	return endangered || !r.task.crashRecord().Empty()
+}
+
+// mayTry reports whether the task may be placed beside those that are on probation. The
+// other tasks of a job that will likely be failed wait until that is known.
+func (c *Cell) mayTry(t *task) bool {
+	if c.crashesQuiet() {
+		return true
+	}
+	state := &c.crashes
+	if state.accused[t.step.job] && !t.crashRecord().Suspect {
+		return false
+	}
+	if !c.trialOf(t).needed {
+		return true
+	}
+	scope, _ := state.ledger.Scope(t.step.crashClass())
+	service := t.step.job.Queue.Service
+	workers, atRisk := state.fleet[service], state.atRisk[scope]
+	return atRisk < float64(state.ledger.Limit(scope, workers)) ||
+		atRisk < maxIdleRisk*float64(workers) && float64(state.idle[service]) > minIdleShare*float64(workers)
+}
+
+// startProbation puts a worker on probation for a run that was just placed there.
+func (c *Cell) startProbation(t *task, w *worker) {
+	if c.crashesQuiet() || !c.trialOf(t).needed {
+		return
+	}
+	if w.probation != nil && !w.probation.emptying {
+		return // another member of the gang
+	}
+	c.putOnProbation(t, w, false)
+}
+
+func (c *Cell) putOnProbation(t *task, w *worker, emptying bool) {
+	state, class, record := &c.crashes, t.step.crashClass(), t.crashRecord()
+	scope, _ := state.ledger.Scope(class)
+	if w.probation == nil {
+		state.onProbation = append(state.onProbation, w)
+		if state.atRisk == nil {
+			state.atRisk = map[poison.Class]float64{}
+		}
+		state.atRisk[scope] += state.ledger.Weight(scope)
+		state.idle[w.Service]--
+	}
+	w.probation = &probation{task: t, record: record, scope: scope, need: state.ledger.Probation(class, &record.Record), since: c.now.Steady, emptying: emptying}
+}
+
+// emptyCandidate returns a worker without runs for a task that must run alone. If there is
+// none, it keeps the one with the fewest runs until they have ended.
+func (c *Cell) emptyCandidate(t *task, candidates []*candidate) *candidate {
+	for _, w := range c.crashes.onProbation {
+		if p := w.probation; p != nil && p.emptying && p.record == t.crashRecord() {
+			if len(w.runs) > 0 || w.candidate == nil || !t.step.mayUse(w, c.now.Steady) {
+				return nil
+			}
+			return w.candidate
+		}
+	}
+	var best *candidate
+	for _, cand := range candidates {
+		if cand.w.probation != nil || t.step.room(cand.w, cand.free) == 0 {
+			continue
+		}
+		if best == nil || len(cand.w.runs) < len(best.w.runs) {
+			best = cand
+		}
+	}
+	if best != nil && len(best.w.runs) > 0 {
+		c.putOnProbation(t, best.w, true)
+		return nil
+	}
+	return best
+}
+
+// checkProbations ends the probations that are over, and counts the workers at risk.
+func (c *Cell) checkProbations() {
+	if c.crashesQuiet() {
+		return
+	}
+	state := &c.crashes
+	state.fleet, state.idle, state.accused = map[string]int{}, map[string]int{}, map[*job]bool{}
+	for _, w := range c.sortedWorkers {
+		if !w.listed {
+			continue
+		}
+		state.fleet[w.Service]++
+		if len(w.runs) == 0 && w.probation == nil && w.usable(c.now.Steady) {
+			state.idle[w.Service]++
+		}
+	}
+	for record, t := range state.recorded {
+		if record.Suspect && record.Proofs > 0 {
+			state.accused[t.step.job] = true
+		}
+	}
+	clear(state.atRisk)
+	state.onProbation = slices.DeleteFunc(state.onProbation, func(w *worker) bool {
+		if c.workers[w.ID] != w || w.probation == nil || c.probationOver(w) {
+			w.probation = nil
+			return true
+		}
+		if w.failing {
+			state.atRisk[w.probation.scope]++
+		} else {
+			state.atRisk[w.probation.scope] += state.ledger.Weight(w.probation.scope)
+		}
+		return false
+	})
+}
+
+// probationOver reports whether the run on probation has ended or gone on for long enough.
+// A worker that has failed stays at risk until it is known whether it crashed.
+func (c *Cell) probationOver(w *worker) bool {
+	p := w.probation
+	if w.failing || len(w.lost) > 0 {
+		return len(w.runs) == 0
+	}
+	if p.task.step.job.Job == nil || p.task.step.done {
+		return true
+	}
+	if p.emptying {
+		return c.now.Steady-p.since > maxEmptying || p.task.done || !p.record.Alone()
+	}
+	if !slices.ContainsFunc(p.task.unit(), func(t *task) bool { return w.runs[t.name] != nil }) {
+		return true
+	}
+	for _, t := range p.task.unit() {
+		for _, r := range t.runs {
+			if !c.outlived(r, p.need) {
+				return false
+			}
+		}
+	}
+	c.survived(p.task, p.need)
+	return true
+}
+
+// unit returns the tasks that share the task's record.
+func (t *task) unit() []*task {
+	if t.step.spec.Gang {
+		return t.step.tasks
+	}
+	return t.step.tasks[t.index : t.index+1]
+}
+
+// outlived reports whether a run is known to have gone on for the given time.
+func (c *Cell) outlived(r *run, need time.Duration) bool {
+	if r.state != running {
+		return false
+	}
+	seen := r.w.answeredAt - r.confirmedAt
+	if r.w.pollInFlight {
+		seen = max(seen, c.now.Steady-r.confirmedAt-unbrokenMargin)
+	}
+	return seen >= need
+}
+
+// survived clears a task whose run did not crash its worker within the given time.
+func (c *Cell) survived(t *task, age time.Duration) {
+	record := t.crashRecord()
+	record.tried = true
+	c.crashes.ledger.Survived(t.step.crashClass())
+	if !record.Empty() {
+		record.Clear(age)
+		c.markDirty(t.step.job)
+	}
+}
+
+// runEnded clears the task of a run that has ended by itself.
+func (c *Cell) runEnded(r *run, outcome RunOutcome) {
+	if c.crashesQuiet() || outcome != Done && outcome != Failed || r.task.step.job.Job == nil {
+		return
+	}
+	if p := r.w.probation; p != nil && p.record == r.task.crashRecord() {
+		r.w.probation = nil
+		c.survived(r.task, 0)
+	}
+}
+
+// mayUse reports whether a task of the step may start on an empty worker.
+func (s *step) mayUse(w *worker, now Instant) bool {
+	return s.need().Fits(w.Capacity) && s.advice.startAllowed(w, now) && w.hasLabel(s.spec.Label)
+}
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -71,6 +71,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
+				c.noteRecord(t)
 				if t.heldFor != "" {
 					c.held[t.heldFor] = append(c.held[t.heldFor], t)
 				}
--- a/cell/report.go
+++ b/cell/report.go
@@ -44,6 +44,7 @@
 	w.synced = true
 	c.processResults(w, e.Report.Ended)
 	c.reconcileRuns(w, e)
+	c.recordRestart(w, e.Report)
 	c.releaseHeld(w.ID)
 }
 
@@ -78,6 +79,7 @@
 	s := t.step
 	if r != nil {
 		c.recordResult(r, result.Outcome)
+		c.runEnded(r, result.Outcome)
 		if result.Outcome == Stopped && result.Checkpoint != "" {
 			c.refundEviction(r)
 		}
--- a/cell/run.go
+++ b/cell/run.go
@@ -27,6 +27,7 @@
 // stored, so that a successor knows which worker to ask about the task.
 func (c *Cell) placeTask(t *task, w *worker, n uint64) {
 	c.addRun(&run{task: t, number: n, w: w, sentAt: c.now.Steady, progressAt: c.now.Steady})
+	c.startProbation(t, w)
 	c.markDirty(t.step.job)
 }
 
@@ -37,6 +38,7 @@
 	if len(t.runs) == 1 {
 		t.step.tasksWithRuns++
 	}
+	r.workerStart = r.w.StartedAt
 	r.w.runs[t.name] = r
 	r.w.charge(r, 1)
 	c.chargeTeam(t.step, 1)
@@ -162,6 +164,7 @@
 	case Fenced:
 		c.handleFenced(w)
 	case OtherWorker:
+		c.recordReplaced(w)
 		c.removeLostWorker(w, "another worker answers at its address")
 	default:
 		return false
--- a/cell/slowrun.go
+++ b/cell/slowrun.go
@@ -88,7 +88,7 @@
 // since it was chosen.
 func (c *Cell) stillFits(p *round, slow slowRun) bool {
 	s := slow.task.step
-	return s.room(slow.target.w, slow.target.free) > 0 && (!s.spec.Speculative || c.remainingQuota(p, s) > 0)
+	return slow.target.w.probation == nil && s.room(slow.target.w, slow.target.free) > 0 && (!s.spec.Speculative || c.remainingQuota(p, s) > 0)
 }
 
 // spareRoom returns the processors, in thousandths, that copies and moves may take: of the
@@ -153,7 +153,7 @@
 	if r.state != running || r.number != 1 || len(r.task.runs) != 1 || r.task.copies >= maxCopies || s.job.Job == nil || s.job.progress.State.Final() {
 		return false
 	}
-	if s.spec.Gang || s.spec.LongRunning || s.spec.UsesIdleCPU || s.spec.Estimate <= 0 || !c.queueStats(s.job.Queue.Name).runs.Known() {
+	if s.spec.Gang || c.mayCrash(r) || s.spec.LongRunning || s.spec.UsesIdleCPU || s.spec.Estimate <= 0 || !c.queueStats(s.job.Queue.Name).runs.Known() {
 		return false
 	}
 	if limit := s.job.Queue.MaxAttempts; limit > 0 && len(r.task.failedRuns)+1 >= limit {
@@ -205,7 +205,7 @@
 	}
 	var best *candidate
 	for _, cand := range candidates {
-		if cand.w != r.w && need.Fits(cand.free) && cand.w.reservedFrom == 0 && !r.task.avoid[cand.w.ID] && s.eligibleOn(cand.w) && s.room(cand.w, cand.free) > 0 {
+		if cand.w != r.w && cand.w.probation == nil && need.Fits(cand.free) && cand.w.reservedFrom == 0 && !r.task.avoid[cand.w.ID] && s.eligibleOn(cand.w) && s.room(cand.w, cand.free) > 0 {
 			best = cand
 			break
 		}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -47,6 +47,12 @@
 	answeredAt    Instant           // when it last answered
 	reportedAt    Instant           // when its last report arrived
 	reportClock   time.Duration     // the worker's clock in its last report
+	failingAt     Instant           // when failing was set; 0 while it answers
+	failureNoted  bool              // the ledger of crashes knows that it fails
+	lost          []lostRun         // runs before a restart that no report has settled yet
+	lostOthers    bool              // beside these, young runs of ended jobs
+	probation     *probation        // of the run on it that may crash it; nil: none
+	riskZone      bool              // runs on probation prefer it
 	failing       bool              // the last poll failed or a start since got no answer
 	clockAt       Instant           // when Clock was read
 	lastProcessed uint64            // sequence number of the last result processed
@@ -73,7 +79,7 @@
 
 // newWorker returns a worker that has not answered yet.
 func newWorker(info WorkerInfo, now Instant) *worker {
-	return &worker{WorkerInfo: info, runs: map[string]*run{}, strays: map[string]uint64{}, answeredAt: now}
+	return &worker{WorkerInfo: info, runs: map[string]*run{}, strays: map[string]uint64{}, answeredAt: now, riskZone: inRiskZone(info.Addr)}
 }
 
 // addWorker adds a worker, or replaces the one with the same ID.
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -5,6 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cowslipgap/cowslipgap/poison"
 )
 
 // Progress is the part of a job's state that must survive a change of owner.
@@ -27,12 +29,18 @@
 	// Placed holds the runs that may be executing, by task index. A run is
 	// stored here before its start command is sent.
 	Placed map[int]Placement `cbor:"7,keyasint,omitempty"`
+	// Crashes holds the crashes of workers under a task, by task index; those of a gang
+	// are at index 0.
+	Crashes map[int]poison.Record `cbor:"8,keyasint,omitempty"`
 }
 
 // Placement assigns a run of a task to a worker.
 type Placement struct {
 	Worker string `cbor:"1,keyasint"`
 	Run    uint64 `cbor:"2,keyasint"`
+	// StartedAt is the start of the worker's incarnation, in Unix milliseconds, 0 if
+	// unknown. A worker that has started later has crashed under the run.
+	StartedAt int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Encode encodes the progress for storage.
