poison: runs beside a named task are counted, and leave no proof

An innocent run on probation was named by the crash of an older, unsuspected one beside it, which was not even counted.

Change: an exact crash counts for the runs beside it, without a suspicion, and names nobody beside a task with a crash.

Ruled out: counting only crashes of many for young runs stays; else tasks of 30 s that stand in five of them are failed (TestWorkersThatCrashByThemselvesFailNoJob).

--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -209,3 +210,21 @@
 	c.round()
 	require.Zero(t, c.Summary().Suspects)
 }
+
+// Jobs were failed for crashes of tasks beside theirs that crash their workers late.
+func TestTasksThatCrashWorkersLateFailNoOther(t *testing.T) {
+	t.Parallel()
+	const jobs = 6
+	for seed := range uint64(3) {
+		f := newFleet(t, seed+1, 24)
+		f.submitLightLoad(12 * time.Second)
+		for i := range jobs {
+			id := fmt.Sprintf("dd%014x", i)
+			f.submit(time.Duration(3+i)*time.Second, innocentJob(id, 3, 3*time.Second))
+			f.markGuilty(id + ".0.0.1")
+			f.crashes.guilty[id+".0.0.1"] = 600 * time.Millisecond
+		}
+		f.runUntil(90 * time.Second)
+		f.requireGuiltyFailed()
+	}
+}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -167,8 +167,8 @@
 		return Unsuspected
 	}
 	culprit := b.culprit != nil && b.culprit.Record == r
-	if !culprit && (b.culprit != nil || c.Mass && !l.Young(run.Class, run.Age)) {
-		return Unsuspected // it can't be the cause, or it would be so by chance only
+	if c.Mass && !culprit && !l.Young(run.Class, run.Age) {
+		return Unsuspected // it would be the cause by chance only
 	}
 	if run.Gang {
 		r.Run = run.Number
@@ -178,7 +178,7 @@
 	if culprit {
 		r.Proofs++
 	}
-	r.Suspect = r.Suspect || culprit || len(r.Workers) > 1 || !c.Mass && l.Young(run.Class, run.Age)
+	r.Suspect = r.Suspect || culprit || len(r.Workers) > 1 || b.culprit == nil && !c.Mass && l.Young(run.Class, run.Age)
 	if len(r.Workers) >= maxCrashes || culprit && r.distinctWorkers() >= minWorkers && l.proven(r, run.Class) {
 		return Guilty
 	}
@@ -271,7 +271,7 @@
 			return nil
 		case run.Probation:
 			culprit = run
-		case run.Suspect || run.Alone():
+		case !run.Empty():
 			return nil
 		}
 	}
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -249,3 +249,16 @@
 	require.False(t, l.Young(checks, 400*time.Millisecond))
 	require.True(t, l.Young(packs, 400*time.Millisecond))
 }
+
+// An innocent task on probation was named by crashes of a task beside it that crashes its
+// workers late.
+func TestTaskThatCrashedBeforeLeavesNoProofAgainstOthers(t *testing.T) {
+	var l Ledger
+	late := Run{Record: &Record{}, Class: packs, Number: 1, Age: 600 * time.Millisecond}
+	innocent := &Record{}
+	l.Judge(Crash{Worker: "w1", At: time.Second, Runs: []Run{late, onProbation(innocent, checks, 1)}})
+	require.Equal(t, []string{"w1"}, late.Workers)
+	findings := l.Judge(Crash{Worker: "w2", At: 5 * time.Second, Runs: []Run{late, onProbation(innocent, checks, 2)}})
+	require.Equal(t, []Finding{Suspected, Suspected}, findings)
+	require.Equal(t, 1, innocent.Proofs)
+}
