--- a/cell/missing_members.go
+++ b/cell/missing_members.go
@@ -189,7 +189,7 @@
 	rack, band := s.placedOn()
 	var list []assignment
 	for _, cand := range pool.mayRunOn(s) {
-		if n := s.room(cand.w, cand.free); n > 0 && s.eligibleOn(cand.w) && (rack == "" || cand.w.Rack == rack) {
+		if n := s.room(cand.w, cand.free); n > 0 && s.eligibleOn(cand.w) && !cand.w.onProbationForOther(s) && (rack == "" || cand.w.Rack == rack) {
 			list = append(list, assignment{cand, n})
 			c.probe(cand.w)
 		}
--- /dev/null
+++ b/poison/poison.go
@@ -0,0 +1,279 @@
+// Package poison finds tasks that crash the workers that start them, and limits the
+// workers that they take down meanwhile. It answers the load pattern of a poison task: a
+// crash takes all runs of the worker with it, nobody knows which one was to blame, and all
+// of them are started again on other workers.
+//
+// A [Ledger] judges crashes. The first makes suspects of the runs that were young. The next
+// run of a suspect is on probation: the only one on its worker that is, until it ends or has
+// gone on for longer than crashes take. A crash with one run on probation names its culprit.
+// While a class of tasks crashes workers, its untried tasks are on probation too, on a
+// limited number of workers, which grows with each run that survives and shrinks with
+// each crash. Crashes of many workers at the same moment count, but prove nothing.
+//
+// What is known of a task, or of a gang as a whole, is in its [Record], which the caller
+// stores. The package reads no clock and does no I/O; times are on the caller's clock.
+//
+// # Usage
+//
+//	var l poison.Ledger
+//	findings := l.Judge(poison.Crash{Worker: id, At: at, Runs: runs})
+//	if scope, endangered := l.Scope(class); endangered && atRisk[scope] >= l.Limit(scope, workers) {
+//		// Untried tasks of the class wait.
+//	}
+//	l.Survived(class)
+//	l.Expire(now)
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxCrashes is how many crashes a task is blamed for at most: it may be started twice
+	// more after three.
+	maxCrashes = 5
+	// aloneFrom is the number of crashes from which a task runs with nothing beside it, so
+	// that no other task can add to them.
+	aloneFrom = 3
+	// minWorkers is how many workers must have crashed under a task that is given up.
+	minWorkers = 2
+	// strongEvidence is how many other tasks of a class must have been named by a crash for
+	// one proof to be enough.
+	strongEvidence = 2
+
+	// LongLife is the age of a run above which its task is rid of all earlier crashes.
+	LongLife = 30 * time.Second
+	// selfMemory is how long a crash without a possible cause makes those of the same
+	// address no proof.
+	selfMemory = 30 * time.Second
+)
+
+// Class is a queue's tasks of one team, or of all teams if Team is empty.
+type Class struct{ Queue, Team string }
+
+// Record is what is known of a task, or of a gang, whose worker crashed.
+type Record struct {
+	Workers []string      `cbor:"1,keyasint"`           // worker of each crash
+	Run     uint64        `cbor:"2,keyasint,omitempty"` // last of a gang's runs that ended in a crash
+	Proofs  int           `cbor:"3,keyasint,omitempty"` // crashes that named it
+	Age     time.Duration `cbor:"4,keyasint,omitempty"` // longest age of a run that ended in a crash
+	Suspect bool          `cbor:"5,keyasint,omitempty"` // its next run is on probation
+}
+
+// Empty reports whether no crash is recorded.
+func (r *Record) Empty() bool { return len(r.Workers) == 0 }
+
+// Alone reports whether the task may only run with nothing beside it.
+func (r *Record) Alone() bool { return len(r.Workers) >= aloneFrom }
+
+// Clear ends the suspicion after a run of the given age. The crashes count on unless the
+// run has gone on for long.
+func (r *Record) Clear(age time.Duration) {
+	r.Suspect = false
+	if age >= LongLife {
+		*r = Record{}
+	}
+}
+
+func (r *Record) distinctWorkers() int {
+	return len(slices.Compact(slices.Sorted(slices.Values(r.Workers))))
+}
+
+// Run is a task's run, or the youngest of a gang's members, on a worker that crashed.
+type Run struct {
+	*Record
+	Class
+	Number    uint64        // 0: unknown
+	Age       time.Duration // at the crash
+	Probation bool
+	Gang      bool // its run may end with several workers, which counts once
+}
+
+// Crash is the crash of a worker and what ran there.
+type Crash struct {
+	Worker, Address string
+	At              time.Duration
+	Runs            []Run
+	Mass            bool // other workers crashed at the same moment
+	Others          bool // young runs of ended jobs were there, too
+}
+
+// Finding is what a crash says of a run's task.
+type Finding int
+
+// Findings, in order of gravity.
+const (
+	Unsuspected Finding = iota // at most counted
+	Suspected                  // the next run is on probation
+	Guilty                     // the task must not start again
+)
+
+// Ledger holds the classes that crash workers. The zero value holds none.
+type Ledger struct {
+	classes   map[Class]*danger
+	selfCrash map[string]time.Duration // by address, when its worker last crashed without a possible cause
+	delays    map[Class][]time.Duration
+}
+
+// Suspect takes a worker that may have crashed as evidence until it is judged or withdrawn,
+// so that the danger is known before the worker is back.
+func (l *Ledger) Suspect(c Crash) {
+	if c.Mass {
+		return
+	}
+	b := l.blame(c)
+	for _, class := range b.classes {
+		l.learnDelay(class, b, c)
+		l.add(class, b.evidence(c, false))
+	}
+}
+
+// Withdraw takes back that a worker may have crashed.
+func (l *Ledger) Withdraw(worker string) {
+	for class, d := range l.classes {
+		d.evidence = slices.DeleteFunc(d.evidence, func(e evidence) bool { return e.worker == worker && !e.settled })
+		if len(d.evidence) == 0 {
+			delete(l.classes, class)
+		}
+	}
+}
+
+// Judge records a crash and returns the finding for each run.
+func (l *Ledger) Judge(c Crash) []Finding {
+	b := l.blame(c)
+	if b.self && !c.Mass {
+		if l.selfCrash == nil {
+			l.selfCrash = map[string]time.Duration{}
+		}
+		l.selfCrash[c.Address] = c.At
+	}
+	for _, class := range b.classes {
+		l.learnDelay(class, b, c)
+		l.add(class, b.evidence(c, true))
+	}
+	l.Withdraw(c.Worker)
+	findings := make([]Finding, len(c.Runs))
+	for i := range c.Runs {
+		findings[i] = l.judgeRun(c, &c.Runs[i], b)
+	}
+	return findings
+}
+
+func (l *Ledger) judgeRun(c Crash, run *Run, b blame) Finding {
+	r := run.Record
+	if run.Gang && run.Number > 0 && run.Number == r.Run {
+		return Unsuspected
+	}
+	culprit := b.culprit != nil && b.culprit.Record == r
+	if c.Mass && !culprit && !l.Young(run.Class, run.Age) {
+		return Unsuspected // it would be the cause by chance only
+	}
+	if run.Gang {
+		r.Run = run.Number
+	}
+	r.Workers = append(r.Workers, c.Worker)
+	r.Age = max(r.Age, run.Age)
+	if culprit {
+		r.Proofs++
+	}
+	r.Suspect = r.Suspect || culprit || len(r.Workers) > 1 || b.culprit == nil && !c.Mass && l.Young(run.Class, run.Age)
+	if len(r.Workers) >= maxCrashes || culprit && r.distinctWorkers() >= minWorkers && l.proven(r, run.Class) {
+		return Guilty
+	}
+	if r.Suspect {
+		return Suspected
+	}
+	return Unsuspected
+}
+
+// proven reports whether a task that was just named by a crash is given up. A class that
+// crashes workers again and again makes a chance coincidence unlikely.
+func (l *Ledger) proven(r *Record, c Class) bool {
+	if r.Proofs >= 2 {
+		return true
+	}
+	n := 0
+	for class, d := range l.classes {
+		if class.Queue != c.Queue || class.Team == "" {
+			continue
+		}
+		for _, e := range d.evidence {
+			if e.exact && e.settled {
+				n++
+			}
+		}
+	}
+	return n > strongEvidence // one of them is this crash
+}
+
+// blame is who may have caused a crash.
+type blame struct {
+	culprit *Run // nil: not certain
+	classes []Class
+	self    bool // no run can have caused it
+}
+
+// evidence returns what a crash means for the classes that are to blame.
+func (b blame) evidence(c Crash, settled bool) evidence {
+	return evidence{worker: c.Worker, at: c.At, exact: b.culprit != nil, settled: settled, again: b.culprit != nil && !b.culprit.Empty()}
+}
+
+// blame returns who may have caused a crash.
+func (l *Ledger) blame(c Crash) blame {
+	if c.Mass {
+		return blame{}
+	}
+	if culprit := l.culprit(c); culprit != nil {
+		return blame{culprit: culprit, classes: []Class{culprit.Class}}
+	}
+	var b blame
+	var known []Class
+	near := nearMargin + nearFactor*youngest(c.Runs)
+	for _, run := range c.Runs {
+		if !l.Young(run.Class, run.Age) {
+			continue
+		}
+		if l.hasCulprit(run.Class) {
+			known = append(known, run.Class)
+		}
+		if run.Age <= near && !slices.Contains(b.classes, run.Class) {
+			b.classes = append(b.classes, run.Class)
+		}
+	}
+	if len(known) > 0 {
+		b.classes = slices.Compact(known)
+	}
+	b.self = !c.Others && len(b.classes) == 0 && !slices.ContainsFunc(c.Runs, func(run Run) bool { return run.Suspect })
+	return b
+}
+
+// youngest returns the age of the youngest run, 0 if there is none.
+func youngest(runs []Run) time.Duration {
+	if len(runs) == 0 {
+		return 0
+	}
+	return slices.MinFunc(runs, func(a, b Run) int { return cmp.Compare(a.Age, b.Age) }).Age
+}
+
+// culprit returns the run that certainly caused a crash: the only one on probation, beside
+// none that an earlier crash makes as likely.
+func (l *Ledger) culprit(c Crash) *Run {
+	if at, ok := l.selfCrash[c.Address]; c.Others || ok && c.At-at < selfMemory {
+		return nil
+	}
+	var culprit *Run
+	for i := range c.Runs {
+		run := &c.Runs[i]
+		switch {
+		case run.Probation && culprit != nil:
+			return nil
+		case run.Probation:
+			culprit = run
+		case !run.Empty():
+			return nil
+		}
+	}
+	return culprit
+}
