poison: crashes that a task brought about come after like times

What callers would see: on a fleet whose workers crash by themselves, one every 118 ms of 350, accepted gangs of 20 and more are failed as if they crashed their workers. Each of their 25 workers is as likely to crash as any other.

Cause: a crash under a gang on probation names it, whatever crashed the worker, and after five crashes a task was given up whether or not they had anything in common.

Change: proofs and the cap count crashes at like ages of the run (a quarter or 300 ms apart) only; while workers at three addresses crash without a possible cause, a run that isn't young proves nothing, and a named task needs two proofs. The cap is four, five for gangs, as one crash may have been discounted.

--- a/poison/danger.go
+++ b/poison/danger.go
@@ -18,6 +18,8 @@
 	// delayFactor and delayMargin widen a delay to the length of a probation.
 	delayFactor = 2
 	delayMargin = 30 * time.Millisecond
+	// firstProbation is the probation of a class of which no crash has been seen.
+	firstProbation = delayFactor*firstDelay + delayMargin
 	// youngFactor widens the probation of a class to the age up to which a run counts as a
 	// possible cause.
 	youngFactor = 1.5
@@ -72,9 +74,10 @@
 type evidence struct {
 	worker  string
 	at      time.Duration
-	exact   bool // it had one culprit
-	settled bool // the worker did crash
-	again   bool // a task was to blame that had crashed a worker before
+	exact   bool          // it had one culprit
+	age     time.Duration // of the culprit's run
+	settled bool          // the worker did crash
+	again   bool          // a task was to blame that had crashed a worker before
 }
 
 // Quiet reports whether no class has crashed a worker lately.
@@ -135,7 +138,7 @@
 	}
 	need := l.classProbation(c)
 	if r.Suspect {
-		need = max(need, time.Duration(delayFactor*float64(r.Age))+delayMargin)
+		need = max(need, time.Duration(delayFactor*float64(r.maxAge()))+delayMargin)
 	}
 	return min(need, LongLife)
 }
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -31,9 +31,11 @@
 )
 
 const (
-	// maxCrashes is how many crashes a task is blamed for at most: it may be started twice
-	// more after three.
-	maxCrashes = 5
+	// maxCrashes is how many crashes at ages alike a task is blamed for at most. It may be
+	// started twice more after three; one of its crashes may have been taken for another's.
+	maxCrashes = 4
+	// maxGangCrashes is the same for a gang, which meets crashes of many workers by chance.
+	maxGangCrashes = 5
 	// aloneFrom is the number of crashes from which a task runs with nothing beside it, so
 	// that no other task can add to them.
 	aloneFrom = 3
@@ -43,6 +45,14 @@
 	// one proof to be enough.
 	strongEvidence = 2
 
+	// alikeMargin and alikeShare are how much the ages of two runs of a task may differ at the
+	// crashes that it brought about.
+	alikeMargin = 300 * time.Millisecond
+	alikeShare  = 0.25
+	// commonSelfCrashes is the number of addresses whose workers crashed without a possible
+	// cause from which a crash of a run that is not young proves nothing.
+	commonSelfCrashes = 3
+
 	// LongLife is the age of a run above which its task is rid of all earlier crashes.
 	LongLife = 30 * time.Second
 	// selfMemory is how long a crash without a possible cause makes those of the same
@@ -55,11 +65,12 @@
 
 // Record is what is known of a task, or of a gang, whose worker crashed.
 type Record struct {
-	Workers []string      `cbor:"1,keyasint"`           // worker of each crash
-	Run     uint64        `cbor:"2,keyasint,omitempty"` // last of a gang's runs that ended in a crash
-	Proofs  int           `cbor:"3,keyasint,omitempty"` // crashes that named it
-	Age     time.Duration `cbor:"4,keyasint,omitempty"` // longest age of a run that ended in a crash
-	Suspect bool          `cbor:"5,keyasint,omitempty"` // its next run is on probation
+	Workers  []string        `cbor:"1,keyasint"`           // worker of each crash
+	Run      uint64          `cbor:"2,keyasint,omitempty"` // last of a gang's runs that ended in a crash
+	Proofs   int             `cbor:"3,keyasint,omitempty"` // crashes that named it, at ages alike
+	Ages     []time.Duration `cbor:"4,keyasint,omitempty"` // age of its run at each crash
+	Suspect  bool            `cbor:"5,keyasint,omitempty"` // its next run is on probation
+	ProofAge time.Duration   `cbor:"6,keyasint,omitempty"` // age of its run at the last crash that named it
 }
 
 // Empty reports whether no crash is recorded.
@@ -77,8 +88,42 @@
 	}
 }
 
-func (r *Record) distinctWorkers() int {
-	return len(slices.Compact(slices.Sorted(slices.Values(r.Workers))))
+// alike returns the crashes at ages like the given one, and of how many workers. What crashes
+// its workers does so after a similar time.
+func (r *Record) alike(age time.Duration) (crashes, workers int) {
+	var seen []string
+	for i, w := range r.Workers {
+		if i < len(r.Ages) && !alike(r.Ages[i], age) {
+			continue
+		}
+		crashes++
+		if !slices.Contains(seen, w) {
+			seen = append(seen, w)
+		}
+	}
+	return crashes, len(seen)
+}
+
+// maxAge returns the longest age of a run that ended in a crash.
+func (r *Record) maxAge() time.Duration {
+	if len(r.Ages) == 0 {
+		return 0
+	}
+	return slices.Max(r.Ages)
+}
+
+// alike reports whether two ages may be of runs that crashed their workers for the same reason.
+func alike(a, b time.Duration) bool {
+	return max(a-b, b-a) <= max(alikeMargin, time.Duration(alikeShare*float64(max(a, b))))
+}
+
+// prove records a crash that named the task.
+func (r *Record) prove(age time.Duration) {
+	if r.ProofAge > 0 && !alike(r.ProofAge, age) {
+		r.Proofs = 0
+	}
+	r.Proofs++
+	r.ProofAge = age
 }
 
 // Run is a task's run, or the youngest of a gang's members, on a worker that crashed.
@@ -173,13 +218,14 @@
 	if run.Gang {
 		r.Run = run.Number
 	}
-	r.Workers = append(r.Workers, c.Worker)
-	r.Age = max(r.Age, run.Age)
+	r.Workers, r.Ages = append(r.Workers, c.Worker), append(r.Ages, run.Age)
 	if culprit {
-		r.Proofs++
+		r.prove(run.Age)
 	}
 	r.Suspect = r.Suspect || culprit || len(r.Workers) > 1 || b.culprit == nil && !c.Mass && l.Young(run.Class, run.Age)
-	if len(r.Workers) >= maxCrashes || culprit && r.distinctWorkers() >= minWorkers && l.proven(r, run.Class) {
+	crashes, workers := r.alike(run.Age)
+	capped := crashes >= maxCrashes && !run.Gang || crashes >= maxGangCrashes && l.conclusive(run.Age)
+	if capped || culprit && workers >= minWorkers && l.proven(r, run.Class) {
 		return Guilty
 	}
 	if r.Suspect {
@@ -188,19 +234,28 @@
 	return Unsuspected
 }
 
+// conclusive reports whether a crash of a run of the given age says something of its task.
+// While workers crash by themselves, those with long runs are among them.
+func (l *Ledger) conclusive(age time.Duration) bool {
+	return len(l.selfCrash) < commonSelfCrashes || age <= firstProbation
+}
+
 // proven reports whether a task that was just named by a crash is given up. A class that
 // crashes workers again and again makes a chance coincidence unlikely.
 func (l *Ledger) proven(r *Record, c Class) bool {
 	if r.Proofs >= 2 {
 		return true
 	}
+	if len(l.selfCrash) >= commonSelfCrashes {
+		return false
+	}
 	n := 0
 	for class, d := range l.classes {
 		if class.Queue != c.Queue || class.Team == "" {
 			continue
 		}
 		for _, e := range d.evidence {
-			if e.exact && e.settled {
+			if e.exact && e.settled && alike(e.age, r.ProofAge) {
 				n++
 			}
 		}
@@ -217,7 +272,11 @@
 
 // evidence returns what a crash means for the classes that are to blame.
 func (b blame) evidence(c Crash, settled bool) evidence {
-	return evidence{worker: c.Worker, at: c.At, exact: b.culprit != nil, settled: settled, again: b.culprit != nil && !b.culprit.Empty()}
+	e := evidence{worker: c.Worker, at: c.At, settled: settled}
+	if b.culprit != nil {
+		e.exact, e.age, e.again = true, b.culprit.Age, !b.culprit.Empty()
+	}
+	return e
 }
 
 // blame returns who may have caused a crash.
@@ -275,5 +334,8 @@
 			return nil
 		}
 	}
+	if culprit != nil && !l.conclusive(culprit.Age) {
+		return nil
+	}
 	return culprit
 }
