cellhost: the limit of one start does not bind its whole batch

Cause: a batch of relayed commands held one NotAfter, the earliest of all. Since a start's limit includes the age of its worker's entry, one worker with an entry that is nearly too old made a relay withhold the starts to sound workers, and poll these without a lease.

Change: each command carries how much later than the batch's its own limit is, in milliseconds, rounded down.

Evidence: TestStartsOwnLimitDoesNotBindTheBatch: a start with a limit of 3 s and a poll got the limit of 1 ms of another start without the change.

--- a/cellhost/relay_messages.go
+++ b/cellhost/relay_messages.go
@@ -45,6 +45,7 @@
 	LeaseUntil time.Duration `cbor:"10,keyasint,omitempty"`
 	Ack        uint64        `cbor:"11,keyasint,omitempty"`
 	Wait       time.Duration `cbor:"12,keyasint,omitempty"`
+	LaterMS    int64         `cbor:"13,keyasint,omitempty"` // Command.NotAfter less relayBatch.NotAfter, rounded down to milliseconds
 
 	spec     string // of a start, until it is in relayBatch.Specs
 	token    uint64
@@ -109,7 +110,7 @@
 	return m
 }
 
-// newRelayBatch returns the batch for commands of one claim. All get the earliest limit.
+// newRelayBatch returns the batch for commands of one claim.
 func newRelayBatch(session, addr string, commands []relayCommand) *relayBatch {
 	b := &relayBatch{Session: session, Addr: addr, Token: commands[0].token, NotAfter: commands[0].notAfter, Commands: commands}
 	indexes := map[string]int{}
@@ -127,12 +128,15 @@
 		}
 		c.Spec = index
 	}
+	for i := range commands {
+		commands[i].LaterMS = (commands[i].notAfter - b.NotAfter).Milliseconds()
+	}
 	return b
 }
 
 // decode returns the command of a message, and reports whether it is valid.
 func (m *relayCommand) decode(b *relayBatch) (any, bool) {
-	common := cell.Command{Worker: m.Worker, Addr: m.Addr, Token: b.Token, NotAfter: b.NotAfter}
+	common := cell.Command{Worker: m.Worker, Addr: m.Addr, Token: b.Token, NotAfter: b.NotAfter + time.Duration(m.LaterMS)*time.Millisecond}
 	switch m.Kind {
 	case startCommand:
 		if m.Spec < 0 || m.Spec >= len(b.Specs) {
--- a/cellhost/relay_test.go
+++ b/cellhost/relay_test.go
@@ -370,3 +370,29 @@
 	require.Eventually(t, func() bool { return asked.Load() == 3000 }, eventTimeout, time.Millisecond)
 	require.LessOrEqual(t, most.Load(), int64(maxDirectPolls))
 }
+
+// TestStartsOwnLimitDoesNotBindTheBatch gives one start of a batch a limit of its own, for an
+// old entry of its worker. The other starts and the leases must not end with it.
+func TestStartsOwnLimitDoesNotBindTheBatch(t *testing.T) {
+	command := func(worker string, notAfter cell.Instant) cell.Command {
+		return cell.Command{Worker: worker, Token: 7, NotAfter: notAfter}
+	}
+	commands := []any{
+		cell.Start{Command: command("w1", time.Hour+time.Millisecond), Task: "5c0e7a21d94b36f8.0.0.1", Run: 1},
+		cell.Start{Command: command("w2", time.Hour+3*time.Second), Task: "5c0e7a21d94b36f8.0.0.2", Run: 1},
+		cell.Poll{Command: command("w3", time.Hour+5*time.Second), LeaseUntil: time.Minute},
+	}
+	var encoded []relayCommand
+	for i, c := range commands {
+		encoded = append(encoded, encodeCommand(uint64(i), c))
+	}
+	body, err := cbor.Marshal(newRelayBatch("s", "a", encoded))
+	require.NoError(t, err)
+	var b relayBatch
+	require.NoError(t, cbor.Unmarshal(body, &b))
+	for i := range b.Commands {
+		got, ok := b.Commands[i].decode(&b)
+		require.True(t, ok)
+		require.Equal(t, commands[i], got)
+	}
+}
