cell: a wrong clock in an entry does not bar its worker

Cause: what a worker says of its capacity counts only if its clock is not before that of the last word. One entry with a clock far ahead made all later ones count as older; after MaxCapacityAge the worker got nothing for good. Without that limit, a wrong capacity stayed.

Change: a reading whose clock is over 5 s ahead of the worker's own, as polls read it, loses its clock, so that the next word replaces it.

Evidence: TestWrongClockInAnEntryDoesNotBarTheWorker: not usable after 20 s of right entries without the change.

--- a/cell/capacity.go
+++ b/cell/capacity.go
@@ -11,6 +11,10 @@
 // This file follows the capacities of workers, which shrink and grow while they run. What
 // runs goes on. A worker with less room than its runs take gets nothing until they fit.
 
+// maxClockLead is how far the clock in an entry may be ahead of the worker's clock as the owner
+// knows it, which it may have read late.
+const maxClockLead = 5 * time.Second
+
 // capacityReading is what a worker last said of its capacity, in its entry or in a report.
 type capacityReading struct {
 	capacity  resource.Vector
@@ -24,6 +28,9 @@
 // else since. An entry that is read again is as old as it was.
 func (c *Cell) readCapacity(w *worker, capacity resource.Vector, startedAt int64, clock time.Duration) {
 	last, before := &w.capacity, w.capacity.capacity
+	if w.synced && last.clock > w.minClock(c.now.Steady)+maxClockLead {
+		last.clock = 0 // not its own: what it says itself would count as older
+	}
 	sameLife := startedAt > 0 && startedAt == last.startedAt && clock > 0
 	older := startedAt > 0 && startedAt < last.startedAt || sameLife && clock < last.clock
 	if !older {
--- a/cell/capacity_test.go
+++ b/cell/capacity_test.go
@@ -392,3 +392,17 @@
 	require.EqualValues(t, 2000, known.Capacity.MilliCPU)
 	require.True(t, known.usable(f.now))
 }
+
+// TestWrongClockInAnEntryDoesNotBarTheWorker lists one entry with a clock far ahead, as another
+// writer may put it, between the worker's own.
+func TestWrongClockInAnEntryDoesNotBarTheWorker(t *testing.T) {
+	t.Parallel()
+	f, known, report, list := newTalkingWorker(t)
+	list(5, time.Hour, 32000)
+	for range 20 {
+		f.runUntil(f.now + time.Second)
+		report(5, 100*time.Second+f.now, 0)
+		list(5, 100*time.Second+f.now, 32000)
+	}
+	require.True(t, known.usable(f.now))
+}
