cell: no runs are moved for a gang beyond its team's rate

Cause: runs are stopped for a gang that lacks room which is free elsewhere without the condition that taking room back for urgent steps has: that the team keeps to its rate. So a team that sent too much had other teams' runs stopped.

Evidence: TestNoRunsAreMovedForAGangBeyondItsTeamsRate: 12 runs stopped without the change. The setup of TestGangTakesRoomThatIsFreeElsewhere is now a function of its own, unchanged.

--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -72,7 +72,7 @@
 // on others at once. Users accept a wait of acceptedWait although there is room.
 func (c *Cell) mayMoveRunsFor(p *round, pool *servicePool, s *step, expected Instant) bool {
 	now := c.now.Steady
-	return s.spec.Gang && s.job.stored && pool.mostlyFree() && expected > max(now+c.evictionTime(s), s.readyAt+acceptedWait) &&
+	return s.spec.Gang && s.job.stored && !s.job.beyondRate && pool.mostlyFree() && expected > max(now+c.evictionTime(s), s.readyAt+acceptedWait) &&
 		now >= s.roomCheckAt && p.roomChecks < maxRoomChecks && pool.evictsFor(s)
 }
 
--- a/cell/reservation_test.go
+++ b/cell/reservation_test.go
@@ -101,10 +101,9 @@
 	f.requireStartedWithin(behind, behind.submittedAt)
 }
 
-// TestGangTakesRoomThatIsFreeElsewhere simulates a gang whose workers each run a task that saves
-// its progress, while the rest of the fleet is free: it waited for the end of these tasks.
-func TestGangTakesRoomThatIsFreeElsewhere(t *testing.T) {
-	t.Parallel()
+// newGangBesideMovableRuns returns a fleet and a gang whose workers each run a task that saves
+// its progress, while the rest of the fleet is free.
+func newGangBesideMovableRuns(t *testing.T) (*simFleet, *simJob) {
 	f := newFleet(t, 1, 24)
 	for i := range 12 {
 		bulk := bulkJob(fmt.Sprintf("bb%014x", i), 40*time.Second)
@@ -123,10 +122,26 @@
 	spec := gangJob("cc00000000000000")
 	spec.Queue.Advice, spec.Queue.Slack, spec.Queue.Priority = nil, 60, 1
 	spec.Steps = []workload.Step{{Count: 12, Gang: true, Need: resource.Vector{MilliCPU: 18_000}, Estimate: 5 * time.Second, Label: "k0", MaxPerWorker: 1}}
-	gang := f.submit(8*time.Second, spec)
+	return f, f.submit(8*time.Second, spec)
+}
+
+// TestGangTakesRoomThatIsFreeElsewhere simulates a gang whose workers each run a task that saves
+// its progress, while the rest of the fleet is free: it waited for the end of these tasks.
+func TestGangTakesRoomThatIsFreeElsewhere(t *testing.T) {
+	t.Parallel()
+	f, gang := newGangBesideMovableRuns(t)
 	f.runUntil(12 * time.Second)
 	f.requireStartedWithin(gang, gang.submittedAt)
 	f.runUntil(80 * time.Second)
 	f.requireNoViolations()
 	f.requireAllEnded()
 }
+
+// TestNoRunsAreMovedForAGangBeyondItsTeamsRate lets the gang's team exceed its rate.
+func TestNoRunsAreMovedForAGangBeyondItsTeamsRate(t *testing.T) {
+	t.Parallel()
+	f, gang := newGangBesideMovableRuns(t)
+	f.at(8100*time.Millisecond, func() { f.owner.jobs[gang.spec.ID].beyondRate = true })
+	f.runUntil(14 * time.Second)
+	require.Zero(t, f.owner.eviction.runs)
+}
