cell: a gang ends in time if the placement of a member is not stored

Cause: a member that is placed anew starts only once its placement is stored. If the store is slow or silent then, nothing watched the time for which the others wait: the gang counted as placed, and its members waited until they ended by themselves (rule GANG), or the start came when they had.

Change: the gang is stopped at the time that holds for members without a worker.

A whole gang that is not sent yet is unaffected.

--- a/cell/missing_members.go
+++ b/cell/missing_members.go
@@ -69,6 +69,17 @@
 	return first + time.Duration(missingShare*float64(c.GangTimeout))
 }
 
+// startsTooLate reports whether a run is of a gang whose other members would not wait for its
+// start, which waits for the store.
+func (c *Cell) startsTooLate(r *run) bool {
+	s := r.task.step
+	if !s.spec.Gang || r.number != s.lastRun {
+		return false
+	}
+	until := c.missingUntil(s)
+	return until > 0 && c.now.Steady >= until
+}
+
 // checkMissingMembers stops the gangs whose missing members found no worker in time, or were
 // not placed by the owner before.
 func (c *Cell) checkMissingMembers() {
--- a/cell/missing_members_test.go
+++ b/cell/missing_members_test.go
@@ -311,3 +311,31 @@
 	require.Equal(t, workload.Completed, j.state)
 	require.Less(t, j.begunAt-j.submittedAt, maxWait)
 }
+
+// TestMemberWhosePlacementIsNotStoredEndsTheGangInTime refuses the start of one member once, and
+// keeps the store silent from then on.
+func TestMemberWhosePlacementIsNotStoredEndsTheGangInTime(t *testing.T) {
+	t.Parallel()
+	for _, silent := range []time.Duration{1500 * time.Millisecond, 2900 * time.Millisecond, 5 * time.Second} {
+		t.Run(silent.String(), func(t *testing.T) {
+			f := newFleet(t, 1, 60)
+			f.eligiblePercent = 100
+			spec := wideGang("cc00000000000001")
+			j := f.submit(2*time.Second, spec)
+			refused := false
+			f.startFailure = func(e Start) Failure {
+				if e.Task != spec.ID+".0.0.7" || refused {
+					return None
+				}
+				refused = true
+				f.storeDown = true
+				f.after(silent, func() { f.storeDown = false })
+				return Unhealthy
+			}
+			f.runUntil(40 * time.Second)
+			require.Empty(t, f.violations)
+			require.Zero(t, f.aloneEnds)
+			require.Equal(t, workload.Completed, j.state)
+		})
+	}
+}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -38,6 +38,8 @@
 			switch {
 			case r.state == stopping, r.state == unconfirmed && r.stopSentAt > 0:
 				c.stopRun(r)
+			case r.state == placing && c.startsTooLate(r):
+				c.abortGang(r, "placement not stored in time")
 			case r.state == starting && now-r.sentAt > startTimeout:
 				r.state = unconfirmed
 			case r.state == running && c.stuck(r):
