--- a/poison/poison.go
+++ b/poison/poison.go
@@ -223,9 +223,7 @@
 		r.prove(run.Age)
 	}
 	r.Suspect = r.Suspect || culprit || len(r.Workers) > 1 || b.culprit == nil && !c.Mass && l.Young(run.Class, run.Age)
-	crashes, workers := r.alike(run.Age)
-	capped := crashes >= maxCrashes && !run.Gang || crashes >= maxGangCrashes && l.conclusive(run.Age)
-	if capped || culprit && workers >= minWorkers && l.proven(r, run.Class) {
+	if l.guilty(run, culprit) {
 		return Guilty
 	}
 	if r.Suspect {
@@ -234,6 +232,19 @@
 	return Unsuspected
 }
 
+// guilty reports whether the task of a run whose crash was just recorded is given up.
+func (l *Ledger) guilty(run *Run, culprit bool) bool {
+	crashes, workers := run.alike(run.Age)
+	switch {
+	case culprit && workers >= minWorkers && l.proven(run.Record, run.Class):
+		return true
+	case run.Gang:
+		return crashes >= maxGangCrashes && l.conclusive(run.Age)
+	default:
+		return crashes >= maxCrashes
+	}
+}
+
 // conclusive reports whether a crash of a run of the given age says something of its task.
 // While workers crash by themselves, those with long runs are among them.
 func (l *Ledger) conclusive(age time.Duration) bool {
