--- a/cell/gang.go
+++ b/cell/gang.go
@@ -116,10 +116,10 @@
 	return false
 }
 
-// assignMembers assigns the members to workers with room. It prefers workers with a
-// ticket, then those that a call in flight names, then as few workers as possible, and on an uneven fleet workers of like speed
-// before all. If there is not enough room, not all
-// members are assigned; otherwise it also returns spare assignments.
+// assignMembers assigns the members to workers with room. It prefers workers with a ticket,
+// then those that a call in flight names, then as few workers as possible, and on an uneven
+// fleet workers of like speed before all. If there is not enough room, not all members are
+// assigned; otherwise it also returns spare assignments.
 func (c *Cell) assignMembers(pool *servicePool, s *step) (assignments, spare []assignment) {
 	duration := c.queueStats(s.job.Queue.Name).expectedDuration(s.spec.Estimate)
 	for _, cand := range pool.mayRunOn(s) {
--- a/cell/missing_members_test.go
+++ b/cell/missing_members_test.go
@@ -19,9 +19,10 @@
 	return spec
 }
 
-// TestWideGangStartsWhileWorkersCrashInTurn lets workers crash in turn for 3 s each, so that
-// up to 40 of 100 refuse connections, or do not answer them, at any time. The turn of a worker that runs a member is left out, because its crash ends the gang
-// for good reason. The gang was stopped by each start that was not sent (incident 2026-12-04-huella-grown-lost).
+// TestWideGangStartsWhileWorkersCrashInTurn lets workers crash in turn for 3 s each, so that up
+// to 40 of 100 refuse connections, or do not answer them, at any time. The turn of a worker that
+// runs a member is left out, because its crash ends the gang for good reason. The gang was
+// stopped by each start that was not sent (incident 2026-12-04-huella-grown-lost).
 func TestWideGangStartsWhileWorkersCrashInTurn(t *testing.T) {
 	t.Parallel()
 	for _, crashes := range []struct {
