Gangs do not wait for fast workers for good

Cause: where speeds are uneven, a gang takes the openings with which it ends first. For one of some 144 s of work it pays to wait for fast workers for many seconds, and their openings move away with each run that begins there.

Evidence: TestGangDoesNotWaitForFastWorkersForGood fails without the change. The log does not show which openings the gang waited for, so that this is what held it up is likely, not shown.

Conclusion: one more way to wait beside free room is closed.

--- a/cell/reservation.go
+++ b/cell/reservation.go
@@ -45,7 +45,7 @@
 		c.logGangWait(s, "room is kept for others", p.reservingGangs)
 		return
 	}
-	openings := c.soonestOpenings(s, c.gangOpenings(pool, s))
+	openings := c.soonestOpenings(pool, s, c.gangOpenings(pool, s))
 	if len(openings) < len(s.tasks) {
 		if s.advice.needed {
 			c.requestMoreAdvice(pool, s, false)
@@ -54,7 +54,7 @@
 		return
 	}
 	if c.takeRoomBack(p, pool, s, openings[len(s.tasks)-1].at, len(s.tasks)) {
-		if openings = c.soonestOpenings(s, c.gangOpenings(pool, s)); len(openings) < len(s.tasks) {
+		if openings = c.soonestOpenings(pool, s, c.gangOpenings(pool, s)); len(openings) < len(s.tasks) {
 			return
 		}
 	}
--- a/cell/speed.go
+++ b/cell/speed.go
@@ -340,8 +340,8 @@
 
 // soonestOpenings returns those of the sorted openings with which a gang ends first: its
 // members take the first ones, and a slow worker among them delays all.
-func (c *Cell) soonestOpenings(s *step, openings []opening) []opening {
-	if c.uneven[s.job.Queue.Service] == 0 || len(openings) < len(s.tasks) {
+func (c *Cell) soonestOpenings(pool *servicePool, s *step, openings []opening) []opening {
+	if c.uneven[s.job.Queue.Service] == 0 || len(openings) < len(s.tasks) || c.startsAnywhere(pool, s) {
 		return openings
 	}
 	var best []opening
@@ -374,17 +374,23 @@
 	return openings[len(s.tasks)-1].at + time.Duration(float64(duration)/slowest)
 }
 
+// startsAnywhere reports whether a gang has waited for as long as users accept beside free
+// room, so that it starts on the first workers that have room, however slow.
+func (c *Cell) startsAnywhere(pool *servicePool, s *step) bool {
+	return pool.mostlyFree() && c.now.Steady > s.readyAt+acceptedWait
+}
+
 // waitsForFaster reports whether a gang that would be late on the workers that have room
 // should wait for faster ones, on which it ends in time.
 func (c *Cell) waitsForFaster(p *round, pool *servicePool, s *step, assignments []assignment) bool {
-	if c.uneven[s.job.Queue.Service] == 0 || p.reservationsFull() || c.now.Steady > s.latestStart {
+	if c.uneven[s.job.Queue.Service] == 0 || p.reservationsFull() || c.now.Steady > s.latestStart || c.startsAnywhere(pool, s) {
 		return false
 	}
 	slowest := slowestSpeed(assignments)
 	if slowest >= c.neededSpeed(s) {
 		return false
 	}
-	openings := c.soonestOpenings(s, c.gangOpenings(pool, s))
+	openings := c.soonestOpenings(pool, s, c.gangOpenings(pool, s))
 	if len(openings) < len(s.tasks) {
 		return false
 	}
--- a/cell/speed_test.go
+++ b/cell/speed_test.go
@@ -238,8 +238,30 @@
 		return list
 	}
 	// The gang takes 10.3 s on the slow worker and 3.9 s on the fast one.
-	require.Same(t, candidates[1], c.soonestOpenings(s, openings(time.Second))[0].cand)
-	require.Same(t, candidates[0], c.soonestOpenings(s, openings(20*time.Second))[0].cand)
+	require.Same(t, candidates[1], c.soonestOpenings(&servicePool{}, s, openings(time.Second))[0].cand)
+	require.Same(t, candidates[0], c.soonestOpenings(&servicePool{}, s, openings(20*time.Second))[0].cand)
+}
+
+// TestGangDoesNotWaitForFastWorkersForGood guards against a gang that waits beside free room
+// because the fast workers that it waits for are never free together.
+func TestGangDoesNotWaitForFastWorkersForGood(t *testing.T) {
+	c, s, candidates := unevenCell(gangJob("cc00000000000000"), 0.6, 1.6)
+	s.readyAt = c.now.Steady
+	first := func(pool *servicePool) *candidate {
+		var openings []opening
+		for range s.tasks {
+			openings = append(openings, opening{c.now.Steady, candidates[0]})
+		}
+		for range s.tasks {
+			openings = append(openings, opening{c.now.Steady + time.Second, candidates[1]})
+		}
+		return c.soonestOpenings(pool, s, openings)[0].cand
+	}
+	crowded, free := &servicePool{totalMilliCPU: 64000}, &servicePool{totalMilliCPU: 64000, freeMilliCPU: 48000}
+	require.Same(t, candidates[1], first(free))
+	c.now.Steady += acceptedWait + time.Millisecond
+	require.Same(t, candidates[0], first(free))
+	require.Same(t, candidates[1], first(crowded))
 }
 
 // TestSlackDecidesWhichWorkersServe places a lookup, which has little time beside its work,
