--- a/cell/capacity_test.go
+++ b/cell/capacity_test.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// plainJob returns a job of one step that needs no advice.
+// jobWithoutAdvice returns a job of one step that needs no advice.
 func jobWithoutAdvice(id string, step workload.Step) *workload.Job {
 	spec := quoteJob(id)
 	spec.Queue.Advice = nil
