--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -239,3 +239,16 @@
 		f.requireGuiltyFailed()
 	}
 }
+
+// Gangs reserved workers with a run on probation, on which they cannot start, and kept others from
+// the room there.
+func TestNoGangReservesAWorkerOnProbation(t *testing.T) {
+	c, s, candidates := unevenCell(gangJob("cc00000000000000"), 1, 1)
+	s.advice.needed = false
+	pool := &servicePool{candidates: candidates}
+	require.Same(t, candidates[0], c.gangOpenings(pool, s)[0].cand)
+	candidates[0].w.probation = &probation{}
+	for _, o := range c.gangOpenings(pool, s) {
+		require.Same(t, candidates[1], o.cand)
+	}
+}
