poison: a successor knows from stored suspects which classes are endangered

Callers saw: after the owner died beside notice checks that crash their workers, 36 of 48 workers were down within a second of the takeover. Cause: classes in danger were the owner's memory only. The records of suspects that the successor reads with the jobs limited their own tasks, not those of their class, so it started all of them at once. Change: each stored suspect is evidence against its class at the claim, as a crash is; one that was named by a crash also gives the class its delay. The tests of crashes in cell and poison pass.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -261,6 +261,19 @@
 	c.stopJob(j)
 }
 
+// recallSuspects takes the stored suspects of a job as evidence against its class.
+func (c *Cell) recallSuspects(j *job) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if record := t.crashRecord(); !s.done && (!s.spec.Gang || t.index == 0) {
+					c.crashes.ledger.Recall(s.crashClass(), &record.Record, c.now.Steady)
+				}
+			}
+		}
+	}
+}
+
 // noteRecord remembers a task with crashes.
 func (c *Cell) noteRecord(t *task) {
 	record := t.crashRecord()
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -252,3 +252,37 @@
 		require.Same(t, candidates[1], o.cand)
 	}
 }
+
+// A new owner started all tasks of a class that crashes workers at once, and took most of the
+// fleet down before it knew.
+func TestNewOwnerLimitsAClassThatCrashesWorkers(t *testing.T) {
+	const workers, waiting = 24, 60
+	for name, records := range map[string][]poison.Record{
+		"named":    {{Workers: []string{"x0"}, Proofs: 1, ProofAge: 10 * time.Millisecond, Suspect: true}},
+		"suspects": {{Workers: []string{"x0"}, Suspect: true}, {Workers: []string{"x1"}, Suspect: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var jobs []StoredJob
+			for i := range waiting {
+				spec := crashedSpec()
+				spec.ID = fmt.Sprintf("dd%014x", i)
+				progress := &workload.Progress{State: workload.Queued}
+				if i < len(records) {
+					progress.Steps = []workload.StepRecord{{Crashes: map[int]poison.Record{0: records[i]}}}
+				}
+				jobs = append(jobs, StoredJob{ID: spec.ID, Job: spec, Progress: progress})
+			}
+			var ids []string
+			for i := range workers {
+				ids = append(ids, fmt.Sprintf("w%02d", i))
+			}
+			c := newCrashCell(t, jobs, ids...)
+			for _, id := range ids {
+				c.report(id, 1)
+			}
+			c.round()
+			require.NotEmpty(t, c.starts)
+			require.LessOrEqual(t, len(c.starts), workers/2, "at most half of the workers may be at risk")
+		})
+	}
+}
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -53,6 +53,7 @@
 		age := c.now.Wall.Sub(stored.Job.ReceivedAt)
 		j.receivedAt = c.now.Steady - min(max(0, age), time.Minute)
 		c.addJob(j)
+		c.recallSuspects(j)
 	}
 	c.commits.rosterRows = (len(e.Workers) + rosterRowWorkers - 1) / rosterRowWorkers
 	for _, ref := range e.Workers {
--- a/poison/danger.go
+++ b/poison/danger.go
@@ -228,11 +228,15 @@
 	if d := l.classes[class]; d != nil && slices.ContainsFunc(d.evidence, func(e evidence) bool { return e.worker == c.Worker && e.at == c.At }) {
 		return
 	}
+	l.addDelay(class, b.culprit.Age)
+}
+
+func (l *Ledger) addDelay(class Class, delay time.Duration) {
 	if l.delays == nil {
 		l.delays = map[Class][]time.Duration{}
 	}
 	queue := Class{Queue: class.Queue}
-	l.delays[queue] = append(l.delays[queue], min(b.culprit.Age, maxDelay))
+	l.delays[queue] = append(l.delays[queue], min(delay, maxDelay))
 	if extra := len(l.delays[queue]) - delaySamples; extra > 0 {
 		l.delays[queue] = l.delays[queue][extra:]
 	}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -185,6 +185,20 @@
 	}
 }
 
+// Recall takes the record of a suspect as evidence against its class, for an owner that has
+// not seen its crashes.
+func (l *Ledger) Recall(c Class, r *Record, now time.Duration) {
+	if !r.Suspect || r.Empty() {
+		return
+	}
+	e := evidence{worker: r.Workers[len(r.Workers)-1], at: now, settled: true}
+	if r.Proofs > 0 {
+		e.exact, e.age = true, r.ProofAge
+		l.addDelay(c, r.ProofAge)
+	}
+	l.add(c, e)
+}
+
 // Judge records a crash and returns the finding for each run.
 func (l *Ledger) Judge(c Crash) []Finding {
 	b := l.blame(c)
