cell: accepted jobs of a class that crashes workers get their trial

Cause: few untried tasks of such a class run at once, and each guilty one costs two crashes of 3 s. Admission counted processors, memory and advice, not that; and trials went by rank alone, so that newcomers in time took all of them and neither late tasks nor suspects got any. Change: poison keeps what a trial of a class costs in time of workers at risk, with the share that crashes for a start; admission refuses what would wait longer than its objective allows, and all of the class while suspects and late tasks need 5 s of trials. Suspects get half of the workers at risk, as each new one needs another trial. While half of the processors are free, as many workers may be at risk as the risk zone has.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -173,7 +173,7 @@
 	if spec.Queue.Advice != nil && spec.Queue.Advice.Duration(1) >= longCall {
 		wait = max(wait, c.adviceQueueTime(rank))
 	}
-	return wait + c.storeDelay()
+	return max(wait, c.trialWait(spec, rank)) + c.storeDelay()
 }
 
 // storeDelay estimates how much longer than usual a job waits for a slow store: for
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -50,8 +50,11 @@
 	past        []pastCrash            // of the last crashMemory
 	onProbation []*worker
 	atRisk      map[poison.Class]float64 // workers on probation, by the class that limits them
+	suspectRisk map[poison.Class]float64 // of these, with a suspect
+	riskAt      Instant                  // when atRisk was last counted
 	fleet       map[string]int           // listed workers, by service
 	idle        map[string]int           // of these, usable ones without runs
+	free        map[string]float64       // share of the processors of usable workers, by service
 	accused     map[*job]bool            // jobs with a task that was named by a crash
 }
 
@@ -257,6 +260,7 @@
 	workers := strings.Join(record.Workers[:min(len(record.Workers), maxLoggedWorkers)], ", ")
 	j.progress.Reason = fmt.Sprintf("task %s crashed the workers that started it: %s", t.name, workers)
 	c.logInfo("job failed by crashes", slog.String("id", j.id), slog.String("task", t.name), slog.String("workers", workers), slog.Int("proofs", record.Proofs))
+	c.crashes.ledger.GivenUp(t.step.crashClass())
 	c.setFinalState(j, workload.Failed)
 	c.stopJob(j)
 }
--- a/cell/loadestimate.go
+++ b/cell/loadestimate.go
@@ -19,7 +19,8 @@
 	capacity  map[string]float64 // cores of speed 1, by service
 	fleets    map[string]*scarcity.Fleet
 	evictable map[evictableKey]*evictableRoom
-	listed    bool // the workers had been listed when it was computed
+	untried   map[trialKey]int // waiting tasks that may crash their workers
+	listed    bool             // the workers had been listed when it was computed
 }
 
 // teamService identifies the running work of a team on the workers of a service.
@@ -91,7 +92,7 @@
 
 // estimateLoad computes the remaining work of all accepted jobs.
 func (c *Cell) estimateLoad() {
-	c.load = loadEstimate{running: map[teamService]scarcity.Demand{}, waiting: map[waitingKey]scarcity.Demand{}, capacity: map[string]float64{}, fleets: map[string]*scarcity.Fleet{}, evictable: map[evictableKey]*evictableRoom{}, listed: c.listedOnce}
+	c.load = loadEstimate{running: map[teamService]scarcity.Demand{}, waiting: map[waitingKey]scarcity.Demand{}, capacity: map[string]float64{}, fleets: map[string]*scarcity.Fleet{}, evictable: map[evictableKey]*evictableRoom{}, untried: map[trialKey]int{}, listed: c.listedOnce}
 	for _, w := range c.sortedWorkers {
 		if w.counts(c.now.Steady) {
 			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000 * w.workSpeed()
@@ -228,6 +229,9 @@
 		return scarcity.Demand{Now: need.Times(int64(tasks)), Work: need.Times(int64(runs * float64(duration.Milliseconds())))}
 	}
 	key := waitingKey{teamService{j.Team, j.Queue.Service}, c.rank(s), s.spec.Gang}
+	if ready > 0 {
+		c.addTrials(s, key.rank)
+	}
 	if running > 0 {
 		c.load.running[key.teamService] = c.load.running[key.teamService].Add(demand(running, left))
 	}
--- a/cell/probation.go
+++ b/cell/probation.go
@@ -24,6 +24,9 @@
 	// minIdleShare of them are idle.
 	maxIdleRisk  = 1.0 / 2
 	minIdleShare = 1.0 / 4
+	// minFreeShare is the share of the processors of usable workers that must be free for as
+	// many workers to be at risk as the risk zone has.
+	minFreeShare = 1.0 / 2
 	// unbrokenMargin is how much longer than its probation a run must have gone on if only
 	// a poll that is still unanswered shows that the worker lives.
 	unbrokenMargin = 20 * time.Millisecond
@@ -42,6 +45,7 @@
 	need     time.Duration
 	since    Instant
 	emptying bool // the task waits until nothing else runs on the worker
+	kind     trialKind
 }
 
 // trial is how a task has to be placed for the sake of crashes. The zero value is a task of
@@ -128,8 +132,13 @@
 	scope, _ := state.ledger.Scope(t.step.crashClass())
 	service := t.step.job.Queue.Service
 	workers, atRisk := state.fleet[service], state.atRisk[scope]
-	return atRisk < float64(state.ledger.Limit(scope, workers)) ||
-		atRisk < maxIdleRisk*float64(workers) && float64(state.idle[service]) > minIdleShare*float64(workers)
+	limit := float64(state.ledger.Limit(scope, workers))
+	if float64(state.idle[service]) > minIdleShare*float64(workers) {
+		limit = max(limit, maxIdleRisk*float64(workers))
+	} else if state.free[service] > minFreeShare {
+		limit = max(limit, float64(workers)/riskZoneParts)
+	}
+	return atRisk < limit && c.hasTrialShare(c.trialKey(t, t.step.rank), limit)
 }
 
 // startProbation puts a worker on probation for a run that was just placed there.
@@ -144,17 +153,16 @@
 }
 
 func (c *Cell) putOnProbation(t *task, w *worker, emptying bool) {
-	state, class, record := &c.crashes, t.step.crashClass(), t.crashRecord()
-	scope, _ := state.ledger.Scope(class)
+	state, class, record, key := &c.crashes, t.step.crashClass(), t.crashRecord(), c.trialKey(t, t.step.rank)
 	if w.probation == nil {
 		state.onProbation = append(state.onProbation, w)
-		if state.atRisk == nil {
-			state.atRisk = map[poison.Class]float64{}
-		}
-		state.atRisk[scope] += state.ledger.Weight(scope)
+		c.countRisk(key, state.ledger.Weight(key.scope))
 		state.idle[w.Service]--
 	}
-	w.probation = &probation{task: t, record: record, scope: scope, need: state.ledger.Probation(class, &record.Record), since: c.now.Steady, emptying: emptying}
+	w.probation = &probation{
+		task: t, record: record, scope: key.scope, need: state.ledger.Probation(class, &record.Record), since: c.now.Steady,
+		emptying: emptying, kind: key.kind,
+	}
 }
 
 // emptyCandidate returns a worker without runs for a task that must run alone. If there is
@@ -187,35 +195,53 @@
 // checkProbations ends the probations that are over, and counts the workers at risk.
 func (c *Cell) checkProbations() {
 	if c.crashesQuiet() {
+		c.crashes.riskAt = c.now.Steady
 		return
 	}
 	state := &c.crashes
 	state.fleet, state.idle, state.accused = map[string]int{}, map[string]int{}, map[*job]bool{}
+	capacity, used := map[string]int64{}, map[string]int64{}
 	for _, w := range c.sortedWorkers {
 		if !w.listed {
 			continue
 		}
 		state.fleet[w.Service]++
-		if len(w.runs) == 0 && w.probation == nil && w.usable(c.now.Steady) {
+		if !w.usable(c.now.Steady) {
+			continue
+		}
+		if len(w.runs) == 0 && w.probation == nil {
 			state.idle[w.Service]++
 		}
+		capacity[w.Service] += w.Capacity.MilliCPU
+		used[w.Service] += w.used.MilliCPU
+	}
+	state.free = map[string]float64{}
+	for service, n := range capacity {
+		if n > 0 {
+			state.free[service] = 1 - float64(used[service])/float64(n)
+		}
 	}
 	for record, t := range state.recorded {
 		if record.Suspect && record.Proofs > 0 {
 			state.accused[t.step.job] = true
 		}
 	}
+	for scope, n := range state.atRisk {
+		state.ledger.Spend(scope, n, c.now.Steady-state.riskAt)
+	}
+	state.riskAt = c.now.Steady
 	clear(state.atRisk)
+	clear(state.suspectRisk)
 	state.onProbation = slices.DeleteFunc(state.onProbation, func(w *worker) bool {
 		if c.workers[w.ID] != w || w.probation == nil || c.probationOver(w) {
 			w.probation = nil
 			return true
 		}
-		if w.failing {
-			state.atRisk[w.probation.scope]++
-		} else {
-			state.atRisk[w.probation.scope] += state.ledger.Weight(w.probation.scope)
+		weight := 1.0
+		if !w.failing {
+			weight = state.ledger.Weight(w.probation.scope)
 		}
+		c.countRisk(trialKey{w.probation.scope, w.probation.kind}, weight)
 		return false
 	})
 }
--- a/cell/promises.go
+++ b/cell/promises.go
@@ -97,7 +97,7 @@
 			return 0, false
 		}
 	}
-	return c.expectedWait(spec, rank, c.promisedAhead(spec, r.firstSeen, rank, until)), true
+	return max(c.expectedWait(spec, rank, c.promisedAhead(spec, r.firstSeen, rank, until)), c.trialWait(spec, rank)), true
 }
 
 // recordPromise records the return of a refused caller, or that one has been accepted.
--- a/poison/danger.go
+++ b/poison/danger.go
@@ -56,6 +56,14 @@
 	priorTasks = 10
 	// maxTasks is the number of tasks that the share is taken from.
 	maxTasks = 200
+	// firstTrial is the time of a worker that the trial of a task is assumed to take, and
+	// firstDown that for which a crash takes it away. Together they count as the cost of
+	// priorTasks tasks.
+	firstTrial = 200 * time.Millisecond
+	firstDown  = 3 * time.Second
+	// maxTrials is the number of tasks that the cost of a trial is taken from.
+	maxTrials = 100
+
 	// minLimit is the least number of workers that may be at risk.
 	minLimit = 2
 )
@@ -68,6 +76,8 @@
 	survived   int     // since the last crash
 	passed     float64 // decayed number of tasks that survived
 	failed     float64 // decayed number of tasks that crashed a worker for the first time
+	spent      float64 // decayed time of workers at risk, in seconds
+	settled    float64 // decayed number of tasks that survived or were given up
 }
 
 // evidence is a crash of a worker that a class may have caused.
@@ -127,8 +137,39 @@
 	if d == nil {
 		return 1
 	}
-	share := (d.failed + priorShare*priorTasks) / (d.failed + d.passed + priorTasks)
-	return min(1, max(minWeight, share/fullWeight))
+	return min(1, max(minWeight, d.guiltyShare()/fullWeight))
+}
+
+// guiltyShare estimates the share of the class's untried tasks that crash their worker.
+func (d *danger) guiltyShare() float64 {
+	return (d.failed + priorShare*priorTasks) / (d.failed + d.passed + priorTasks)
+}
+
+// Spend records that a class held workers at risk: their number times the time.
+func (l *Ledger) Spend(c Class, workers float64, d time.Duration) {
+	if s := l.classes[c]; s != nil {
+		s.spent += workers * d.Seconds()
+	}
+}
+
+// TrialTime returns how long it takes to find out about a number of untried tasks of a class
+// on a fleet of the given size, crashes included.
+func (l *Ledger) TrialTime(c Class, tasks, workers int) time.Duration {
+	d := l.classes[c]
+	if d == nil || tasks == 0 {
+		return 0
+	}
+	assumed := firstTrial.Seconds() + minWorkers*d.guiltyShare()*firstDown.Seconds()
+	cost := (d.spent + priorTasks*assumed) / (d.settled + priorTasks)
+	return time.Duration(float64(tasks) * cost / float64(max(1, l.Limit(c, workers))) * float64(time.Second))
+}
+
+// settle records that a task of the class has survived or is given up.
+func (d *danger) settle() {
+	d.settled++
+	if d.settled > maxTrials {
+		d.settled, d.spent = d.settled/2, d.spent/2
+	}
 }
 
 // Probation returns how long a run must go on to show that its task doesn't crash workers.
@@ -242,10 +283,20 @@
 	}
 }
 
+// GivenUp records that a task of the class is not started again.
+func (l *Ledger) GivenUp(c Class) {
+	for _, class := range []Class{c, {Queue: c.Queue}} {
+		if d := l.classes[class]; d != nil {
+			d.settle()
+		}
+	}
+}
+
 // Survived records that a run on probation has ended, or gone on for long enough.
 func (l *Ledger) Survived(c Class) {
 	for _, class := range []Class{c, {Queue: c.Queue}} {
 		if d := l.classes[class]; d != nil {
+			d.settle()
 			d.limit++
 			d.survived++
 			d.passed++
