Simulation of package cell: the same order in each run

Cause, in part: the simulation ranges over maps where the order decides: the stored jobs of a claim, the running tasks of a report, ends of runs at the same moment (gangs, leases, restarts), submissions after a killed owner, and draws from the seeded source (three loads). Change: these loops go in the order of the keys. Ranges whose order cannot matter stay. Ruled out: wall clock, goroutines and unseeded draws; there are none in the replays.

--- a/cell/benchmark_test.go
+++ b/cell/benchmark_test.go
@@ -71,7 +71,7 @@
 // The sizes of the jobs are the means of that deployment.
 func (f *simFleet) submitLargeFleetLoad(prefix string, from, to Instant, factor float64) {
 	f.submitMix(prefix, from, to, 130*factor, 11*factor, 3.5*factor)
-	for id, j := range f.jobs {
+	for id, j := range inOrder(f.jobs) {
 		if id[2:4] != prefix {
 			continue
 		}
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -246,7 +246,7 @@
 // restartWorker restarts a worker under the same ID. Its runs are lost and its results
 // are numbered from 1 again.
 func (f *simFleet) restartWorker(w *simWorker) {
-	for name, r := range w.runs {
+	for name, r := range inOrder(w.runs) {
 		delete(w.runs, name)
 		f.usedByTeam[f.jobs[r.task.Job].spec.Team] -= r.need.MilliCPU
 		if f.jobs[r.task.Job].spec.Steps[r.task.Step].Gang {
@@ -277,8 +277,8 @@
 	f := newFleet(t, 1, 8)
 	j := f.submit(2*time.Second, quoteJob("bb00000000000001"))
 	f.at(2500*time.Millisecond, func() {
-		for _, w := range f.workers {
-			for _, r := range w.runs {
+		for _, w := range inOrder(f.workers) {
+			for _, r := range inOrder(w.runs) {
 				r.work = time.Hour // the run makes no more progress
 				return
 			}
--- a/cell/load_test.go
+++ b/cell/load_test.go
@@ -644,7 +644,7 @@
 	f := newLargeFleet(t, 0)
 	f.eligiblePercent = 25
 	f.submitMix("00", 2*time.Second, 20*time.Second, 40, 5, gangsPerSecond)
-	for _, j := range f.jobs {
+	for _, j := range inOrder(f.jobs) {
 		step := &j.spec.Steps[0]
 		switch j.spec.Queue.Name {
 		case "quote":
--- a/cell/scale_test.go
+++ b/cell/scale_test.go
@@ -117,7 +117,7 @@
 	f := newScaledFleet(t, 350)
 	f.storeLatency = 120 * time.Millisecond
 	f.submitMix("00", 2*time.Second, 12*time.Second, 200, 0, 0)
-	for _, j := range f.jobs {
+	for _, j := range inOrder(f.jobs) {
 		j.spec.Queue.Target, j.spec.Queue.Advice = time.Minute, nil
 		j.spec.Steps = []workload.Step{{Count: 4, Need: resource.Vector{MilliCPU: 2000}, Estimate: 500 * time.Millisecond}}
 		f.drawDurations(j)
--- a/cell/simcrash_test.go
+++ b/cell/simcrash_test.go
@@ -99,7 +99,7 @@
 	if f.crashes.crashedWith == nil {
 		f.crashes.crashedWith = map[string]map[string]bool{}
 	}
-	for name, r := range w.runs {
+	for name, r := range inOrder(w.runs) {
 		if f.crashes.crashedWith[name] == nil {
 			f.crashes.crashedWith[name] = map[string]bool{}
 		}
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"fmt"
 	"hash/fnv"
+	"iter"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -205,6 +206,17 @@
 	return f
 }
 
+// inOrder ranges over a map in the order of its keys.
+func inOrder[K cmp.Ordered, V any](m map[K]V) iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) {
+		for _, key := range slices.Sorted(maps.Keys(m)) {
+			if value, ok := m[key]; ok && !yield(key, value) {
+				return
+			}
+		}
+	}
+}
+
 func (f *simFleet) at(t Instant, do func()) {
 	f.seq++
 	heap.Push(&f.events, event{t, f.seq, do})
@@ -244,11 +256,11 @@
 	previous := f.owner != nil
 	f.owner = c
 	claimed := Claimed{Token: f.store.token, Sent: f.now, Previous: previous, Workers: f.store.roster, Learned: f.store.learned}
-	for id, p := range f.store.progress {
+	for id, p := range inOrder(f.store.progress) {
 		copied := *p
 		claimed.Jobs = append(claimed.Jobs, StoredJob{ID: id, Job: f.store.jobs[id], Progress: &copied})
 	}
-	for id, job := range f.store.jobs {
+	for id, job := range inOrder(f.store.jobs) {
 		if f.store.progress[id] == nil {
 			claimed.Jobs = append(claimed.Jobs, StoredJob{ID: id, Job: job})
 		}
@@ -591,6 +603,9 @@
 			}
 		}
 	}
+	slices.SortFunc(gang, func(a, b member) int {
+		return cmp.Or(cmp.Compare(a.w.info.ID, b.w.info.ID), cmp.Compare(a.r.task.Index, b.r.task.Index))
+	})
 	name := r.task.String()
 	if len(gang) == members {
 		f.jobs[r.task.Job].begunAt = f.now
@@ -709,8 +724,8 @@
 
 // abortGang ends the other members of a gang's run.
 func (f *simFleet) abortGang(r *simRun) {
-	for _, other := range f.workers {
-		for name, m := range other.runs {
+	for _, other := range inOrder(f.workers) {
+		for name, m := range inOrder(other.runs) {
 			if m.task.Job == r.task.Job && m.task.Step == r.task.Step && m.number == r.number {
 				f.endRun(other, name, m, GangAborted)
 			}
@@ -725,7 +740,7 @@
 			f.scheduleLeaseExpiry(w)
 			return
 		}
-		for name, r := range w.runs {
+		for name, r := range inOrder(w.runs) {
 			f.endRun(w, name, r, LeaseExpired)
 		}
 	})
@@ -803,7 +818,7 @@
 		answered = true
 		w.lastReported = w.lastSeq
 		report := Report{StartedAt: w.info.StartedAt, Clock: f.now, Ended: slices.Clone(w.ended)}
-		for name, r := range w.runs {
+		for name, r := range inOrder(w.runs) {
 			percent := 0
 			if !r.waiting && r.work > 0 {
 				percent = min(100, int(100*(f.now-r.startedAt)/r.work))
@@ -982,7 +997,7 @@
 func (f *simFleet) killOwner(delay time.Duration) {
 	f.owner = nil
 	f.replies = map[uint64]func(Answer){}
-	for _, j := range f.jobs {
+	for _, j := range inOrder(f.jobs) {
 		if j.submittedAt > 0 && !j.accepted && !j.refused {
 			f.after(delay, func() { f.submitNow(j) })
 		}
@@ -996,7 +1011,7 @@
 func (f *simFleet) isolateOwner(delay, length time.Duration) {
 	old := f.owner
 	f.storeUnreachable[old] = true
-	for _, j := range f.jobs {
+	for _, j := range inOrder(f.jobs) {
 		if j.submittedAt > 0 && !j.accepted && !j.refused {
 			f.after(delay, func() { f.submitNow(j) })
 		}
@@ -1034,7 +1049,7 @@
 // requireAllEnded checks that every accepted job has ended.
 func (f *simFleet) requireAllEnded() {
 	f.t.Helper()
-	for id, j := range f.jobs {
+	for id, j := range inOrder(f.jobs) {
 		if j.accepted {
 			require.NotZero(f.t, j.endedAt, "job %s was accepted and has not ended", id)
 		}
--- a/cell/slowrun_test.go
+++ b/cell/slowrun_test.go
@@ -147,7 +147,7 @@
 	t.Parallel()
 	f, j := newSlowRunFleet(t, true)
 	f.copied()
-	for _, w := range f.workers {
+	for _, w := range inOrder(f.workers) {
 		if r := w.runs[slowJob+".0.0.0"]; r != nil {
 			f.endRun(w, slowJob+".0.0.0", r, Done)
 		}
