Equal progress is stored as equal rows

Cause: the default encoder writes the keys of a map as they come. Change: the encoder sorts them. Rows that exist are read as before.

--- a/workload/progress.go
+++ b/workload/progress.go
@@ -43,9 +43,20 @@
 	StartedAt int64 `cbor:"3,keyasint,omitempty"`
 }
 
+// progressEncoder writes the keys of maps in order, so that equal progress has equal rows.
+var progressEncoder = newProgressEncoder()
+
+func newProgressEncoder() cbor.EncMode {
+	mode, err := cbor.EncOptions{Sort: cbor.SortBytewiseLexical}.EncMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
 // Encode encodes the progress for storage.
 func (p *Progress) Encode() ([]byte, error) {
-	data, err := cbor.Marshal(p)
+	data, err := progressEncoder.Marshal(p)
 	return data, errors.Wrap(err, "encode progress")
 }
 
