The same events give the same effects in the same order

Cause: the reducer ranges over maps where the order decides: - the runs of a worker: lost, vanished, stuck and slow runs, ties of expected releases, sums of lost work; - the workers: those that leave the list or whose leases ran out; - held tasks at the end of recovery, which queue their steps; - callers that are told that the owner lost the cell; - services whose speeds are compared, which are logged; - sums of fractions: capacity over services, intakes over teams, forecasts over queues and zones.

Change: a worker keeps its runs in the order of their age beside the map; workers go by ID, held tasks by worker, callers by number, services and queues by name, intakes and kinds of arrivals in the order in which they were first seen. Loops whose order cannot matter (sums of integers, sets, independent entries) stay.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -112,7 +112,7 @@
 	eviction         evictionState
 	promises         promise.Book     // refused callers
 	shares           fairshare.Ledger // use of the fleet by jobs within their team's rate
-	intakes          map[teamRank]intake
+	intakes          intakeList
 	crashes          crashState
 	aboveShare       map[string]bool // teams above their share in the last round; empty if the fleet was not crowded
 }
@@ -151,7 +151,7 @@
 	c.eviction.restart(c.now.Steady)
 	c.promises, c.shares = promise.Book{}, fairshare.Ledger{}
 	c.crashes = crashState{}
-	c.aboveShare, c.intakes = map[string]bool{}, map[teamRank]intake{}
+	c.aboveShare, c.intakes = map[string]bool{}, intakeList{}
 	c.recovered, c.listedOnce = false, false
 	c.held, c.heldUse = map[string][]*task{}, nil
 }
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -120,7 +120,7 @@
 	at := c.crashedAt(w)
 	w.lostOthers = false
 	var list []lostRun
-	for _, r := range w.runs {
+	for _, r := range w.runsByAge {
 		if r.state == placing || r.sentAt > at {
 			continue
 		}
--- a/cell/evacuate.go
+++ b/cell/evacuate.go
@@ -68,7 +68,7 @@
 // urgent rank first.
 func (w *worker) placements() []*run {
 	var placed []*run
-	for _, r := range w.runs {
+	for _, r := range w.runsByAge {
 		if r.state == placing {
 			placed = append(placed, r)
 		}
--- a/cell/forecast.go
+++ b/cell/forecast.go
@@ -2,7 +2,9 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/forecast"
@@ -115,7 +117,8 @@
 		return math.MaxInt64
 	}
 	rises, falls := false, true
-	for queue := range u.tasks {
+	queues := slices.Sorted(maps.Keys(u.tasks))
+	for _, queue := range queues {
 		f := c.demand.arrivals.Expected(queue, c.now.Steady, forecastHorizon)
 		rises, falls = rises || f.Rises, falls && f.Falls
 	}
@@ -128,7 +131,7 @@
 	least, needed, room := int64(math.MaxInt64), int64(0), int64(0)
 	for i, after := range forecastMoments {
 		expected := 0.0
-		for queue := range u.tasks {
+		for _, queue := range queues {
 			expected += c.demand.arrivals.Expected(queue, c.now.Steady, after).Cores
 		}
 		if left := rooms[i] - int64(1000*expected); left < least {
@@ -154,7 +157,7 @@
 		for i := range on {
 			on[i] = cand.free.MilliCPU
 		}
-		for _, r := range cand.w.runs {
+		for _, r := range cand.w.runsByAge {
 			left := time.Duration(0)
 			if job := r.task.step.job; job.Job == nil || job.Queue.Priority != urgentPriority {
 				left = c.remainingTime(r)
--- a/cell/loadestimate.go
+++ b/cell/loadestimate.go
@@ -92,15 +92,14 @@
 // estimateLoad computes the remaining work of all accepted jobs.
 func (c *Cell) estimateLoad() {
 	c.load = loadEstimate{running: map[teamService]scarcity.Demand{}, waiting: map[waitingKey]scarcity.Demand{}, capacity: map[string]float64{}, fleets: map[string]*scarcity.Fleet{}, evictable: map[evictableKey]*evictableRoom{}, listed: c.listedOnce}
+	cores := 0.0
 	for _, w := range c.sortedWorkers {
 		if w.counts(c.now.Steady) {
-			c.load.capacity[w.Service] += float64(w.Capacity.MilliCPU) / 1000 * w.workSpeed()
+			n := float64(w.Capacity.MilliCPU) / 1000 * w.workSpeed()
+			c.load.capacity[w.Service] += n
+			cores += n
 		}
 	}
-	cores := 0.0
-	for _, n := range c.load.capacity {
-		cores += n
-	}
 	c.eviction.refill(c.now.Steady, cores)
 	for _, j := range c.live {
 		if !j.progress.State.Final() {
@@ -181,7 +180,7 @@
 func (c *Cell) releasesSince(workers []*worker, at Instant) [][]release {
 	list := make([][]release, len(workers))
 	for i, w := range workers {
-		for _, r := range w.runs {
+		for _, r := range w.runsByAge {
 			if r.sentAt <= at || r.confirmedAt > 0 {
 				list[i] = append(list[i], release{c.now.Steady + c.remainingTime(r), r.task.step.need()})
 			}
--- a/cell/place.go
+++ b/cell/place.go
@@ -155,7 +155,7 @@
 // runsOn returns the number of runs of the step on w.
 func (s *step) runsOn(w *worker) int {
 	count := 0
-	for _, r := range w.runs {
+	for _, r := range w.runsByAge {
 		if r.task.step == s {
 			count++
 		}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -23,7 +23,7 @@
 // its runs.
 func (c *Cell) removeLostWorker(w *worker, why string) {
 	c.logInfo("worker lost", slog.String("worker", w.ID), slog.String("why", why), slog.Int("runs", len(w.runs)))
-	for _, r := range w.runs {
+	for r := range w.eachRun {
 		c.dropLostRun(r, "worker lost")
 	}
 	c.releaseHeld(w.ID)
@@ -35,7 +35,7 @@
 func (c *Cell) checkRuns() {
 	now := c.now.Steady
 	for _, w := range c.sortedWorkers {
-		for _, r := range w.runs {
+		for r := range w.eachRun {
 			switch {
 			case r.state == stopping, r.state == unconfirmed && r.stopSentAt > 0:
 				c.stopRun(r)
@@ -107,7 +107,7 @@
 	}
 	if w.synced && !w.failing {
 		effect.Wait = pollWait
-		for _, r := range w.runs {
+		for _, r := range w.runsByAge {
 			if r.state == unconfirmed || r.state == stopping {
 				effect.Wait = 0
 			}
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -159,7 +159,7 @@
 				w.Free = w.Free.Add(rel.need)
 			}
 		}
-		for _, r := range cand.w.runs {
+		for _, r := range cand.w.runsByAge {
 			if !c.mayEvict(r, s.job.Queue.Priority) || c.remainingTime(r) <= c.StopTimeout {
 				continue
 			}
@@ -231,7 +231,7 @@
 	if !pool.prioritiesKnown {
 		pool.prioritiesKnown = true
 		for _, cand := range pool.candidates {
-			for _, r := range cand.w.runs {
+			for _, r := range cand.w.runsByAge {
 				if v := r.task.step; v.job.Job != nil && v.spec.Checkpointing && !v.spec.Gang {
 					pool.lowestPriority = max(pool.lowestPriority, v.job.Queue.Priority)
 				}
@@ -283,7 +283,7 @@
 			continue
 		}
 		hole := scarcity.Hole{Free: w.free(), Labels: w.Labels}
-		for _, r := range w.runs {
+		for _, r := range w.runsByAge {
 			if c.mayEvict(r, key.priority) {
 				need := r.task.step.need()
 				hole.Free = hole.Free.Add(need)
--- a/cell/probation.go
+++ b/cell/probation.go
@@ -89,7 +89,7 @@
 	}
 	if t.needed && len(w.runs) > 0 {
 		penalty += penaltyShared + penaltyBeside*float64(len(w.runs))
-		for _, r := range w.runs {
+		for _, r := range w.runsByAge {
 			if r.task.step.spec.Gang {
 				return penalty + penaltyGang
 			}
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/resource"
@@ -100,7 +102,7 @@
 		}
 	}
 	c.recovered = true
-	for worker := range c.held {
+	for _, worker := range slices.Sorted(maps.Keys(c.held)) {
 		c.releaseHeld(worker)
 	}
 	c.logInfo("recovery complete", slog.Uint64("token", c.token), slog.Int("workers", len(c.workers)))
@@ -147,20 +149,18 @@
 		return
 	}
 	c.logInfo("cell lost", slog.Uint64("token", c.token), slog.String("reason", reason))
-	answer := func(replies []uint64) {
-		for _, reply := range replies {
-			c.emit(Answer{Reply: reply, Verdict: Lost})
-		}
-	}
+	var replies []uint64
 	for _, j := range c.jobs {
-		answer(j.acceptReplies)
-		answer(j.cancelReplies)
+		replies = append(append(replies, j.acceptReplies...), j.cancelReplies...)
 	}
 	if p := c.commits.inFlight; p != nil {
 		for _, write := range p.jobs {
-			answer(write.accepts)
-			answer(write.cancels)
+			replies = append(append(replies, write.accepts...), write.cancels...)
 		}
 	}
+	slices.Sort(replies)
+	for _, reply := range replies {
+		c.emit(Answer{Reply: reply, Verdict: Lost})
+	}
 	c.reset()
 }
--- a/cell/report.go
+++ b/cell/report.go
@@ -219,8 +219,8 @@
 			delete(w.strays, name)
 		}
 	}
-	for name, r := range w.runs {
-		if present[name] == r.number {
+	for r := range w.eachRun {
+		if present[r.task.name] == r.number {
 			continue
 		}
 		c.handleAbsentRun(r, e.Sent)
--- a/cell/reservation.go
+++ b/cell/reservation.go
@@ -184,7 +184,7 @@
 func (c *Cell) releases(cand *candidate) []release {
 	if cand.releases == nil {
 		cand.releases = make([]release, 0, len(cand.w.runs))
-		for _, r := range cand.w.runs {
+		for _, r := range cand.w.runsByAge {
 			cand.releases = append(cand.releases, release{c.now.Steady + c.remainingTime(r), r.task.step.need()})
 		}
 		slices.SortFunc(cand.releases, func(a, b release) int { return cmp.Compare(a.at, b.at) })
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -24,10 +24,10 @@
 		c.updateWorker(w, info)
 	}
 	c.forgetReplaced(present)
-	for id, w := range c.workers {
-		if !present[id] && w.listed {
+	for _, w := range c.sortedWorkers {
+		if !present[w.ID] && w.listed {
 			w.listed = false
-			c.logInfo("worker left the list", slog.String("worker", id), slog.Int("runs", len(w.runs)))
+			c.logInfo("worker left the list", slog.String("worker", w.ID), slog.Int("runs", len(w.runs)))
 		}
 	}
 }
@@ -57,17 +57,21 @@
 // removes workers that have left the list.
 func (c *Cell) expireWorkers() {
 	now := c.now.Steady
-	for id, w := range c.workers {
+	var gone []*worker
+	for _, w := range c.sortedWorkers {
 		expired := now > w.leaseEnd && now > c.recoverBy
 		if w.failing && expired && len(w.runs) > 0 && now-w.answeredAt > silentAfter*2 {
-			c.logInfo("leases ran out", slog.String("worker", id), slog.Int("runs", len(w.runs)), slog.Duration("silent", now-w.answeredAt))
-			for _, r := range w.runs {
+			c.logInfo("leases ran out", slog.String("worker", w.ID), slog.Int("runs", len(w.runs)), slog.Duration("silent", now-w.answeredAt))
+			for r := range w.eachRun {
 				c.dropLostRun(r, "leases ran out")
 			}
 		}
 		if !w.listed && len(w.runs) == 0 && expired && (w.failing || w.synced) {
-			c.removeWorker(w)
-			c.commits.rosterDirty = true
+			gone = append(gone, w)
 		}
 	}
+	for _, w := range gone {
+		c.removeWorker(w)
+		c.commits.rosterDirty = true
+	}
 }
--- a/cell/run.go
+++ b/cell/run.go
@@ -39,7 +39,7 @@
 		t.step.tasksWithRuns++
 	}
 	r.workerStart = r.w.StartedAt
-	r.w.runs[t.name] = r
+	r.w.addRun(r)
 	r.w.charge(r, 1)
 	c.chargeTeam(t.step, 1)
 }
@@ -85,9 +85,7 @@
 			}
 			r.w.charge(r, -1)
 			c.chargeTeam(t.step, -1)
-			if r.w.runs[t.name] == r {
-				delete(r.w.runs, t.name)
-			}
+			r.w.removeRun(r)
 			if t.step.job.Job != nil {
 				c.markDirty(t.step.job)
 			}
--- a/cell/share.go
+++ b/cell/share.go
@@ -148,6 +148,7 @@
 // intake is the decayed average of the work that is accepted to be done in time, in
 // cores.
 type intake struct {
+	teamRank
 	cores float64
 	asOf  Instant
 }
@@ -156,9 +157,30 @@
 	return i.cores * math.Exp(-(now-i.asOf).Seconds()/intakeTimeConstant.Seconds())
 }
 
+// intakeList holds the intakes of all teams and ranks, in the order of their first jobs. The
+// zero value is empty.
+type intakeList struct {
+	list  []intake
+	index map[teamRank]int
+}
+
+// add adds work that is accepted now to an intake.
+func (l *intakeList) add(key teamRank, now Instant, cores float64) {
+	i, known := l.index[key]
+	if !known {
+		if l.index == nil {
+			l.index = map[teamRank]int{}
+		}
+		i = len(l.list)
+		l.index[key] = i
+		l.list = append(l.list, intake{teamRank: key})
+	}
+	l.list[i].cores, l.list[i].asOf = l.list[i].at(now)+cores, now
+}
+
 // recordIntake adds the work of an accepted job to the intake of its team and rank.
 func (c *Cell) recordIntake(key teamRank, work float64) {
-	c.intakes[key] = intake{cores: c.intakes[key].at(c.now.Steady) + work/intakeTimeConstant.Seconds(), asOf: c.now.Steady}
+	c.intakes.add(key, c.now.Steady, work/intakeTimeConstant.Seconds())
 }
 
 // shareWait estimates how long a job of a team above its share waits behind the given
@@ -169,8 +191,8 @@
 	}
 	capacity := scarcity.Packing * c.load.capacity[spec.Queue.Service]
 	left := capacity
-	for other, taken := range c.intakes {
-		if other.team != spec.Team && other.rank <= rank {
+	for _, taken := range c.intakes.list {
+		if taken.team != spec.Team && taken.rank <= rank {
 			left -= taken.at(c.now.Steady)
 		}
 	}
--- a/cell/slowrun.go
+++ b/cell/slowrun.go
@@ -98,7 +98,7 @@
 	for _, cand := range pool.candidates {
 		total += cand.w.Capacity.MilliCPU
 		spare += cand.free.Usable().MilliCPU
-		for _, r := range cand.w.runs {
+		for _, r := range cand.w.runsByAge {
 			if r.hastened {
 				budget -= r.task.step.spec.Need.MilliCPU
 			}
@@ -122,7 +122,7 @@
 		if w.Service != service {
 			continue
 		}
-		for _, r := range w.runs {
+		for _, r := range w.runsByAge {
 			s := r.task.step
 			if !c.mayHasten(r) || !c.isSlow(r) || noTarget[s] || c.remainingQuota(p, s) == 0 {
 				continue
--- a/cell/speed.go
+++ b/cell/speed.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -177,7 +178,8 @@
 			known[w.Service] = append(known[w.Service], factor)
 		}
 	}
-	for service, speeds := range known {
+	for _, service := range slices.Sorted(maps.Keys(known)) {
+		speeds := known[service]
 		if len(speeds) < minKnownSpeeds || float64(len(speeds)) < minKnownShare*float64(total[service]) {
 			continue
 		}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -68,6 +68,7 @@
 	restartSeenAt Instant           // when the last restart became known
 	lifeSince     Instant           // when its address and start became known
 	runs          map[string]*run   // by task
+	runsByAge     []*run            // the same, the oldest first
 	strays        map[string]uint64 // run numbers of the stray runs, by task
 	used          resource.Vector
 	capacity      capacityReading
@@ -155,6 +156,39 @@
 	return !w.synced || w.failing || len(w.runs) > 0 || len(w.strays) > 0 || w.lastAcked < w.lastStored
 }
 
+// addRun adds a run, which replaces an earlier one of its task.
+func (w *worker) addRun(r *run) {
+	w.removeRun(w.runs[r.task.name])
+	w.runs[r.task.name] = r
+	w.runsByAge = append(w.runsByAge, r)
+}
+
+// removeRun removes a run, if it is there. It leaves the elements of runsByAge as they are
+// for loops that drop runs.
+func (w *worker) removeRun(r *run) {
+	if r == nil || w.runs[r.task.name] != r {
+		return
+	}
+	delete(w.runs, r.task.name)
+	rest := make([]*run, 0, len(w.runsByAge))
+	for _, other := range w.runsByAge {
+		if other != r {
+			rest = append(rest, other)
+		}
+	}
+	w.runsByAge = rest
+}
+
+// eachRun ranges over the worker's runs, the oldest first. It leaves out those that are
+// dropped meanwhile, and those that are added.
+func (w *worker) eachRun(yield func(*run) bool) {
+	for _, r := range w.runsByAge {
+		if w.runs[r.task.name] == r && !yield(r) {
+			return
+		}
+	}
+}
+
 func (w *worker) hasLabel(label string) bool {
 	return label == "" || slices.Contains(w.Labels, label)
 }
--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -14,7 +14,10 @@
 //	if f := a.Expected("lookup", now, 2*time.Second); f.Rises { /* keep room */ }
 package forecast
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// Step is the time over which arrivals are counted before they are smoothed.
@@ -47,11 +50,12 @@
 
 // Arrivals holds the smoothed rate of work and its trend by kind. The zero value is empty.
 type Arrivals struct {
-	kinds map[Kind]*series
+	kinds []*series // in the order of their first arrivals
 }
 
 // series is the rate of one kind.
 type series struct {
+	kind     Kind
 	stepFrom time.Duration // start of the current step
 	work     float64       // core-seconds in the current step
 	level    float64       // smoothed rate, in cores
@@ -62,16 +66,14 @@
 
 // Add records the arrival of a job with the given core-seconds of work.
 func (a *Arrivals) Add(k Kind, now time.Duration, work float64) {
-	if a.kinds == nil {
-		a.kinds = map[Kind]*series{}
-	}
-	s := a.kinds[k]
-	if s != nil {
-		s.advance(now)
+	at := slices.IndexFunc(a.kinds, func(s *series) bool { return s.kind == k })
+	if at < 0 {
+		at = len(a.kinds)
+		a.kinds = append(a.kinds, &series{kind: k, stepFrom: now})
 	}
-	if s == nil || s.idle > maxIdleSteps {
-		s = &series{stepFrom: now}
-		a.kinds[k] = s
+	s := a.kinds[at]
+	if s.advance(now); s.idle > maxIdleSteps {
+		*s = series{kind: k, stepFrom: now}
 	}
 	s.work += work
 }
@@ -108,17 +110,16 @@
 // Expected predicts the work of a queue after the given time, over all zones.
 func (a *Arrivals) Expected(queue string, now, after time.Duration) Forecast {
 	current, cores := 0.0, 0.0
-	for k, s := range a.kinds {
-		if k.Queue != queue {
-			continue
+	a.kinds = slices.DeleteFunc(a.kinds, func(s *series) bool {
+		if s.kind.Queue != queue {
+			return false
 		}
-		s.advance(now)
-		if s.idle > maxIdleSteps {
-			delete(a.kinds, k)
-			continue
+		if s.advance(now); s.idle > maxIdleSteps {
+			return true
 		}
 		current += s.at(now)
 		cores += s.at(now + after)
-	}
+		return false
+	})
 	return Forecast{Cores: cores, Rises: cores > current*(1+risingShare), Falls: cores < current}
 }
