Only crashes under the same member count against a gang

Cause: a gang was blamed for a crash of any of its workers. A wide one meets some within 330 ms of a start, or at like ages, by chance; five of these, or two on probation, failed it, and longer runs in between took nothing back.

A task that crashes its workers does so under the same member, each time, after a like time. So a gang's crashes count that have a member in common, and a run that is known to have gone on for clearly longer takes back the earlier crashes that it disproves, of a gang member by member, from when all of them ran. Both are kept in the record of the crashes (Members, optional); rows without it count as before. The cap of four holds for gangs too, and five also where it had no bound.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -219,9 +219,14 @@
 		record := &l.t.crashRecord().Record
 		if i := slices.IndexFunc(runs, func(run poison.Run) bool { return run.Record == record }); i >= 0 {
 			runs[i].Age = min(runs[i].Age, l.age)
+			runs[i].Members = append(runs[i].Members, l.t.index)
 			continue
 		}
-		runs = append(runs, poison.Run{Record: record, Class: l.t.step.crashClass(), Number: l.number, Age: l.age, Probation: l.probation, Gang: l.t.step.spec.Gang})
+		run := poison.Run{Record: record, Class: l.t.step.crashClass(), Number: l.number, Age: l.age, Probation: l.probation}
+		if l.t.step.spec.Gang {
+			run.Gang, run.Members = true, []int{l.t.index}
+		}
+		runs = append(runs, run)
 		tasks = append(tasks, l.t)
 	}
 	return runs, tasks
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -252,3 +252,32 @@
 		require.Same(t, candidates[1], o.cand)
 	}
 }
+
+// Crashes counted on that a longer run of the task had disproved.
+func TestLongerRunTakesBackCrashes(t *testing.T) {
+	for _, stopped := range []bool{false, true} {
+		progress := &workload.Progress{State: workload.Active, Steps: []workload.StepRecord{{
+			Crashes: map[int]poison.Record{0: {Workers: []string{"w0"}, Ages: []time.Duration{100 * time.Millisecond}, Suspect: true}},
+		}}}
+		c := newCrashCell(t, []StoredJob{{ID: crashedJob, Job: crashedSpec(), Progress: progress}}, "w1", "w2")
+		c.report("w1", 1)
+		c.report("w2", 1)
+		for range 2 {
+			c.round()
+		}
+		require.Len(t, c.starts, 1)
+		s := c.starts[0]
+		c.send(Started{Worker: s.Worker, Task: s.Task, Run: s.Run, Received: c.clock.Steady, Clock: c.clock.Steady})
+		c.clock.Steady += 2 * time.Second
+		if stopped {
+			c.round()
+			c.stopRun(c.Cell.workers[s.Worker].runs[s.Task])
+			c.send(PollResult{Worker: s.Worker, Sent: c.clock.Steady, Received: c.clock.Steady, Report: Report{StartedAt: 1, Clock: c.clock.Steady, Ended: []RunResult{{Seq: 1, Task: s.Task, Run: s.Run, Outcome: Stopped}}}})
+			require.Empty(t, c.crashes())
+			continue
+		}
+		c.report(s.Worker, 1, RunningTask{Task: s.Task, Run: s.Run})
+		c.report(s.Worker, 2)
+		require.Equal(t, []string{s.Worker}, c.crashes())
+	}
+}
--- a/cell/crashbudget_test.go
+++ b/cell/crashbudget_test.go
@@ -517,3 +517,52 @@
 	require.Equal(t, []any{Answer{Reply: 1, State: workload.Failed, Reason: reason}}, c.Update(clock, Query{Reply: 1, ID: "dd00000000000001"}))
 	require.Equal(t, []any{Answer{Reply: 2, State: workload.Failed}}, c.Update(clock, Query{Reply: 2, ID: "dd00000000000002"}))
 }
+
+// newChanceFleet returns 48 workers with wide gangs and small tasks. Until the given time, one
+// of the workers crashes by itself each interval, on average.
+func newChanceFleet(t *testing.T, seed uint64, interval time.Duration, until Instant) *simFleet {
+	f := newFleet(t, seed, 48)
+	for i := range 12 {
+		spec := gangJob(fmt.Sprintf("cc%014x", i))
+		spec.Queue.Slack, spec.Queue.Advice = 60, nil
+		spec.Steps[0] = workload.Step{Count: 33, Gang: true, MaxPerWorker: 1, Need: resource.Vector{MilliCPU: 4000, MemoryMB: 4000}, Estimate: 2 * time.Second}
+		f.submit(2*time.Second+time.Duration(i)*2*time.Second, spec)
+	}
+	for i := range 200 {
+		f.submit(2*time.Second+time.Duration(i)*300*time.Millisecond, oneTaskJob(fmt.Sprintf("bb%014x", i)))
+	}
+	for at := 3 * time.Second; at < until; at += time.Duration(f.rng.ExpFloat64() * float64(interval)) {
+		f.at(at, func() {
+			up := slices.DeleteFunc(slices.Sorted(maps.Keys(f.workers)), func(id string) bool { return f.workers[id].gone || f.workers[id].refuses })
+			f.crashWorker(f.workers[up[f.rng.IntN(len(up))]])
+		})
+	}
+	return f
+}
+
+// TestGangsWhoseWorkersCrashByChanceAreNotFailed guards against wide gangs that are given up
+// because many of their workers crash by themselves.
+func TestGangsWhoseWorkersCrashByChanceAreNotFailed(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		f := newChanceFleet(t, seed+1, 800*time.Millisecond, 80*time.Second)
+		f.runUntil(120 * time.Second)
+		f.requireNoneFailed()
+	}
+}
+
+// TestCrashingGangAmongChanceCrashesIsGivenUp guards against a gang whose member crashes its
+// workers and that is started again and again, because others crash by themselves.
+func TestCrashingGangAmongChanceCrashesIsGivenUp(t *testing.T) {
+	t.Parallel()
+	const guilty = "cc00000000000003.0.0.7"
+	for _, delay := range []time.Duration{simCrashDelay, 150 * time.Millisecond} {
+		for seed := range uint64(3) {
+			f := newChanceFleet(t, seed+1, 2*time.Second, 80*time.Second)
+			f.markGuilty(guilty)
+			f.crashes.guilty[guilty] = delay
+			f.runUntil(120 * time.Second)
+			f.requireGuiltyFailed()
+		}
+	}
+}
--- a/cell/job.go
+++ b/cell/job.go
@@ -64,6 +64,8 @@
 	peers           []peerRun           // runs that have ended and are not compared yet
 	peerWork        float64             // median work of its tasks, in nanoseconds at speed 1; 0: unknown
 	crashes         crashRecord         // of a gang; other steps use task.crashes
+	begunRun        uint64              // last run of a gang with crashes of which all members were running
+	begunAt         Instant             // since when they were
 	gangRemainingAt Instant             // when gangRemaining was computed
 	gangRemaining   time.Duration       // longest remaining work of a gang's members
 
@@ -119,8 +121,10 @@
 	state          runState
 	sentAt         Instant
 	confirmedAt    Instant // when it was first known to be running
+	aliveAt        Instant // when it was last known to be running
 	adopted        bool    // an earlier owner started it, at an unknown time before confirmedAt
 	stopSentAt     Instant
+	firstStopAt    Instant // when the first stop was sent
 	stopAckedAt    Instant
 	percent        int     // reported progress
 	savedPercent   int     // progress when the checkpoint was reported
--- a/cell/probation.go
+++ b/cell/probation.go
@@ -278,6 +278,32 @@
 	}
 }
 
+// noteBegun records when a gang with crashes has begun: it works once all members are there.
+func (c *Cell) noteBegun(r *run) {
+	s := r.task.step
+	if !s.spec.Gang || s.crashes.Empty() {
+		return
+	}
+	for _, t := range s.tasks {
+		if !slices.ContainsFunc(t.runs, func(other *run) bool { return other.number == r.number && other.state == running }) {
+			return
+		}
+	}
+	s.begunRun, s.begunAt = r.number, r.confirmedAt
+}
+
+// noteOutlived takes back the crashes of a task that a run of it, which has ended, disproves.
+func (c *Cell) noteOutlived(r *run) {
+	s, record := r.task.step, r.task.crashRecord()
+	switch {
+	case record.Empty() || r.confirmedAt == 0:
+	case !s.spec.Gang:
+		record.Outlived(r.aliveAt - r.confirmedAt)
+	case r.number == s.begunRun:
+		record.MemberOutlived(r.task.index, r.aliveAt-max(s.begunAt, r.confirmedAt))
+	}
+}
+
 // runEnded clears the task of a run that has ended by itself.
 func (c *Cell) runEnded(r *run, outcome RunOutcome) {
 	if c.crashesQuiet() || outcome != Done && outcome != Failed || r.task.step.job.Job == nil {
--- a/cell/report.go
+++ b/cell/report.go
@@ -87,6 +87,9 @@
 	}
 	s := t.step
 	if r != nil {
+		if result.Outcome == Stopped {
+			r.aliveAt = max(r.aliveAt, r.firstStopAt)
+		}
 		c.recordResult(r, result.Outcome)
 		c.runEnded(r, result.Outcome)
 		if result.Outcome == Stopped && result.Checkpoint != "" {
@@ -230,10 +233,9 @@
 // updateRun updates a run from a report that lists it as running.
 func (c *Cell) updateRun(r *run, entry RunningTask, at Instant) {
 	if r.state == starting || r.state == unconfirmed && r.stopSentAt == 0 {
-		r.state = running
-		r.confirmedAt = at
-		r.progressAt = at
+		c.confirmRun(r, at)
 	}
+	r.aliveAt = at
 	if entry.Percent != r.percent || r.progressClock == 0 {
 		r.progressClock = r.w.reportClock
 	}
@@ -281,8 +283,9 @@
 		return nil
 	}
 	t.heldFor = ""
-	r := &run{task: t, number: entry.Run, w: w, state: running, sentAt: at, confirmedAt: at, adopted: true, progressAt: at}
+	r := &run{task: t, number: entry.Run, w: w, sentAt: at, adopted: true}
 	c.addRun(r)
+	c.confirmRun(r, at)
 	return r
 }
 
--- a/cell/run.go
+++ b/cell/run.go
@@ -89,6 +89,7 @@
 				delete(r.w.runs, t.name)
 			}
 			if t.step.job.Job != nil {
+				c.noteOutlived(r)
 				c.markDirty(t.step.job)
 			}
 			break
@@ -143,9 +144,7 @@
 	switch e.Failure {
 	case None:
 		if r.state == starting || r.state == unconfirmed {
-			r.state = running
-			r.confirmedAt = e.Received
-			r.progressAt = e.Received
+			c.confirmRun(r, e.Received)
 		}
 		c.markActive(r.task.step.job)
 		return
@@ -176,6 +175,12 @@
 	}
 }
 
+// confirmRun records that a run is known to be running.
+func (c *Cell) confirmRun(r *run, at Instant) {
+	r.state, r.confirmedAt, r.progressAt = running, at, at
+	c.noteBegun(r)
+}
+
 // handleFatal handles the command failures that end the claim or remove the worker,
 // and reports whether the failure was one of them.
 func (c *Cell) handleFatal(w *worker, failure Failure) bool {
@@ -241,6 +246,9 @@
 		r.state = stopping
 	}
 	r.stopSentAt = c.now.Steady
+	if r.firstStopAt == 0 {
+		r.firstStopAt = c.now.Steady
+	}
 	c.emit(Stop{Command: c.command(r.w), Task: r.task.name, Run: r.number})
 }
 
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -34,8 +34,10 @@
 	// maxCrashes is how many crashes at ages alike a task is blamed for at most. It may be
 	// started twice more after three; one of its crashes may have been taken for another's.
 	maxCrashes = 4
-	// maxGangCrashes is the same for a gang, which meets crashes of many workers by chance.
-	maxGangCrashes = 5
+	// maxInconclusiveCrashes is the same for a gang whose crashes may be chance at that age.
+	maxInconclusiveCrashes = 5
+	// minGangCrashes is how many crashes name a gang if there were no others.
+	minGangCrashes = 3
 	// aloneFrom is the number of crashes from which a task runs with nothing beside it, so
 	// that no other task can add to them.
 	aloneFrom = 3
@@ -71,6 +73,9 @@
 	Ages     []time.Duration `cbor:"4,keyasint,omitempty"` // age of its run at each crash
 	Suspect  bool            `cbor:"5,keyasint,omitempty"` // its next run is on probation
 	ProofAge time.Duration   `cbor:"6,keyasint,omitempty"` // age of its run at the last crash that named it
+	// Members holds the indexes of the gang's tasks on the worker of each crash that may have
+	// caused it. An empty entry, or one that is missing, stands for any.
+	Members [][]int `cbor:"7,keyasint,omitempty"`
 }
 
 // Empty reports whether no crash is recorded.
@@ -88,14 +93,120 @@
 	}
 }
 
-// alike returns the crashes at ages like the given one, and of how many workers. What crashes
-// its workers does so after a similar time.
-func (r *Record) alike(age time.Duration) (crashes, workers int) {
+// Outlived takes back the crashes that a run which went on for the given time disproves. A
+// task that crashes its workers does so each time, after a similar time.
+func (r *Record) Outlived(age time.Duration) {
+	r.drop(func(i int) bool { return r.outlived(i, age) })
+}
+
+// MemberOutlived does the same for the run of one member of a gang. A crash that other
+// members may have caused counts on.
+func (r *Record) MemberOutlived(member int, age time.Duration) {
+	r.drop(func(i int) bool {
+		members := r.members(i)
+		if !r.outlived(i, age) || !slices.Contains(members, member) {
+			return false
+		}
+		r.Members[i] = slices.DeleteFunc(slices.Clone(members), func(m int) bool { return m == member })
+		return len(r.Members[i]) == 0
+	})
+}
+
+// outlived reports whether a run of the given age shows that the task did not bring about
+// a crash. The ages of some crashes are not known.
+func (r *Record) outlived(crash int, age time.Duration) bool {
+	if crash >= len(r.Ages) {
+		return false
+	}
+	at := r.Ages[crash]
+	return at > 0 && age > at && !alike(at, age)
+}
+
+// drop removes the crashes for which the function holds.
+func (r *Record) drop(disproved func(crash int) bool) {
+	var kept Record
+	for i, w := range r.Workers {
+		if disproved(i) {
+			if i == len(r.Workers)-1 {
+				r.Run = 0 // a later crash under the same run counts
+			}
+			continue
+		}
+		kept.Workers = append(kept.Workers, w)
+		if i < len(r.Ages) {
+			kept.Ages = append(kept.Ages, r.Ages[i])
+		}
+		if i < len(r.Members) {
+			kept.Members = append(kept.Members, r.Members[i])
+		}
+	}
+	if len(kept.Workers) == len(r.Workers) {
+		return
+	}
+	r.Workers, r.Ages, r.Members = kept.Workers, kept.Ages, kept.Members
+	if r.Empty() {
+		r.Suspect = false
+	}
+	if !slices.ContainsFunc(r.Ages, func(age time.Duration) bool { return alike(age, r.ProofAge) }) {
+		r.Proofs, r.ProofAge = 0, 0
+	}
+}
+
+// members returns the gang's tasks that may have caused a crash; none if they are not known.
+func (r *Record) members(crash int) []int {
+	if crash >= len(r.Members) {
+		return nil
+	}
+	return r.Members[crash]
+}
+
+// addCrash records a crash under a run.
+func (r *Record) addCrash(worker string, run *Run) {
+	if run.Gang {
+		r.Run = run.Number
+		for len(r.Members) < len(r.Workers) {
+			r.Members = append(r.Members, nil) // rows of earlier versions have none
+		}
+		r.Members = append(r.Members, run.Members)
+	}
+	r.Workers, r.Ages = append(r.Workers, worker), append(r.Ages, run.Age)
+}
+
+// addMembers adds members of a gang on another worker that crashed under the same run.
+func (r *Record) addMembers(members []int) {
+	last := len(r.Members) - 1
+	if last < 0 || len(r.Members[last]) == 0 || len(members) == 0 {
+		return
+	}
+	r.Members[last] = slices.Concat(r.Members[last], members)
+}
+
+// alike returns the crashes at ages like that of the run, and of how many workers. Those of
+// a gang have a member in common.
+func (run *Run) alike() (crashes, workers int) {
+	if len(run.Members) == 0 {
+		return run.Record.alike(run.Age, -1)
+	}
+	for _, member := range run.Members {
+		c, w := run.Record.alike(run.Age, member)
+		if c > crashes || c == crashes && w > workers {
+			crashes, workers = c, w
+		}
+	}
+	return crashes, workers
+}
+
+// alike returns the crashes at ages like the given one that the member may have caused, and
+// of how many workers. What crashes its workers does so after a similar time.
+func (r *Record) alike(age time.Duration, member int) (crashes, workers int) {
 	var seen []string
 	for i, w := range r.Workers {
 		if i < len(r.Ages) && !alike(r.Ages[i], age) {
 			continue
 		}
+		if members := r.members(i); member >= 0 && len(members) > 0 && !slices.Contains(members, member) {
+			continue
+		}
 		crashes++
 		if !slices.Contains(seen, w) {
 			seen = append(seen, w)
@@ -133,7 +244,8 @@
 	Number    uint64        // 0: unknown
 	Age       time.Duration // at the crash
 	Probation bool
-	Gang      bool // its run may end with several workers, which counts once
+	Gang      bool  // its run may end with several workers, which counts once
+	Members   []int // indexes of the gang's tasks on the worker
 }
 
 // Crash is the crash of a worker and what ran there.
@@ -209,16 +321,14 @@
 func (l *Ledger) judgeRun(c Crash, run *Run, b blame) Finding {
 	r := run.Record
 	if run.Gang && run.Number > 0 && run.Number == r.Run {
+		r.addMembers(run.Members)
 		return Unsuspected
 	}
 	culprit := b.culprit != nil && b.culprit.Record == r
 	if c.Mass && !culprit && !l.Young(run.Class, run.Age) {
 		return Unsuspected // it would be the cause by chance only
 	}
-	if run.Gang {
-		r.Run = run.Number
-	}
-	r.Workers, r.Ages = append(r.Workers, c.Worker), append(r.Ages, run.Age)
+	r.addCrash(c.Worker, run)
 	if culprit {
 		r.prove(run.Age)
 	}
@@ -234,14 +344,21 @@
 
 // guilty reports whether the task of a run whose crash was just recorded is given up.
 func (l *Ledger) guilty(run *Run, culprit bool) bool {
-	crashes, workers := run.alike(run.Age)
+	crashes, workers := run.alike()
+	limit := maxCrashes
+	if run.Gang && !l.conclusive(run.Age) {
+		limit = maxInconclusiveCrashes
+	}
 	switch {
-	case culprit && workers >= minWorkers && l.proven(run.Record, run.Class):
+	case crashes >= limit:
 		return true
+	case !culprit || workers < minWorkers:
+		return false
 	case run.Gang:
-		return crashes >= maxGangCrashes && l.conclusive(run.Age)
+		// Its many workers are often hit by chance, but then rarely under the same member.
+		return crashes >= minGangCrashes && crashes == len(run.Workers)
 	default:
-		return crashes >= maxCrashes
+		return l.proven(run.Record, run.Class)
 	}
 }
 
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -262,3 +262,92 @@
 	require.Equal(t, []Finding{Suspected, Suspected}, findings)
 	require.Equal(t, 1, innocent.Proofs)
 }
+
+// ofGang returns a run of a gang whose given members were on the worker that crashed.
+func ofGang(r *Record, n uint64, age time.Duration, members ...int) Run {
+	return Run{Record: r, Class: packs, Number: n, Age: age, Probation: true, Gang: true, Members: members}
+}
+
+// crashingFleet returns a ledger that knows of workers that crash by themselves.
+func crashingFleet() *Ledger {
+	l := &Ledger{}
+	for i := range commonSelfCrashes {
+		l.Judge(Crash{Worker: fmt.Sprint("s", i), Address: fmt.Sprint("s", i)})
+	}
+	return l
+}
+
+// An innocent gang was given up whose workers crashed by themselves, some of them early.
+func TestGangHitByChanceIsNotGivenUp(t *testing.T) {
+	for _, l := range []*Ledger{{}, crashingFleet()} {
+		r := &Record{}
+		for n := range uint64(20) {
+			age := []time.Duration{100 * time.Millisecond, 2 * time.Second, 150 * time.Millisecond, 3 * time.Second}[n%4]
+			crash := Crash{Worker: fmt.Sprint(n), Address: fmt.Sprint(n), At: time.Duration(n) * time.Second, Runs: []Run{ofGang(r, n+1, age, int(n))}}
+			require.NotContains(t, l.Judge(crash), Guilty, n)
+		}
+	}
+}
+
+// The same member was hit each time, but had gone on for longer in between.
+func TestCrashesThatARunHasOutlivedAreTakenBack(t *testing.T) {
+	l, r := crashingFleet(), &Record{}
+	for n := range uint64(20) {
+		run := ofGang(r, n+1, 100*time.Millisecond, 3, 4)
+		require.NotContains(t, l.Judge(Crash{Worker: fmt.Sprint(n), Address: fmt.Sprint(n), Runs: []Run{run}}), Guilty, n)
+		if n%2 == 0 {
+			continue
+		}
+		r.MemberOutlived(3, time.Second)
+		require.NotEmpty(t, r.Workers, "member 4 may have caused them")
+		r.MemberOutlived(4, 350*time.Millisecond)
+		require.NotEmpty(t, r.Workers, "hardly longer than the crashes took")
+		r.MemberOutlived(4, time.Second)
+		require.True(t, r.Empty())
+		require.False(t, r.Suspect)
+		require.Zero(t, r.Proofs)
+	}
+
+	r = &Record{}
+	for n, age := range []time.Duration{100 * time.Millisecond, 2 * time.Second, 0} {
+		l.Judge(Crash{Worker: fmt.Sprint(n), Address: fmt.Sprint(n), Runs: []Run{{Record: r, Class: checks, Number: uint64(n), Age: age}}})
+	}
+	r.Outlived(time.Second)
+	require.Equal(t, []string{"1", "2"}, r.Workers, "a run outlived a crash at an age that is not known")
+	require.Equal(t, []time.Duration{2 * time.Second, 0}, r.Ages)
+}
+
+func TestGangWithACrashingMemberIsGivenUpAmongChanceCrashes(t *testing.T) {
+	for age, limit := range map[time.Duration]int{10 * time.Millisecond: maxCrashes, time.Second: maxInconclusiveCrashes} {
+		l, r := crashingFleet(), &Record{}
+		judge := func(n, member int) Finding {
+			return l.Judge(Crash{Worker: fmt.Sprint(n), Address: fmt.Sprint(n), Runs: []Run{ofGang(r, uint64(n), age, member, 20+n)}})[0]
+		}
+		for n := range limit - 1 {
+			require.NotEqual(t, Guilty, judge(2*n+1, 7), n)
+			require.NotEqual(t, Guilty, judge(2*n+2, n), n) // by chance
+		}
+		require.Equal(t, Guilty, judge(100, 7))
+	}
+}
+
+// Members that crash their workers together were taken for innocent ones hit in turn.
+func TestMembersThatCrashTogetherAreNoContradiction(t *testing.T) {
+	var l Ledger
+	r := &Record{}
+	for n := range uint64(minGangCrashes) {
+		for i := range 3 { // in another order each time
+			member := (int(n) + i) % 3
+			findings := l.Judge(Crash{Worker: fmt.Sprint(n, member), Address: fmt.Sprint(n, member), Runs: []Run{ofGang(r, n+1, 10*time.Millisecond, member)}})
+			if i == 0 {
+				require.Equal(t, n+1 == minGangCrashes, findings[0] == Guilty, n)
+			}
+		}
+	}
+}
+
+func TestGangsOfEarlierVersionsAreCapped(t *testing.T) {
+	l, ages := crashingFleet(), []time.Duration{10 * time.Millisecond, 20 * time.Millisecond, 10 * time.Millisecond}
+	r := &Record{Workers: []string{"1", "2", "3"}, Ages: ages, Run: 3}
+	require.Equal(t, []Finding{Guilty}, l.Judge(Crash{Worker: "4", Runs: []Run{ofGang(r, 4, 10*time.Millisecond, 5)}}))
+}
