Simulated workers report nothing while they crash

A simulated worker that crashed with two members of a gang answered its pending poll halfway: the end of the gang ended the second member there, which reported the first, and other runs already removed, as missing, in its old incarnation. A process that dies answers nothing.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -246,8 +246,9 @@
 // restartWorker restarts a worker under the same ID. Its runs are lost and its results
 // are numbered from 1 again.
 func (f *simFleet) restartWorker(w *simWorker) {
-	for name, r := range w.runs {
-		delete(w.runs, name)
+	lost := maps.Clone(w.runs)
+	clear(w.runs) // before gangs end, so that no member on this worker is reported to have ended
+	for _, r := range lost {
 		f.usedByTeam[f.jobs[r.task.Job].spec.Team] -= r.need.MilliCPU
 		if f.jobs[r.task.Job].spec.Steps[r.task.Step].Gang {
 			f.abortGang(r)
