Stops that make room are counted in the store

The number is stored with the job's progress (key 9 of a step's record, only of tasks with stops, 4 bytes for one task; earlier versions skip the key, earlier rows decode as 0), and the stop is sent once the commit that counts it is confirmed, as a start is after its placement. If the owner dies in between, the task is left with one stop fewer; a stop sent before would be one more. A stop that the store confirms later than the second for which the step waits for the room, or that its run or step no longer needs by then, is not sent, and the charge and the number are taken back. The charge is brought up to date when the stop is sent, as is the log line.

--- a/cell/commit.go
+++ b/cell/commit.go
@@ -67,6 +67,7 @@
 	accepts []uint64 // submissions to answer
 	cancels []uint64 // cancellations to answer
 	placed  []*run   // runs to start
+	evicted []*run   // runs to stop to make room
 }
 
 // markDirty queues a job for the next commit.
@@ -196,8 +197,8 @@
 		j.deleted = true // a later commit deletes the row; it is harmless until then
 		c.commits.drops = append(c.commits.drops, Row{Table: Jobs, Key: j.id})
 	}
-	p.jobs = append(p.jobs, jobWrite{job: j, state: record.State, accepts: j.acceptReplies, cancels: j.cancelReplies, placed: j.unstoredRuns()})
-	j.acceptReplies, j.cancelReplies = nil, nil
+	p.jobs = append(p.jobs, jobWrite{job: j, state: record.State, accepts: j.acceptReplies, cancels: j.cancelReplies, placed: j.unstoredRuns(), evicted: j.evicted})
+	j.acceptReplies, j.cancelReplies, j.evicted = nil, nil, nil
 	return puts
 }
 
@@ -291,6 +292,9 @@
 	for _, r := range write.placed {
 		c.sendStart(r)
 	}
+	for _, r := range write.evicted {
+		c.stopEvicted(r)
+	}
 	if write.state.Final() && j.Job != nil {
 		c.stopJob(j)
 		c.dropWorkingState(j)
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -232,7 +232,7 @@
 // remainingTime estimates how long a run still occupies its worker.
 func (c *Cell) remainingTime(r *run) time.Duration {
 	s := r.task.step
-	if s.job.Job == nil || r.state == stopping {
+	if s.job.Job == nil || r.state == stopping || r.roomFor != nil {
 		return c.StopTimeout
 	}
 	if s.spec.LongRunning {
--- a/cell/job.go
+++ b/cell/job.go
@@ -25,6 +25,7 @@
 	occurrences    []*occurrence
 	acceptReplies  []uint64 // IDs of the replies to send once the acceptance is stored
 	cancelReplies  []uint64 // IDs of the replies to send once the cancellation is stored
+	evicted        []*run   // runs to stop to make room, once that is stored
 	endedAt        Instant
 	deleted        bool // the job's row is deleted, or will be
 	beyondRate     bool // the team exceeded its rate when it submitted the job
@@ -91,7 +92,7 @@
 	lastRun    uint64 // number of its last run, or the one after which its runs are numbered
 	runs       []*run
 	avoid      map[string]bool // workers on which it failed
-	evictions  int             // how often its run was stopped to make room
+	evictions  int             // how often its run was stopped to make room, or will be once that is stored
 	copies     int             // copies of slow runs that have been started
 	minSpeed   float64         // preferred speed of its worker, after a move from a slow one
 	crashes    crashRecord
@@ -130,6 +131,8 @@
 	progressAt     Instant // when percent last changed
 	savedAt        Instant // when its last checkpoint was reported; 0 if none was
 	saved          string  // that checkpoint
+	roomFor        *step   // step that it makes room for, until its stop is sent
+	evictedAt      Instant // when that was decided
 	lost           float64 // core-seconds charged for its stop, if it was stopped to make room
 	resumed        bool    // it was started from a checkpoint
 	// progressClock is the worker's clock in the first report with the current percent; 0
@@ -137,6 +140,9 @@
 	progressClock time.Duration
 }
 
+// atWork reports whether a run is running and is not to be stopped.
+func (r *run) atWork() bool { return r.state == running && r.stopSentAt == 0 && r.roomFor == nil }
+
 func (s *step) unstartedTasks() int { return s.tasksLeft - s.tasksWithRuns }
 
 // newJob returns the working state of a job with the given progress. Its runs are
@@ -193,6 +199,11 @@
 			s.tasks[i].crashRecord().Record = r
 		}
 	}
+	for i, n := range rec.Evictions {
+		if i < len(s.tasks) {
+			s.tasks[i].evictions = n
+		}
+	}
 	for i, at := range rec.Placed {
 		if i < len(s.tasks) {
 			s.tasks[i].heldFor, s.tasks[i].heldSince = at.Worker, at.StartedAt
@@ -256,6 +267,12 @@
 			}
 			rec.Crashes[t.index] = crashes.Record
 		}
+		if t.evictions > 0 {
+			if rec.Evictions == nil {
+				rec.Evictions = map[int]int{}
+			}
+			rec.Evictions[t.index] = t.evictions
+		}
 		failedRuns, saved := t.failedRuns, t.checkpoint
 		if s.spec.Gang {
 			if t.index > 0 {
@@ -276,7 +293,7 @@
 			rec.Checkpoints[t.index] = saved
 		}
 	}
-	return rec, len(rec.Done)+len(rec.FailedRuns)+len(rec.Checkpoints)+len(rec.Placed)+len(rec.Crashes) > 0
+	return rec, len(rec.Done)+len(rec.FailedRuns)+len(rec.Checkpoints)+len(rec.Placed)+len(rec.Crashes)+len(rec.Evictions) > 0
 }
 
 // placement returns the worker on which the task may be running and the number of the
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -118,23 +118,49 @@
 	return took
 }
 
-// evict stops a run to make room for a step.
+// evict stops a run to make room for a step. The stop is sent once it is counted in the
+// store, so that the owners together stop no task more than maxEvictions times.
 func (c *Cell) evict(r *run, s *step, lost float64) {
-	c.eviction.budget -= lost
+	c.chargeEviction(r, lost)
 	c.eviction.runs++
-	c.eviction.lost += lost
 	r.task.evictions++
-	r.lost = lost
-	c.logInfo("room taken back", slog.String("task", r.task.name), slog.Uint64("run", r.number), slog.String("worker", r.w.ID), slog.String("for", s.name), slog.Float64("lostCoreSeconds", lost))
+	r.roomFor, r.evictedAt = s, c.now.Steady
+	j := r.task.step.job
+	j.evicted = append(j.evicted, r)
+	c.markDirty(j)
+}
+
+// stopEvicted stops a run whose eviction is stored. It takes the eviction back if the run
+// has ended, can no longer be stopped at little loss, or makes room for nothing by now.
+func (c *Cell) stopEvicted(r *run) {
+	t, s := r.task, r.roomFor
+	r.roomFor = nil
+	if r.w.runs[t.name] != r || !c.stopsWell(r) || s.job.Job == nil || s.unstartedTasks() == 0 || c.now.Steady-r.evictedAt >= evictionPause {
+		c.chargeEviction(r, 0)
+		c.eviction.runs--
+		t.evictions--
+		if t.step.job.Job != nil {
+			c.markDirty(t.step.job)
+		}
+		return
+	}
+	c.chargeEviction(r, c.lostWork(r))
+	c.logInfo("room taken back", slog.String("task", t.name), slog.Uint64("run", r.number), slog.String("worker", r.w.ID), slog.String("for", s.name), slog.Float64("lostCoreSeconds", r.lost))
 	c.stopRun(r)
 }
 
+// chargeEviction charges the core-seconds that the stop of a run throws away, in place of
+// what was charged for it before.
+func (c *Cell) chargeEviction(r *run, lost float64) {
+	c.eviction.budget -= lost - r.lost
+	c.eviction.lost += lost - r.lost
+	r.lost = lost
+}
+
 // refundEviction takes back what was charged for a stopped run, but for the time to resume
 // it, because the run saved its progress at the stop.
 func (c *Cell) refundEviction(r *run) {
-	unlost := max(0, r.lost-restoreTime.Seconds()*float64(r.task.step.need().MilliCPU)/1000)
-	c.eviction.budget += unlost
-	c.eviction.lost -= unlost
+	c.chargeEviction(r, min(r.lost, restoreTime.Seconds()*float64(r.task.step.need().MilliCPU)/1000))
 	r.lost = 0
 }
 
@@ -181,7 +207,12 @@
 	if !s.spec.Checkpointing || s.spec.Gang || s.spec.LongRunning || s.spec.UsesIdleCPU {
 		return false
 	}
-	return r.state == running && r.stopSentAt == 0 && !r.w.failing && r.task.evictions < maxEvictions && c.unsaved(r) <= maxCheckpointAge
+	return r.task.evictions < maxEvictions && c.stopsWell(r)
+}
+
+// stopsWell reports whether a run is at work and a stop throws away little of it.
+func (c *Cell) stopsWell(r *run) bool {
+	return r.atWork() && !r.w.failing && c.unsaved(r) <= maxCheckpointAge
 }
 
 // unsaved returns how long a run has worked since its last known checkpoint.
--- a/cell/slowrun.go
+++ b/cell/slowrun.go
@@ -150,7 +150,7 @@
 // step allows copies or has saved a checkpoint.
 func (c *Cell) mayHasten(r *run) bool {
 	s := r.task.step
-	if r.state != running || r.number != 1 || len(r.task.runs) != 1 || r.task.copies >= maxCopies || s.job.Job == nil || s.job.progress.State.Final() {
+	if !r.atWork() || r.number != 1 || len(r.task.runs) != 1 || r.task.copies >= maxCopies || s.job.Job == nil || s.job.progress.State.Final() {
 		return false
 	}
 	if s.spec.Gang || c.mayCrash(r) || s.spec.LongRunning || s.spec.UsesIdleCPU || s.spec.Estimate <= 0 || !c.queueStats(s.job.Queue.Name).runs.Known() {
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -32,6 +32,9 @@
 	// Crashes holds the crashes of workers under a task, by task index; those of a gang
 	// are at index 0.
 	Crashes map[int]poison.Record `cbor:"8,keyasint,omitempty"`
+	// Evictions holds how often a task's runs were stopped to make room, by task index. A
+	// stop is stored here before it is sent.
+	Evictions map[int]int `cbor:"9,keyasint,omitempty"`
 }
 
 // Placement assigns a run of a task to a worker.
