The time of an isolated owner is that of the tests

TestOwnerDetectsIsolationInTime measured the time of the machine. Beside 12 busy processes, at a load of 25, it failed in 3 of some 30 runs (0.98 s, 1.32 s, 4.35 s against 800 ms; 10 of 10 passed without them). A trial with the same calls beside a ticker: all calls had ended, and a plain sleep of 700 ms took 1.13 s in two of 23 runs. No timer is armed late: all hosts are probed side by side, each call has its own deadline.

The test now runs on the clock that tests pause and advance, with connections in memory, which the pool of peers takes from a function field; half of the hosts accept none, the others accept and stay silent. Bound unchanged. It fails if the hosts are probed one after the other (3.2 s), and passes 40 of 40 runs beside 10 busy processes with the race detector. TCP to silent hosts stays covered by the tests of offers.

--- a/cellhost/ownership_keeper_test.go
+++ b/cellhost/ownership_keeper_test.go
@@ -1,11 +1,14 @@
 package cellhost
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -82,10 +85,27 @@
 
 // TestOwnerDetectsIsolationInTime checks that an owner soon notices that no other host
 // answers. The others cannot reach the owner either, so none of their clients is
-// served until then.
+// served until then. Half of them accept connections.
 func TestOwnerDetectsIsolationInTime(t *testing.T) {
-	h, _ := newOwnerAmongSilentHosts(t)
-	start := time.Now()
-	require.True(t, h.isolated(t.Context()))
-	require.Less(t, time.Since(start), 2*heartbeatTimeout)
+	synctest.Test(t, func(t *testing.T) {
+		h := newOwner(&fakeStore{})
+		h.Name = "me"
+		h.Log = slog.New(slog.DiscardHandler)
+		h.peers.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			if addr == "off" {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			near, far := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, far) }() // until the near end is closed
+			return near, nil
+		}
+		for i := range silentHosts {
+			h.ownership.hosts.record(fmt.Sprintf("host-%d", i), hostInfo{Addr: []string{"off", "silent"}[i%2]})
+		}
+		start := time.Now()
+		require.True(t, h.isolated(t.Context()))
+		require.Less(t, time.Since(start), 2*heartbeatTimeout)
+		h.peers.Close()
+	})
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -214,6 +214,8 @@
 	// CountBytes, if set, is called with the bytes sent and received by each read and
 	// write on any connection.
 	CountBytes func(sent, received int)
+	// Dial, if set, connects to a host in place of TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*drpcconn.Conn
@@ -281,15 +283,14 @@
 		return conn, nil
 	}
 	p.mu.Unlock()
-	dialer := net.Dialer{Timeout: dialTimeout}
-	tcp, err := dialer.DialContext(ctx, "tcp", addr)
+	transport, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
 	if p.CountBytes != nil {
-		tcp = &countingConn{Conn: tcp, count: p.CountBytes}
+		transport = &countingConn{Conn: transport, count: p.CountBytes}
 	}
-	conn := drpcconn.New(tcp)
+	conn := drpcconn.New(transport)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open == nil {
@@ -303,6 +304,14 @@
 	return conn, nil
 }
 
+func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if p.Dial != nil {
+		return p.Dial(ctx, addr)
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", addr)
+}
+
 // release returns a connection to the pool, or closes it if enough are idle.
 func (p *Pool) release(addr string, conn *drpcconn.Conn) {
 	p.mu.Lock()
