The search for slow runs is measured by what it looks at

The bound is 4 in place of 6, as the factor for the caches is not needed. If each slow run is compared with every worker, the count grows 9.06 times and the test fails. Not covered any more: work that is done for each run or worker outside these loops.

--- a/cell/scale_test.go
+++ b/cell/scale_test.go
@@ -58,9 +58,9 @@
 	require.Less(t, large, 20*small)
 }
 
-// slowSearchCost returns the time of a search for slow runs while there is one for each
-// worker and each worker has room for more.
-func slowSearchCost(t testing.TB, workers int) time.Duration {
+// slowSearchCost returns how many runs and workers a search for slow runs looks at while
+// there is one for each worker and each worker has room for more.
+func slowSearchCost(t testing.TB, workers int) int {
 	f := newScaledFleet(t, workers)
 	var spec *workload.Job
 	for i := range workers {
@@ -78,24 +78,21 @@
 	c.heldUse = c.heldResources()
 	p := c.newRound()
 	require.Len(t, p.pools, 1)
-	took := time.Hour
-	for range 10 {
-		for service, pool := range p.pools {
-			start := time.Now()
-			c.slowRuns(p, pool, service)
-			took = min(took, time.Since(start))
-		}
+	c.hastening.looked = 0
+	for service, pool := range p.pools {
+		c.slowRuns(p, pool, service)
 	}
-	return took
+	return c.hastening.looked
 }
 
 // TestSearchForSlowRunsGrowsWithWorkers lets all runs be slow. Three times as many of them
-// and of the workers may take three times as long, with a factor of two for the caches of the
-// processor, but not nine times.
+// and of the workers may take three times as many steps, or a third more as the workers that
+// advice names vary, but not nine times.
 func TestSearchForSlowRunsGrowsWithWorkers(t *testing.T) {
 	small, large := slowSearchCost(t, 1200), slowSearchCost(t, 3600)
-	t.Logf("%v with 1200 workers, %v with 3600", small, large)
-	require.Less(t, large, 6*small)
+	t.Logf("%d with 1200 workers, %d with 3600", small, large)
+	require.GreaterOrEqual(t, small, 2*1200, "a worker for each run")
+	require.Less(t, large, 4*small)
 }
 
 // BenchmarkRound reports the CPU time of a placement round with 100,000 queued tasks.
--- a/cell/slowrun.go
+++ b/cell/slowrun.go
@@ -37,6 +37,7 @@
 type hastening struct {
 	copies, moves int
 	checkedAt     Instant
+	looked        int // runs and workers looked at for them
 }
 
 // slowRun is a run that a copy or a move to another worker would end sooner.
@@ -123,12 +124,13 @@
 			continue
 		}
 		for _, r := range w.runs {
+			c.hastening.looked++
 			s := r.task.step
 			if !c.mayHasten(r) || !c.isSlow(r) || noTarget[s] || c.remainingQuota(p, s) == 0 {
 				continue
 			}
 			if fastest == nil {
-				fastest = newFastWorkers(pool)
+				fastest = newFastWorkers(pool, &c.hastening.looked)
 			}
 			target := c.fasterWorker(pool, fastest, r)
 			if target == nil {
@@ -169,10 +171,11 @@
 type fastWorkers struct {
 	list     []*candidate
 	firstFit map[resource.Vector]int // index of the first that has room for a need
+	looked   *int                    // counts candidates looked at
 }
 
-func newFastWorkers(pool *servicePool) *fastWorkers {
-	f := &fastWorkers{list: slices.Clone(pool.candidates), firstFit: map[resource.Vector]int{}}
+func newFastWorkers(pool *servicePool, looked *int) *fastWorkers {
+	f := &fastWorkers{list: slices.Clone(pool.candidates), firstFit: map[resource.Vector]int{}, looked: looked}
 	slices.SortStableFunc(f.list, fasterFirst)
 	return f
 }
@@ -187,6 +190,7 @@
 	if !known {
 		for first < len(f.list) && !need.Fits(f.list[first].free) {
 			first++
+			*f.looked++
 		}
 		f.firstFit[need] = first
 	}
@@ -202,9 +206,11 @@
 	if s.advice.needed {
 		candidates = pool.mayRunOn(s) // few
 		slices.SortStableFunc(candidates, fasterFirst)
+		c.hastening.looked += len(candidates)
 	}
 	var best *candidate
 	for _, cand := range candidates {
+		c.hastening.looked++
 		if cand.w != r.w && cand.w.probation == nil && need.Fits(cand.free) && cand.w.reservedFrom == 0 && !r.task.avoid[cand.w.ID] && s.eligibleOn(cand.w) && s.room(cand.w, cand.free) > 0 {
 			best = cand
 			break
