Gangs: a log line says what a broken gang waited for

A gang whose run was broken logged neither when it was placed again nor what it waited for; only a throttled line named what it waited for at that moment.

'broken gang placed again' splits the time from the break to the next placement by the reasons of 'gang waits', the ends of its members and a member's worker that does not answer.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -31,6 +31,7 @@
 // soonest.
 func (c *Cell) placeGang(p *round, pool *servicePool, s *step) {
 	if s.tasksWithRuns > 0 {
+		c.noteMemberWait(s)
 		return
 	}
 	if s.hasHeldTask() {
@@ -63,6 +64,7 @@
 	}
 	c.takeLongRoom(pool, s, next)
 	c.logPlaced(s, next, 0)
+	c.logBackAgain(s)
 }
 
 // prepareGang returns the assignments of a gang that can start now. Otherwise it
@@ -218,6 +220,7 @@
 // logGangWait logs what a gang waits for, at increasing intervals. The meaning of n
 // depends on the reason.
 func (c *Cell) logGangWait(s *step, why string, n int) {
+	c.noteGangWait(s, why)
 	if s.waitLogDelay == 0 {
 		s.waitLogDelay, s.nextWaitLog = firstWaitLogDelay, c.now.Steady+firstWaitLogDelay
 	}
--- a/cell/gang_log_test.go
+++ b/cell/gang_log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,3 +63,36 @@
 		})
 	}
 }
+
+// TestWaitOfABrokenGangIsLogged crashes the worker of one member.
+func TestWaitOfABrokenGangIsLogged(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 48)
+	records := f.logged("broken gang placed again")
+	spec := gangJob("cc00000000000001")
+	spec.Queue.Slack, spec.Steps[0].MaxPerWorker = 60, 1
+	f.submit(2*time.Second, spec)
+	f.at(6*time.Second, func() {
+		for _, w := range f.workers {
+			if w.runs[spec.ID+".0.0.3"] != nil {
+				f.crashWorker(w)
+				return
+			}
+		}
+	})
+	f.runUntil(40 * time.Second)
+	f.requireNoViolations()
+	f.requireAllEnded()
+	require.Len(t, *records, 1)
+	record := (*records)[0]
+	require.Equal(t, spec.ID+".0.0", record["step"])
+	after, err := time.ParseDuration(record["after"])
+	require.NoError(t, err)
+	sum := time.Duration(0)
+	for _, wait := range strings.Split(record["waits"], ", ") {
+		d, err := time.ParseDuration(wait[strings.LastIndex(wait, " ")+1:])
+		require.NoError(t, err, wait)
+		sum += d
+	}
+	require.InDelta(t, after.Seconds(), sum.Seconds(), 0.05, record["waits"])
+}
--- a/cell/job.go
+++ b/cell/job.go
@@ -57,6 +57,7 @@
 	lastRun         uint64              // number of the last run of a gang; the runs of other steps are numbered in task
 	failedRuns      workload.FailedRuns // of a gang; other steps use task.failedRuns
 	endedRun        uint64              // last run of a gang whose end by one member was logged
+	broken          gangWait            // since the last run of a gang was broken
 	notStarted      *run                // member of a gang that is to be placed anew; nil if none is
 	sentRun         uint64              // last run of a gang of which a start was sent
 	sentCheckpoint  string              // checkpoint that the starts of sentRun carry
--- a/cell/missing_members.go
+++ b/cell/missing_members.go
@@ -113,6 +113,7 @@
 // that work; those that have not begun would wait in vain.
 func (c *Cell) memberEnded(r *run, outcome RunOutcome) {
 	s := r.task.step
+	c.noteBroken(s)
 	if outcome != GangAborted {
 		c.logGangEnd(r, outcome.cause())
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -218,6 +218,7 @@
 		return
 	}
 	c.logGangEnd(lost, cause)
+	c.noteBroken(s)
 	s.notStarted = nil
 	for _, t := range s.tasks {
 		for _, r := range slices.Clone(t.runs) {
