Gangs wait for no worker that has certainly ended their members

A gang whose member was lost with its worker waited until another worker answered at that address, or the lease ended: 3 to 6 s, though the other members were listed as broken at once. 'broken' says that another member has ended. If all members but those on one worker are listed so, one of these has ended first, and a worker ends or breaks those beside it. They are dropped as soon as their worker does not answer.

It waits as before where the proof fails: members left on two workers, one stopped or failed, or the start of one never confirmed; where the run may have crashed the worker (mayCrash), so that no suspect starts before the crash is judged; and where the lost run may have used up the attempts. A crash is still judged with the runs that were dropped. A refused connection is no proof and counts for nothing here.

Simulated workers that crash reported, while they ended, one member as broken by another on the same worker; now all end at the same moment.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -262,6 +262,7 @@
 	c.expireWorkers()
 	c.checkCrashes()
 	c.checkRuns()
+	c.settleLostMembers()
 	c.checkMissingMembers()
 	c.checkPolicyAge()
 	c.checkRecovery()
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -246,8 +246,10 @@
 // restartWorker restarts a worker under the same ID. Its runs are lost and its results
 // are numbered from 1 again.
 func (f *simFleet) restartWorker(w *simWorker) {
-	for name, r := range w.runs {
-		delete(w.runs, name)
+	ended := w.runs
+	w.runs = map[string]*simRun{} // all at once: a dead worker reports none of them as broken
+	for _, name := range slices.Sorted(maps.Keys(ended)) {
+		r := ended[name]
 		f.usedByTeam[f.jobs[r.task.Job].spec.Team] -= r.need.MilliCPU
 		if f.jobs[r.task.Job].spec.Steps[r.task.Step].Gang {
 			f.abortGang(r)
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -120,7 +121,7 @@
 	at := c.crashedAt(w)
 	w.lostOthers = false
 	var list []lostRun
-	for _, r := range w.runs {
+	for _, r := range w.runsBeforeFailure() {
 		if r.state == placing || r.sentAt > at {
 			continue
 		}
@@ -135,6 +136,12 @@
 	return list
 }
 
+// runsBeforeFailure returns the worker's runs and those that were dropped since its last
+// report, because they had certainly ended.
+func (w *worker) runsBeforeFailure() []*run {
+	return append(slices.Collect(maps.Values(w.runs)), w.ended...)
+}
+
 // noteRestart keeps the runs of a worker that has restarted until its report shows which
 // of them it still has.
 func (c *Cell) noteRestart(w *worker) {
@@ -310,7 +317,7 @@
 		count(past)
 	}
 	for _, o := range c.sortedWorkers {
-		if o.failing && o.failingAt > 0 && len(o.runs) > 0 {
+		if o.failing && o.failingAt > 0 && len(o.runs)+len(o.ended) > 0 {
 			if lost := c.lostRuns(o); len(lost) > 0 {
 				runs, _ := crashRuns(lost)
 				count(c.pastCrash(o, poison.Crash{At: o.failingAt, Others: o.lostOthers, Runs: runs}))
--- a/cell/gang_wait_test.go
+++ b/cell/gang_wait_test.go
@@ -151,7 +151,7 @@
 				f, end := newCrashLoad(t, seed+1, load)
 				waits := f.watchBrokenGangs()
 				f.runUntil(end + startAfterTraffic)
-				t.Log(waits)
+				t.Log(t.Name(), waits)
 				require.Empty(t, f.violations)
 			})
 		}
--- a/cell/job.go
+++ b/cell/job.go
@@ -58,6 +58,7 @@
 	failedRuns      workload.FailedRuns // of a gang; other steps use task.failedRuns
 	endedRun        uint64              // last run of a gang whose end by one member was logged
 	broken          gangWait            // since the last run of a gang was broken
+	ended           []endedRun          // runs of lost members of a gang
 	notStarted      *run                // member of a gang that is to be placed anew; nil if none is
 	sentRun         uint64              // last run of a gang of which a start was sent
 	sentCheckpoint  string              // checkpoint that the starts of sentRun carry
@@ -96,6 +97,7 @@
 	copies     int             // copies of slow runs that have been started
 	minSpeed   float64         // preferred speed of its worker, after a move from a slow one
 	crashes    crashRecord
+	brokenRun  uint64 // last run that its worker listed as broken
 	heldSince  int64  // start of that worker when the run was placed; 0: unknown
 	heldFor    string // worker that may still execute a run that an earlier owner started; until that is known, no run starts
 }
--- /dev/null
+++ b/cell/lost_member.go
@@ -0,0 +1,77 @@
+package cell
+
+import (
+	"log/slog"
+	"slices"
+)
+
+// This file settles the runs of gang members whose worker does not answer. A worker lists a
+// member as broken if another member has ended. Once all members but those on one worker are
+// listed so, one of these has ended first, and its worker has ended the others with it or
+// broken them itself. Then the gang need not wait for that worker.
+
+// endedRun is a run of a gang that has certainly ended on a worker that has not said how.
+type endedRun struct {
+	number      uint64
+	w           *worker
+	since       Instant
+	incarnation int // of the worker
+}
+
+// settleLostMembers drops the runs of lost members that have certainly ended.
+func (c *Cell) settleLostMembers() {
+	for _, s := range c.waiting {
+		if !s.spec.Gang || s.tasksWithRuns == 0 || s.done || s.job.Job == nil {
+			continue
+		}
+		left := s.firstEnded()
+		if left == nil {
+			continue
+		}
+		w := left[0].w
+		if !w.failing || slices.ContainsFunc(left, c.mayCrash) || !s.mayHaveFailedOnceMore() {
+			continue
+		}
+		c.logInfo("lost members have ended", slog.String("step", s.name), slog.Uint64("run", left[0].number), slog.Int("members", len(left)), slog.String("worker", w.ID))
+		w.ended = append(w.ended, left...)
+		s.ended = append(s.ended, endedRun{left[0].number, w, c.now.Steady, w.incarnation})
+		for _, r := range left {
+			c.dropLostRun(r, "worker lost")
+		}
+	}
+}
+
+// firstEnded returns the runs on one worker of which one has ended before all other members of
+// the gang, or nil if there is no such worker.
+func (s *step) firstEnded() []*run {
+	var left []*run
+	for _, t := range s.tasks {
+		if len(t.runs) == 0 {
+			continue
+		}
+		r := t.runs[0]
+		if len(t.runs) > 1 || r.confirmedAt == 0 || len(left) > 0 && (r.w != left[0].w || r.number != left[0].number || r.stopSentAt > 0 || left[0].stopSentAt > 0) {
+			return nil
+		}
+		left = append(left, r)
+	}
+	if len(left) == 0 || len(left) == len(s.tasks) {
+		return nil
+	}
+	for _, t := range s.tasks {
+		if len(t.runs) == 0 && t.brokenRun != left[0].number {
+			return nil
+		}
+	}
+	return left
+}
+
+// mayHaveFailedOnceMore reports whether the gang has attempts left even if its lost members
+// failed, which their workers may still list.
+func (s *step) mayHaveFailedOnceMore() bool {
+	s.ended = slices.DeleteFunc(s.ended, func(e endedRun) bool {
+		return e.w.removed || e.w.incarnation != e.incarnation || e.w.reportedAt > e.since || slices.Contains(s.failedRuns, e.number)
+	})
+	limit := s.job.Queue.MaxAttempts
+	return limit == 0 || len(s.failedRuns)+len(s.ended)+1 < limit
+}
--- /dev/null
+++ b/cell/lost_member_test.go
@@ -0,0 +1,115 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/workload"
+)
+
+// newWorkingGang returns a fleet with a gang of eight members that works since some seconds, at
+// most perWorker of them on one worker.
+func newWorkingGang(t *testing.T, perWorker int) (*simFleet, *simJob) {
+	f := newFleet(t, 1, 48)
+	spec := gangJob("cc00000000000001")
+	spec.Queue.Slack, spec.Steps[0].MaxPerWorker, spec.Steps[0].Estimate = 60, perWorker, 12*time.Second
+	j := f.submit(2*time.Second, spec)
+	f.runUntil(7 * time.Second)
+	require.NotZero(t, j.begunAt)
+	return f, j
+}
+
+// memberWorker returns the worker that runs a member.
+func (f *simFleet) memberWorker(j *simJob, index int) *simWorker {
+	for _, w := range f.workers {
+		if w.runs[fmt.Sprintf("%s.0.0.%d", j.spec.ID, index)] != nil {
+			return w
+		}
+	}
+	require.Fail(f.t, "the member does not run")
+	return nil
+}
+
+// TestBrokenGangDoesNotWaitForTheWorkerThatCrashed crashes the worker of one member. The others
+// are listed as broken, so that member has ended; the gang waited until the worker was back.
+func TestBrokenGangDoesNotWaitForTheWorkerThatCrashed(t *testing.T) {
+	t.Parallel()
+	for _, perWorker := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d on a worker", perWorker), func(t *testing.T) {
+			f, j := newWorkingGang(t, perWorker)
+			broken := f.now
+			w := f.memberWorker(j, 3)
+			require.Len(t, w.runs, perWorker)
+			f.crashWorker(w)
+			f.runUntil(60 * time.Second)
+			f.requireNoViolations()
+			require.Equal(t, workload.Completed, j.state)
+			require.Greater(t, j.begunAt, broken)
+			require.Less(t, j.begunAt-broken, maxWait)
+		})
+	}
+}
+
+// TestGangWaitsForTwoLostMembers crashes the worker of one member while that of another is cut
+// off: either may have ended first, and the other is not known to have ended.
+func TestGangWaitsForTwoLostMembers(t *testing.T) {
+	t.Parallel()
+	f, j := newWorkingGang(t, 1)
+	broken := f.now
+	first, second := f.memberWorker(j, 3), f.memberWorker(j, 5)
+	second.cutOff = true
+	f.after(simDownTime, func() { second.cutOff = false })
+	f.crashWorker(first)
+	f.runUntil(60 * time.Second)
+	f.requireNoViolations()
+	require.Equal(t, workload.Completed, j.state)
+	require.GreaterOrEqual(t, j.begunAt-broken, simDownTime)
+}
+
+// TestGangWaitsForAMemberThatNoOtherEndProves stops one member and cuts off the worker of
+// another. The others are broken by the stop, so the one that is cut off may run on.
+func TestGangWaitsForAMemberThatNoOtherEndProves(t *testing.T) {
+	t.Parallel()
+	f, j := newWorkingGang(t, 1)
+	s := f.owner.jobs[j.spec.ID].occurrences[0].steps[0]
+	lost, stopped := f.memberWorker(j, 3), f.memberWorker(j, 5)
+	lost.cutOff = true
+	f.endRun(stopped, j.spec.ID+".0.0.5", stopped.runs[j.spec.ID+".0.0.5"], Stopped)
+	f.runUntil(f.now + maxWait)
+	require.Len(t, s.tasks[3].runs, 1, "the member counts as ended")
+	lost.cutOff = false
+	f.runUntil(60 * time.Second)
+	f.requireNoViolations()
+	require.Equal(t, workload.Completed, j.state)
+}
+
+// TestLostMemberMayHaveFailedForTheLastTime crashes the worker of a member of a gang that has
+// failed once and may fail once more. The lost run may be one that failed.
+func TestLostMemberMayHaveFailedForTheLastTime(t *testing.T) {
+	t.Parallel()
+	f, j := newWorkingGang(t, 1)
+	s := f.owner.jobs[j.spec.ID].occurrences[0].steps[0]
+	s.failedRuns, s.job.Queue.MaxAttempts = workload.FailedRuns{1 << 40}, 2
+	broken := f.now
+	f.crashWorker(f.memberWorker(j, 3))
+	f.runUntil(60 * time.Second)
+	f.requireNoViolations()
+	require.GreaterOrEqual(t, j.begunAt-broken, simDownTime)
+}
+
+// TestCrashIsJudgedWithTheMemberThatHasEnded crashes the worker of a member that is known to
+// have ended before the worker is replaced.
+func TestCrashIsJudgedWithTheMemberThatHasEnded(t *testing.T) {
+	t.Parallel()
+	f, j := newWorkingGang(t, 1)
+	settled, crashed := f.logged("lost members have ended"), f.logged("worker crashed")
+	f.crashWorker(f.memberWorker(j, 3))
+	f.runUntil(60 * time.Second)
+	f.requireNoViolations()
+	require.Len(t, *settled, 1)
+	require.Len(t, *crashed, 1)
+	require.Equal(t, "1", (*crashed)[0]["runs"])
+}
--- a/cell/missing_members.go
+++ b/cell/missing_members.go
@@ -114,7 +114,9 @@
 func (c *Cell) memberEnded(r *run, outcome RunOutcome) {
 	s := r.task.step
 	c.noteBroken(s)
-	if outcome != GangAborted {
+	if outcome == GangAborted {
+		r.task.brokenRun = r.number
+	} else {
 		c.logGangEnd(r, outcome.cause())
 	}
 	if s.spec.Gang && (s.notStarted != nil || s.hasUnbegun(r.number)) {
--- a/cell/report.go
+++ b/cell/report.go
@@ -54,6 +54,7 @@
 	c.processResults(w, e.Report.Ended)
 	c.reconcileRuns(w, e)
 	c.recordRestart(w, e.Report)
+	w.ended = nil
 	c.releaseHeld(w.ID)
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -68,6 +68,8 @@
 	restartSeenAt Instant           // when the last restart became known
 	lifeSince     Instant           // when its address and start became known
 	runs          map[string]*run   // by task
+	ended         []*run            // dropped, because they have certainly ended, since its last report
+	removed       bool              // from the cell
 	strays        map[string]uint64 // run numbers of the stray runs, by task
 	used          resource.Vector
 	capacity      capacityReading
@@ -104,7 +106,7 @@
 		c.sortedWorkers = slices.Delete(c.sortedWorkers, at, at+1)
 	}
 	delete(c.workers, w.ID)
-	w.candidate = nil
+	w.candidate, w.removed = nil, true
 }
 
 // workerIndex returns the index in sortedWorkers at which a worker is or would be,
