Gangs ask for tickets while they wait for a lost member

A gang that waits until a lost member's worker answers or its lease ends asked for tickets only then, 0.5 to 0.8 s for a heavy call; a successor's gang with a held member only after the earlier owner's leases. Both now keep tickets for workers that have room, as long as no call lacks a host. A gang all of whose members are lost is not among the waiting steps and is looked for on the workers that do not answer.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -32,9 +32,13 @@
 func (c *Cell) placeGang(p *round, pool *servicePool, s *step) {
 	if s.tasksWithRuns > 0 {
 		c.noteMemberWait(s)
+		if s.waitsForLostMembers() {
+			c.requestTicketsAhead(pool, s)
+		}
 		return
 	}
 	if s.hasHeldTask() {
+		c.requestTicketsAhead(pool, s)
 		c.logGangWait(s, "an earlier owner may run it", 0)
 		return
 	}
--- a/cell/job.go
+++ b/cell/job.go
@@ -70,6 +70,7 @@
 	gangRemaining   time.Duration       // longest remaining work of a gang's members
 
 	advice         adviceState
+	aheadCheckAt   Instant         // no request for tickets ahead before
 	notBefore      Instant         // do not place before; set after a refused start or a failed call
 	nextWaitLog    Instant         // when the step's wait is logged next
 	waitLogDelay   time.Duration   // time between the last log of its wait and the next; 0 before the first
--- a/cell/lost_member.go
+++ b/cell/lost_member.go
@@ -1,10 +1,16 @@
 package cell
 
 import (
+	"cmp"
 	"log/slog"
 	"slices"
+	"time"
 )
 
+// aheadInterval is the pause between two looks for the workers of a gang that waits for a lost
+// member.
+const aheadInterval = 50 * time.Millisecond
+
 // This file settles the runs of gang members whose worker does not answer. A worker lists a
 // member as broken if another member has ended. Once all members but those on one worker are
 // listed so, one of these has ended first, and its worker has ended the others with it or
@@ -75,3 +81,58 @@
 	limit := s.job.Queue.MaxAttempts
 	return limit == 0 || len(s.failedRuns)+len(s.ended)+1 < limit
 }
+
+// waitsForLostMembers reports whether all runs that are left of a gang are on workers that do
+// not answer.
+func (s *step) waitsForLostMembers() bool {
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if !r.w.failing {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// lostGangs returns the gangs all of whose members are on workers that do not answer. They are
+// not among the waiting steps.
+func (c *Cell) lostGangs() []*step {
+	var lost []*step
+	for _, w := range c.sortedWorkers {
+		if !w.failing {
+			continue
+		}
+		for _, r := range w.runs {
+			s := r.task.step
+			if s.spec.Gang && !s.waiting && !s.done && s.job.Job != nil && !s.job.progress.State.Final() && s.waitsForLostMembers() && !slices.Contains(lost, s) {
+				lost = append(lost, s)
+			}
+		}
+	}
+	slices.SortFunc(lost, func(a, b *step) int { return cmp.Compare(a.name, b.name) })
+	return lost
+}
+
+// requestTicketsAhead asks for the tickets of a gang that waits only for what may still run on
+// workers that do not answer, so that it can start once that is settled. No room is reserved:
+// the wait may last for seconds. While hosts are scarce, others make their calls.
+func (c *Cell) requestTicketsAhead(pool *servicePool, s *step) {
+	if !s.advice.needed || s.advice.asking() || c.now.Steady < s.aheadCheckAt || c.hostsScarce() || !c.mayTry(s.tasks[0]) {
+		return
+	}
+	s.aheadCheckAt = c.now.Steady + aheadInterval
+	if !s.advice.answered() {
+		c.requestAdvice(pool, s, len(s.tasks))
+		return
+	}
+	assignments, spare := c.assignMembers(pool, s)
+	if memberCount(assignments) < len(s.tasks) {
+		c.requestMoreAdvice(pool, s, true)
+		return
+	}
+	callTime := s.job.Queue.Advice.Duration(len(assignments)+len(spare)) + ticketLeadTime
+	if !s.hasTickets(assignments, c.now.Steady+callTime) {
+		c.renewTickets(s, append(assignments, spare...))
+	}
+}
--- a/cell/lost_member_test.go
+++ b/cell/lost_member_test.go
@@ -113,3 +113,50 @@
 	require.Len(t, *crashed, 1)
 	require.Equal(t, "1", (*crashed)[0]["runs"])
 }
+
+// oneCall is the time in which a gang starts that has tickets, and a call to the advice service
+// is not over.
+const oneCall = 400 * time.Millisecond
+
+// TestGangThatWaitsForLostMembersHasTicketsInTime crashes the worker of all members, so that no
+// other's end shows that they have ended. The gang asked for tickets once the worker was back.
+func TestGangThatWaitsForLostMembersHasTicketsInTime(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 48)
+	spec := gangJob("cc00000000000001")
+	spec.Queue.Slack, spec.Steps[0].Count, spec.Steps[0].Estimate = 60, 3, 12*time.Second
+	j := f.submit(2*time.Second, spec)
+	f.runUntil(7 * time.Second)
+	w := f.memberWorker(j, 0)
+	require.Len(t, w.runs, 3)
+	f.crashWorker(w)
+	f.runUntil(60 * time.Second)
+	f.requireNoViolations()
+	require.Equal(t, workload.Completed, j.state)
+	require.Less(t, j.begunAt-f.crashes.backAt, oneCall)
+}
+
+// TestGangOfAnEarlierOwnerHasTicketsInTime kills the owner of a gang and cuts off the worker of one
+// member until after the leases of the earlier owner have run out. The next owner asked for
+// tickets only then.
+func TestGangOfAnEarlierOwnerHasTicketsInTime(t *testing.T) {
+	t.Parallel()
+	f, j := newWorkingGang(t, 1)
+	f.memberWorker(j, 3).cutOff = true
+	f.killOwner(700 * time.Millisecond)
+	released := Instant(0)
+	f.every(10*time.Millisecond, func() {
+		if f.owner == nil || released > 0 || f.owner.jobs[j.spec.ID] == nil {
+			return
+		}
+		if !f.owner.jobs[j.spec.ID].occurrences[0].steps[0].hasHeldTask() {
+			released = f.now
+		}
+	})
+	f.runUntil(60 * time.Second)
+	f.requireNoViolations()
+	require.Equal(t, workload.Completed, j.state)
+	require.Greater(t, released, 15*time.Second)
+	require.Greater(t, j.begunAt, 15*time.Second)
+	require.Less(t, j.begunAt-released, oneCall)
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -87,7 +87,8 @@
 // place starts the waiting tasks that can start, in order, and requests advice where
 // it is missing.
 func (c *Cell) place() {
-	if c.leaseLength() < minLease || len(c.waiting) == 0 || c.policyExpired() {
+	lost := c.lostGangs()
+	if c.leaseLength() < minLease || len(c.waiting)+len(lost) == 0 || c.policyExpired() {
 		return
 	}
 	c.sortWaiting()
@@ -108,6 +109,11 @@
 			c.placeTasks(p, pool, s)
 		}
 	}
+	for _, s := range lost {
+		if pool := p.pools[s.job.Queue.Service]; pool != nil {
+			c.requestTicketsAhead(pool, s)
+		}
+	}
 }
 
 // clearStaleReservations ends the reservations that this round did not renew.
