--- a/cell/gang.go
+++ b/cell/gang.go
@@ -31,9 +31,14 @@
 // soonest.
 func (c *Cell) placeGang(p *round, pool *servicePool, s *step) {
 	if s.tasksWithRuns > 0 {
+		c.noteMemberWait(s)
+		if s.waitsForLostMembers() {
+			c.requestTicketsAhead(pool, s)
+		}
 		return
 	}
 	if s.hasHeldTask() {
+		c.requestTicketsAhead(pool, s)
 		c.logGangWait(s, "an earlier owner may run it", 0)
 		return
 	}
@@ -63,6 +68,7 @@
 	}
 	c.takeLongRoom(pool, s, next)
 	c.logPlaced(s, next, 0)
+	c.logBackAgain(s)
 }
 
 // prepareGang returns the assignments of a gang that can start now. Otherwise it
@@ -218,6 +224,7 @@
 // logGangWait logs what a gang waits for, at increasing intervals. The meaning of n
 // depends on the reason.
 func (c *Cell) logGangWait(s *step, why string, n int) {
+	c.noteGangWait(s, why)
 	if s.waitLogDelay == 0 {
 		s.waitLogDelay, s.nextWaitLog = firstWaitLogDelay, c.now.Steady+firstWaitLogDelay
 	}
--- a/cell/missing_members.go
+++ b/cell/missing_members.go
@@ -113,7 +113,10 @@
 // that work; those that have not begun would wait in vain.
 func (c *Cell) memberEnded(r *run, outcome RunOutcome) {
 	s := r.task.step
-	if outcome != GangAborted {
+	c.noteBroken(s)
+	if outcome == GangAborted {
+		r.task.brokenRun = r.number
+	} else {
 		c.logGangEnd(r, outcome.cause())
 	}
 	if s.spec.Gang && (s.notStarted != nil || s.hasUnbegun(r.number)) {
