Test: a worker that is back after its leases has crashed

A task that crashes its workers is started without end if they are back only after their leases have run out: 19 starts in 150 s, BUDGET 14, with the same ID and with another. expireWorkers drops the runs, and what is back later finds none to count.

--- a/cell/crashbudget_test.go
+++ b/cell/crashbudget_test.go
@@ -517,3 +517,19 @@
 	require.Equal(t, []any{Answer{Reply: 1, State: workload.Failed, Reason: reason}}, c.Update(clock, Query{Reply: 1, ID: "dd00000000000001"}))
 	require.Equal(t, []any{Answer{Reply: 2, State: workload.Failed}}, c.Update(clock, Query{Reply: 2, ID: "dd00000000000002"}))
 }
+
+// TestWorkerThatIsBackAfterItsLeasesHasCrashed guards against a task that is started without
+// end because its workers are back only when their leases have run out.
+func TestWorkerThatIsBackAfterItsLeasesHasCrashed(t *testing.T) {
+	t.Parallel()
+	forEachRestart(t, func(t *testing.T, sameID bool) {
+		f := newFleet(t, 1, 24)
+		f.crashes.sameID = sameID
+		f.crashes.downTime = simMaxLease + 3*time.Second
+		spec := innocentJob("dd00000000000001", 1, time.Second)
+		f.submit(3*time.Second, spec)
+		f.markGuilty(spec.ID)
+		f.runUntil(150 * time.Second)
+		f.requireGuiltyFailed()
+	})
+}
--- a/cell/simcrash_test.go
+++ b/cell/simcrash_test.go
@@ -27,6 +27,7 @@
 type simCrashes struct {
 	guilty      map[string]time.Duration   // time from the start to the crash, by task or job
 	sameID      bool                       // crashed workers are back under their IDs
+	downTime    time.Duration              // a crashed worker is back after this, if longer than simDownTime
 	crashedWith map[string]map[string]bool // incarnations of workers that crashed under a task
 	starts      map[string]int             // of guilty tasks
 	lateStarts  map[string]int             // of these, after simCrashLimit crashes
@@ -107,7 +108,7 @@
 		f.wastedCoreSeconds += (f.now - r.startedAt).Seconds() * float64(r.need.MilliCPU) / 1000
 	}
 	f.after(simEntryTime, func() { w.gone = w.gone || w.refuses })
-	f.replaceWorker(w, simDownTime+time.Duration(f.rng.Int64N(int64(simDownSpread))), f.crashes.sameID)
+	f.replaceWorker(w, max(simDownTime, f.crashes.downTime)+time.Duration(f.rng.Int64N(int64(simDownSpread))), f.crashes.sameID)
 }
 
 // leave ends a worker that has drained, and all its runs. It is replaced after the given
