A worker that leaves between two owners has not crashed

A successor took a worker that had drained and left before it claimed the cell for crashed: its entry and its drain are gone, only the placements are there. The roster now says which workers were leaving.

TestWorkerThatLeavesBetweenOwnersHasNotCrashed failed before, for workers that are back under their ID and under another one.

--- a/cell/commit.go
+++ b/cell/commit.go
@@ -217,7 +217,7 @@
 	for chunk := range slices.Chunk(c.sortedWorkers, rosterRowWorkers) {
 		var refs []WorkerRef
 		for _, w := range chunk {
-			refs = append(refs, WorkerRef{ID: w.ID, Addr: w.Addr, Service: w.Service})
+			refs = append(refs, WorkerRef{ID: w.ID, Addr: w.Addr, Service: w.Service, Leaving: w.leaving()})
 			p.workers = append(p.workers, w)
 		}
 		puts = append(puts, c.encodeRow(Roster, rosterKey(len(puts)), func() ([]byte, error) { return cbor.Marshal(refs) }))
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -138,7 +138,7 @@
 // noteRestart keeps the runs of a worker that has restarted until its report shows which
 // of them it still has.
 func (c *Cell) noteRestart(w *worker) {
-	if w.lost == nil && !w.Draining && !w.evacuated {
+	if w.lost == nil && !w.leaving() {
 		w.lost = c.lostRuns(w)
 	}
 }
@@ -165,7 +165,7 @@
 
 // recordReplaced records the crash of a worker at whose address another one answers.
 func (c *Cell) recordReplaced(w *worker) {
-	if !w.Draining && !w.evacuated {
+	if !w.leaving() {
 		c.recordCrash(w, append(c.lostRuns(w), c.heldRuns(w)...))
 	}
 }
@@ -175,7 +175,7 @@
 func (c *Cell) heldRuns(w *worker) []lostRun {
 	var list []lostRun
 	for _, t := range c.held[w.ID] {
-		if t.heldFor == w.ID && t.heldSince > 0 && !t.done && t.step.job.Job != nil {
+		if !w.leaving() && t.heldFor == w.ID && t.heldSince > 0 && !t.done && t.step.job.Job != nil {
 			list = append(list, lostRun{t: t})
 		}
 	}
--- a/cell/crashbudget_test.go
+++ b/cell/crashbudget_test.go
@@ -271,6 +271,32 @@
 	return list[:min(n, len(list))]
 }
 
+// TestWorkerThatLeavesBetweenOwnersHasNotCrashed guards against workers that drain and leave
+// while the cell has no owner and are taken for crashed by the next one.
+func TestWorkerThatLeavesBetweenOwnersHasNotCrashed(t *testing.T) {
+	t.Parallel()
+	const rounds, gap = 6, 12 * time.Second
+	const drain, takeover = 2 * time.Second, 700 * time.Millisecond
+	forEachRestart(t, func(t *testing.T, sameID bool) {
+		f := newFleet(t, 1, 8)
+		logs := f.countCrashLogs()
+		for i := range 3 {
+			f.submit(2*time.Second, innocentJob(fmt.Sprintf("bb%014x", i), 8, 30*time.Second))
+		}
+		for i := range rounds {
+			f.at(4*time.Second+time.Duration(i)*gap, func() {
+				w := f.busyWorkers(1)[0]
+				w.info.Draining = true
+				f.after(drain-200*time.Millisecond, func() { f.killOwner(takeover) })
+				f.after(drain, func() { f.leave(w, 500*time.Millisecond, sameID) })
+			})
+		}
+		f.runUntil(200 * time.Second)
+		f.requireNoneFailed()
+		require.Empty(t, logs)
+	})
+}
+
 // TestWorkersThatCrashByThemselvesFailNoJob guards against jobs that are given up because
 // their workers crashed together with many others.
 func TestWorkersThatCrashByThemselvesFailNoJob(t *testing.T) {
--- a/cell/event.go
+++ b/cell/event.go
@@ -45,6 +45,7 @@
 	ID      string `cbor:"1,keyasint"`
 	Addr    string `cbor:"2,keyasint"`
 	Service string `cbor:"3,keyasint"`
+	Leaving bool   `cbor:"4,keyasint,omitempty"` // it drains, or its zone is evacuated
 }
 
 // Deposed reports that another host owns the cell, or that this host gave it up.
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -57,7 +57,7 @@
 	c.commits.rosterRows = (len(e.Workers) + rosterRowWorkers - 1) / rosterRowWorkers
 	for _, ref := range e.Workers {
 		w := newWorker(WorkerInfo{ID: ref.ID, Addr: ref.Addr, Service: ref.Service}, c.now.Steady)
-		w.onRoster = true
+		w.onRoster, w.wasLeaving = true, ref.Leaving
 		c.addWorker(w)
 	}
 	c.logInfo("cell claimed", slog.Uint64("token", e.Token), slog.Int("jobs", live), slog.Int("ended", len(e.Jobs)-live), slog.Int("workers", len(e.Workers)))
--- a/cell/report.go
+++ b/cell/report.go
@@ -55,6 +55,9 @@
 	c.reconcileRuns(w, e)
 	c.recordRestart(w, e.Report)
 	c.releaseHeld(w.ID)
+	if w.wasLeaving {
+		w.wasLeaving, c.commits.rosterDirty = false, true
+	}
 }
 
 // processResults processes the run results that are new.
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -44,6 +44,7 @@
 	if info.Addr != w.Addr || info.StartedAt > w.StartedAt {
 		w.lifeSince = c.now.Steady
 	}
+	leaving := w.leaving()
 	clock, startedAt := w.Clock, max(w.StartedAt, info.StartedAt)
 	w.WorkerInfo = info
 	w.Clock, w.StartedAt = clock, startedAt
@@ -51,6 +52,7 @@
 	w.listed = true
 	c.restoreSpeed(w)
 	w.evacuated = c.evacuated.Covers(w.Zone)
+	c.commits.rosterDirty = c.commits.rosterDirty || leaving != w.leaving()
 }
 
 // expireWorkers drops the runs of unreachable workers whose leases have expired, and
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -40,6 +40,7 @@
 	WorkerInfo
 	listed        bool              // in the store's list
 	evacuated     bool              // its availability zone is being evacuated
+	wasLeaving    bool              // it was leaving under the owner before; false once it has answered
 	onRoster      bool              // on the stored roster, so that a successor would find it
 	synced        bool              // answered a poll since the claim or its last known restart
 	pollInFlight  bool              // a poll is in flight
@@ -137,6 +138,9 @@
 // free returns the worker's unused capacity.
 func (w *worker) free() resource.Vector { return w.Capacity.Sub(w.used) }
 
+// leaving reports whether the end of the worker is no crash.
+func (w *worker) leaving() bool { return w.Draining || w.evacuated || w.wasLeaving }
+
 // usable reports whether the worker may get new work now. Workers with stray runs may
 // not, as the resource use of those is unknown.
 func (w *worker) usable(now Instant) bool {
