A task that must run alone starts beside tasks that last

From three crashes on, a task waits for a worker without runs, which is kept for it for 15 s at a time. Where tasks last on every worker, none becomes empty: the task waited for good (LOST, were it innocent), and a worker was closed to all others all the while. After 15 s it now starts beside others, on probation.

TestTaskThatMustRunAloneStartsBesideTasksThatLast failed before.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -58,7 +58,8 @@
 // crashRecord is what is known of a task, or of a gang, whose worker crashed.
 type crashRecord struct {
 	poison.Record
-	tried bool // a run has gone on for longer than crashes take
+	tried   bool // a run has gone on for longer than crashes take
+	crowded bool // no worker became empty for it in time
 }
 
 // pastCrash is a crash of a worker that is gone.
--- a/cell/crashbudget_test.go
+++ b/cell/crashbudget_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowslipgap/cowslipgap/poison"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/workload"
 )
@@ -473,6 +474,25 @@
 	})
 }
 
+// TestTaskThatMustRunAloneStartsBesideTasksThatLast guards against a task that waits for good
+// for a worker without runs, and keeps others from the workers meanwhile.
+func TestTaskThatMustRunAloneStartsBesideTasksThatLast(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 4)
+	lasting := innocentJob("ff00000000000001", 4, time.Hour)
+	lasting.Steps[0].LongRunning, lasting.Steps[0].MaxPerWorker = true, 1
+	f.submit(2*time.Second, lasting)
+	alone := f.submit(10*time.Second, innocentJob("bb00000000000001", 1, time.Second))
+	f.at(10*time.Second+time.Millisecond, func() {
+		task := f.owner.jobs[alone.spec.ID].occurrences[0].steps[0].tasks[0]
+		task.crashes.Record = poison.Record{Workers: []string{"w7", "w8", "w9"}, Ages: []time.Duration{time.Second, 4 * time.Second, 9 * time.Second}}
+		f.owner.noteRecord(task)
+	})
+	f.runUntil(10*time.Second + maxEmptying + 5*time.Second)
+	require.Equal(t, workload.Completed, alone.state)
+	require.Len(t, f.busyWorkers(4), 4)
+}
+
 // TestFailedByCrashesIsToldAtOnce guards against a caller who learns only at the deadline
 // that a job is given up. The proof is complete once the owner knows that the worker of the
 // last run has crashed.
--- a/cell/probation.go
+++ b/cell/probation.go
@@ -27,7 +27,8 @@
 	// unbrokenMargin is how much longer than its probation a run must have gone on if only
 	// a poll that is still unanswered shows that the worker lives.
 	unbrokenMargin = 20 * time.Millisecond
-	// maxEmptying is how long a worker is kept for a task that must run alone.
+	// maxEmptying is how long a worker is kept for a task that must run alone. What runs there
+	// may last; the task then starts beside it.
 	maxEmptying = 15 * time.Second
 )
 
@@ -76,7 +77,7 @@
 	return trial{
 		active: c.crashes.ledger.Endangered() > 0,
 		needed: record.Suspect || record.Alone() || endangered && !record.tried,
-		alone:  record.Alone() && !t.step.spec.Gang,
+		alone:  record.Alone() && !t.step.spec.Gang && !record.crowded,
 	}
 }
 
@@ -231,7 +232,8 @@
 		return true
 	}
 	if p.emptying {
-		return c.now.Steady-p.since > maxEmptying || p.task.done || !p.record.Alone()
+		p.record.crowded = c.now.Steady-p.since > maxEmptying
+		return p.record.crowded || p.task.done || !p.record.Alone()
 	}
 	if !slices.ContainsFunc(p.task.unit(), func(t *task) bool { return w.runs[t.name] != nil }) {
 		return true
