The answer to a stop ends a worker's failure for crashes, too

A poll fails, a stop is answered, and the next start is not, because its task crashes the worker: the worker counted as failing since the poll, so the start counted as sent to a dead worker, and the crash was not counted. The beginning of a failure is now reset with the failure.

TestCrashAfterAnAnsweredStopCounts failed before.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -209,6 +209,7 @@
 		c.noteContact(e.Worker)
 	case StopDone:
 		c.handleStopDone(e)
+		c.noteContact(e.Worker)
 	case AdviceResult:
 		c.handleAdviceResult(e)
 	case PlacementRound:
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -222,6 +222,23 @@
 	require.Zero(t, c.Summary().Suspects)
 }
 
+// A worker whose stop was answered after a poll that wasn't still counted as failing since that
+// poll, so that the crash under the next start was taken for a start that was not carried out.
+func TestCrashAfterAnAnsweredStopCounts(t *testing.T) {
+	c := newCrashCell(t, nil, "w1")
+	c.report("w1", 1)
+	c.send(PollResult{Worker: "w1", Sent: c.clock.Steady, Received: c.clock.Steady, Failure: NoAnswer})
+	c.send(StopDone{Worker: "w1", Task: "aa00000000000001.0.0.0", Run: 1, Received: c.clock.Steady})
+	c.send(Submit{Reply: 1, Job: crashedSpec()})
+	c.round()
+	c.round()
+	require.Len(t, c.starts, 1)
+	s := c.starts[0]
+	c.send(Started{Worker: s.Worker, Task: s.Task, Run: s.Run, Received: c.clock.Steady, Failure: NoAnswer})
+	c.report(s.Worker, 2)
+	require.Equal(t, []string{s.Worker}, c.crashes())
+}
+
 // Jobs were failed for crashes of tasks beside theirs that crash their workers late.
 func TestTasksThatCrashWorkersLateFailNoOther(t *testing.T) {
 	t.Parallel()
