Test: owners in turn keep the budget of a task that crashes workers

A task that crashes its workers after 700 ms, with the owner killed 10 ms after each second crash, is started 7 times, BUDGET 2: a successor does not know the age of a run and records 0, which is not like 700 ms, so neither group of crashes reaches the cap.

--- a/cell/crashbudget_test.go
+++ b/cell/crashbudget_test.go
@@ -412,6 +412,28 @@
 	}
 }
 
+// TestOwnersInTurnKeepTheBudget guards against a task that crashes its workers after some time
+// and is started by owners in turn more often than by one.
+func TestOwnersInTurnKeepTheBudget(t *testing.T) {
+	t.Parallel()
+	forEachRestart(t, func(t *testing.T, sameID bool) {
+		f := newFleet(t, 1, 24)
+		f.crashes.sameID = sameID
+		f.crashes.onCrash = func() {
+			if f.crashes.byTasks%2 == 0 {
+				f.after(10*time.Millisecond, func() { f.killOwner(700 * time.Millisecond) })
+			}
+		}
+		spec := innocentJob("dd00000000000001", 1, 5*time.Second)
+		f.submit(3*time.Second, spec)
+		f.markGuilty(spec.ID)
+		f.crashes.guilty[spec.ID] = 700 * time.Millisecond
+		f.runUntil(150 * time.Second)
+		f.requireGuiltyFailed()
+		require.Less(t, f.mostGuiltyStarts(), simCrashLimit+simExtraStarts)
+	})
+}
+
 // TestGangWithACrashingMemberIsGivenUp guards against gangs that start again as a whole
 // after each crash under one of their members.
 func TestGangWithACrashingMemberIsGivenUp(t *testing.T) {
