Test: owners that die with their workers fail no job

A zone with a quarter of the workers loses its power five times, 20 s apart, and the owner of the cell with it each time: 4 of 8 jobs without a guilty task are failed. A successor knows no ages and records 0, so crashes of many count for all runs, and their ages are alike.

--- a/cell/crashbudget_test.go
+++ b/cell/crashbudget_test.go
@@ -341,6 +341,31 @@
 	}
 }
 
+// TestOwnersThatDieWithTheirWorkersFailNoJob guards against innocent jobs that are failed because
+// a zone loses its power repeatedly, and the host that owns the cell each time with it.
+func TestOwnersThatDieWithTheirWorkersFailNoJob(t *testing.T) {
+	t.Parallel()
+	const outages, gap = 5, 20 * time.Second
+	forEachRestart(t, func(t *testing.T, sameID bool) {
+		f := newFleet(t, 1, 32)
+		f.crashes.sameID = sameID
+		inZone := func(info WorkerInfo) bool { return info.Rack < "r2" }
+		for i := range 8 { // they need the room of all workers
+			spec := innocentJob(fmt.Sprintf("bb%014x", i), 32, 30*time.Second)
+			spec.Steps[0].MaxPerWorker = 1
+			f.submit(2*time.Second, spec)
+		}
+		for i := range outages {
+			f.at(14*time.Second+time.Duration(i)*gap, func() {
+				f.crashWorkers(inZone)
+				f.killOwner(700 * time.Millisecond)
+			})
+		}
+		f.runUntil(200 * time.Second)
+		f.requireNoneFailed()
+	})
+}
+
 // TestCrashCountsOutliveTheOwner guards against a new owner that starts a task from nothing
 // that has crashed workers under the owner before.
 func TestCrashCountsOutliveTheOwner(t *testing.T) {
