Test: tasks that crash their workers together are given up

The 12 tasks of a job crash their workers 600 ms after their start, on 24 workers: 6 starts of each, BUDGET 12. Those started in one round crash at the same moment, which is taken for a moment at which many crash by themselves, and those count for young runs only. With workers that are back within 50 ms of each other, and 1.5 s, a task is started up to 25 times.

--- a/cell/crashbudget_test.go
+++ b/cell/crashbudget_test.go
@@ -98,6 +98,23 @@
 	return spec
 }
 
+// TestTasksThatCrashWorkersTogetherAreGivenUp guards against the tasks of one job whose workers
+// crash at the same moment, which is taken for a moment at which many crash by themselves.
+func TestTasksThatCrashWorkersTogetherAreGivenUp(t *testing.T) {
+	t.Parallel()
+	forEachRestart(t, func(t *testing.T, sameID bool) {
+		f := newFleet(t, 1, 24)
+		f.crashes.sameID = sameID
+		spec := innocentJob("dd00000000000001", 12, 5*time.Second)
+		spec.Steps[0].MaxPerWorker = 1
+		f.submit(3*time.Second, spec)
+		f.markGuilty(spec.ID)
+		f.crashes.guilty[spec.ID] = 600 * time.Millisecond
+		f.runUntil(150 * time.Second)
+		f.requireGuiltyFailed()
+	})
+}
+
 // TestTaskThatCrashesWorkersIsGivenUp guards against a task that is started again and again
 // and takes the fleet down in turn.
 func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
