Test: a gang that crashes its workers late is given up

A gang of 8 beside light load, one member crashes its worker 600 ms after its start: 8 starts, BUDGET 3. No worker crashes by itself, but the gang's own first crashes, with no young run, count as if: from three addresses on, crashes at this age prove nothing, and the cap does not hold, until 30 s have passed.

--- a/cell/crashbudget_test.go
+++ b/cell/crashbudget_test.go
@@ -496,6 +496,25 @@
 	}
 }
 
+// TestGangThatCrashesWorkersLateIsGivenUp guards against a gang whose own crashes are taken for
+// those of workers that crash by themselves.
+func TestGangThatCrashesWorkersLateIsGivenUp(t *testing.T) {
+	t.Parallel()
+	const guilty = "cc00000000000001"
+	f := newFleet(t, 1, 48)
+	for i := range 3 {
+		spec := gangJob(fmt.Sprintf("cc%014x", i))
+		spec.Queue.Slack = 60
+		f.submit(2*time.Second+time.Duration(i)*100*time.Millisecond, spec)
+	}
+	f.submitLightLoad(20 * time.Second)
+	f.markGuilty(guilty + ".0.0.3")
+	f.crashes.guilty[guilty+".0.0.3"] = 600 * time.Millisecond
+	f.runUntil(150 * time.Second)
+	require.Empty(t, f.violations)
+	require.Equal(t, workload.Failed, f.jobs[guilty].state)
+}
+
 // TestNoCopyOfATaskThatCrashedAWorker guards against a copy that takes a second worker down
 // with the same task.
 func TestNoCopyOfATaskThatCrashedAWorker(t *testing.T) {
