--- a/cell/crashbudget_test.go
+++ b/cell/crashbudget_test.go
@@ -98,6 +98,25 @@
 	return spec
 }
 
+// TestTaskThatCrashesWorkersAtAnyTimeIsGivenUp guards against a task that crashes its workers at
+// another age of its run each time.
+func TestTaskThatCrashesWorkersAtAnyTimeIsGivenUp(t *testing.T) {
+	t.Parallel()
+	const latest = 3 * time.Second
+	for seed := range uint64(4) {
+		f := newFleet(t, seed+1, 24)
+		f.submitLightLoad(20 * time.Second)
+		spec := innocentJob("dd00000000000001", 1, 5*time.Second)
+		f.submit(3*time.Second, spec)
+		f.markGuilty(spec.ID)
+		draw := func() { f.crashes.guilty[spec.ID] = time.Duration(f.rng.Int64N(int64(latest))) }
+		draw()
+		f.crashes.onCrash = draw
+		f.runUntil(120 * time.Second)
+		f.requireGuiltyFailed()
+	}
+}
+
 // TestTasksThatCrashWorkersTogetherAreGivenUp guards against the tasks of one job whose workers
 // crash at the same moment, which is taken for a moment at which many crash by themselves.
 func TestTasksThatCrashWorkersTogetherAreGivenUp(t *testing.T) {
