Test: a worker that starts again after its clock was set back

Reports with an earlier start than the last count as late ones of the former life. If the worker's clock was set back before it crashed, all reports of the new life are ignored: the lost run is not started again in 30 s, as the worker answers and its leases seem renewed.

--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -178,6 +178,30 @@
 	require.Empty(t, c.crashes())
 }
 
+// The reports of a worker whose clock was set back before it started again were ignored for good,
+// and with them the end of the run that it had lost.
+func TestWorkerThatStartsAgainAfterItsClockWasSetBack(t *testing.T) {
+	c := newCrashCell(t, nil, "w1", "w2")
+	for _, w := range c.workers {
+		c.relist(w.ID, 1000)
+		c.report(w.ID, 1000)
+	}
+	c.send(Submit{Reply: 1, Job: crashedSpec()})
+	for range 3 {
+		c.round()
+	}
+	require.Len(t, c.starts, 1)
+	s := c.starts[0]
+	c.send(Started{Worker: s.Worker, Task: s.Task, Run: s.Run, Received: c.clock.Steady, Clock: c.clock.Steady})
+	c.send(PollResult{Worker: s.Worker, Sent: c.clock.Steady, Received: c.clock.Steady, Failure: NoAnswer})
+	c.relist(s.Worker, 500)
+	for range 100 {
+		c.report(s.Worker, 500)
+		c.round()
+	}
+	require.Len(t, c.starts, 2)
+}
+
 // Other work was placed beside a task that may crash its worker.
 func TestNothingIsPlacedBesideARunOnProbation(t *testing.T) {
 	c := newCrashCell(t, nil, "w1", "w2")
