--- a/cell/crash.go
+++ b/cell/crash.go
@@ -61,7 +61,8 @@
 // crashRecord is what is known of a task, or of a gang, whose worker crashed.
 type crashRecord struct {
 	poison.Record
-	tried bool // a run has gone on for longer than crashes take
+	tried   bool // a run has gone on for longer than crashes take
+	crowded bool // no worker became empty for it in time
 }
 
 // pastCrash is a crash of a worker that is gone.
@@ -147,7 +148,7 @@
 // noteRestart keeps the runs of a worker that has restarted until its report shows which
 // of them it still has.
 func (c *Cell) noteRestart(w *worker) {
-	if w.lost == nil && !w.Draining && !w.evacuated {
+	if w.lost == nil && !w.leaving() {
 		w.lost = c.lostRuns(w)
 	}
 }
@@ -174,7 +175,7 @@
 
 // recordReplaced records the crash of a worker at whose address another one answers.
 func (c *Cell) recordReplaced(w *worker) {
-	if !w.Draining && !w.evacuated {
+	if !w.leaving() {
 		c.recordCrash(w, append(c.lostRuns(w), c.heldRuns(w)...))
 	}
 }
@@ -184,7 +185,7 @@
 func (c *Cell) heldRuns(w *worker) []lostRun {
 	var list []lostRun
 	for _, t := range c.held[w.ID] {
-		if t.heldFor == w.ID && t.heldSince > 0 && !t.done && t.step.job.Job != nil {
+		if !w.leaving() && t.heldFor == w.ID && t.heldSince > 0 && !t.done && t.step.job.Job != nil {
 			list = append(list, lostRun{t: t})
 		}
 	}
--- a/cell/crashbudget_test.go
+++ b/cell/crashbudget_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowslipgap/cowslipgap/poison"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/workload"
 )
@@ -97,6 +98,42 @@
 	return spec
 }
 
+// TestTaskThatCrashesWorkersAtAnyTimeIsGivenUp guards against a task that crashes its workers at
+// another age of its run each time.
+func TestTaskThatCrashesWorkersAtAnyTimeIsGivenUp(t *testing.T) {
+	t.Parallel()
+	const latest = 3 * time.Second
+	for seed := range uint64(4) {
+		f := newFleet(t, seed+1, 24)
+		f.submitLightLoad(20 * time.Second)
+		spec := innocentJob("dd00000000000001", 1, 5*time.Second)
+		f.submit(3*time.Second, spec)
+		f.markGuilty(spec.ID)
+		draw := func() { f.crashes.guilty[spec.ID] = time.Duration(f.rng.Int64N(int64(latest))) }
+		draw()
+		f.crashes.onCrash = draw
+		f.runUntil(120 * time.Second)
+		f.requireGuiltyFailed()
+	}
+}
+
+// TestTasksThatCrashWorkersTogetherAreGivenUp guards against the tasks of one job whose workers
+// crash at the same moment, which is taken for a moment at which many crash by themselves.
+func TestTasksThatCrashWorkersTogetherAreGivenUp(t *testing.T) {
+	t.Parallel()
+	forEachRestart(t, func(t *testing.T, sameID bool) {
+		f := newFleet(t, 1, 24)
+		f.crashes.sameID = sameID
+		spec := innocentJob("dd00000000000001", 12, 5*time.Second)
+		spec.Steps[0].MaxPerWorker = 1
+		f.submit(3*time.Second, spec)
+		f.markGuilty(spec.ID)
+		f.crashes.guilty[spec.ID] = 600 * time.Millisecond
+		f.runUntil(150 * time.Second)
+		f.requireGuiltyFailed()
+	})
+}
+
 // TestTaskThatCrashesWorkersIsGivenUp guards against a task that is started again and again
 // and takes the fleet down in turn.
 func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
@@ -276,6 +313,32 @@
 	return list[:min(n, len(list))]
 }
 
+// TestWorkerThatLeavesBetweenOwnersHasNotCrashed guards against workers that drain and leave
+// while the cell has no owner and are taken for crashed by the next one.
+func TestWorkerThatLeavesBetweenOwnersHasNotCrashed(t *testing.T) {
+	t.Parallel()
+	const rounds, gap = 6, 12 * time.Second
+	const drain, takeover = 2 * time.Second, 700 * time.Millisecond
+	forEachRestart(t, func(t *testing.T, sameID bool) {
+		f := newFleet(t, 1, 8)
+		logs := f.countCrashLogs()
+		for i := range 3 {
+			f.submit(2*time.Second, innocentJob(fmt.Sprintf("bb%014x", i), 8, 30*time.Second))
+		}
+		for i := range rounds {
+			f.at(4*time.Second+time.Duration(i)*gap, func() {
+				w := f.busyWorkers(1)[0]
+				w.info.Draining = true
+				f.after(drain-200*time.Millisecond, func() { f.killOwner(takeover) })
+				f.after(drain, func() { f.leave(w, 500*time.Millisecond, sameID) })
+			})
+		}
+		f.runUntil(200 * time.Second)
+		f.requireNoneFailed()
+		require.Empty(t, logs)
+	})
+}
+
 // TestWorkersThatCrashByThemselvesFailNoJob guards against jobs that are given up because
 // their workers crashed together with many others.
 func TestWorkersThatCrashByThemselvesFailNoJob(t *testing.T) {
@@ -319,6 +382,31 @@
 	}
 }
 
+// TestOwnersThatDieWithTheirWorkersFailNoJob guards against innocent jobs that are failed because
+// a zone loses its power repeatedly, and the host that owns the cell each time with it.
+func TestOwnersThatDieWithTheirWorkersFailNoJob(t *testing.T) {
+	t.Parallel()
+	const outages, gap = 5, 20 * time.Second
+	forEachRestart(t, func(t *testing.T, sameID bool) {
+		f := newFleet(t, 1, 32)
+		f.crashes.sameID = sameID
+		inZone := func(info WorkerInfo) bool { return info.Rack < "r2" }
+		for i := range 8 { // they need the room of all workers
+			spec := innocentJob(fmt.Sprintf("bb%014x", i), 32, 30*time.Second)
+			spec.Steps[0].MaxPerWorker = 1
+			f.submit(2*time.Second, spec)
+		}
+		for i := range outages {
+			f.at(14*time.Second+time.Duration(i)*gap, func() {
+				f.crashWorkers(inZone)
+				f.killOwner(700 * time.Millisecond)
+			})
+		}
+		f.runUntil(200 * time.Second)
+		f.requireNoneFailed()
+	})
+}
+
 // TestCrashCountsOutliveTheOwner guards against a new owner that starts a task from nothing
 // that has crashed workers under the owner before.
 func TestCrashCountsOutliveTheOwner(t *testing.T) {
@@ -390,6 +478,28 @@
 	}
 }
 
+// TestOwnersInTurnKeepTheBudget guards against a task that crashes its workers after some time
+// and is started by owners in turn more often than by one.
+func TestOwnersInTurnKeepTheBudget(t *testing.T) {
+	t.Parallel()
+	forEachRestart(t, func(t *testing.T, sameID bool) {
+		f := newFleet(t, 1, 24)
+		f.crashes.sameID = sameID
+		f.crashes.onCrash = func() {
+			if f.crashes.byTasks%2 == 0 {
+				f.after(10*time.Millisecond, func() { f.killOwner(700 * time.Millisecond) })
+			}
+		}
+		spec := innocentJob("dd00000000000001", 1, 5*time.Second)
+		f.submit(3*time.Second, spec)
+		f.markGuilty(spec.ID)
+		f.crashes.guilty[spec.ID] = 700 * time.Millisecond
+		f.runUntil(150 * time.Second)
+		f.requireGuiltyFailed()
+		require.Less(t, f.mostGuiltyStarts(), simCrashLimit+simExtraStarts)
+	})
+}
+
 // TestGangWithACrashingMemberIsGivenUp guards against gangs that start again as a whole
 // after each crash under one of their members.
 func TestGangWithACrashingMemberIsGivenUp(t *testing.T) {
@@ -410,6 +520,25 @@
 	}
 }
 
+// TestGangThatCrashesWorkersLateIsGivenUp guards against a gang whose own crashes are taken for
+// those of workers that crash by themselves.
+func TestGangThatCrashesWorkersLateIsGivenUp(t *testing.T) {
+	t.Parallel()
+	const guilty = "cc00000000000001"
+	f := newFleet(t, 1, 48)
+	for i := range 3 {
+		spec := gangJob(fmt.Sprintf("cc%014x", i))
+		spec.Queue.Slack = 60
+		f.submit(2*time.Second+time.Duration(i)*100*time.Millisecond, spec)
+	}
+	f.submitLightLoad(20 * time.Second)
+	f.markGuilty(guilty + ".0.0.3")
+	f.crashes.guilty[guilty+".0.0.3"] = 600 * time.Millisecond
+	f.runUntil(150 * time.Second)
+	require.Empty(t, f.violations)
+	require.Equal(t, workload.Failed, f.jobs[guilty].state)
+}
+
 // TestNoCopyOfATaskThatCrashedAWorker guards against a copy that takes a second worker down
 // with the same task.
 func TestNoCopyOfATaskThatCrashedAWorker(t *testing.T) {
@@ -452,6 +581,25 @@
 	})
 }
 
+// TestTaskThatMustRunAloneStartsBesideTasksThatLast guards against a task that waits for good
+// for a worker without runs, and keeps others from the workers meanwhile.
+func TestTaskThatMustRunAloneStartsBesideTasksThatLast(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 4)
+	lasting := innocentJob("ff00000000000001", 4, time.Hour)
+	lasting.Steps[0].LongRunning, lasting.Steps[0].MaxPerWorker = true, 1
+	f.submit(2*time.Second, lasting)
+	alone := f.submit(10*time.Second, innocentJob("bb00000000000001", 1, time.Second))
+	f.at(10*time.Second+time.Millisecond, func() {
+		task := f.owner.jobs[alone.spec.ID].occurrences[0].steps[0].tasks[0]
+		task.crashes.Record = poison.Record{Workers: []string{"w7", "w8", "w9"}, Ages: []time.Duration{time.Second, 4 * time.Second, 9 * time.Second}}
+		f.owner.noteRecord(task)
+	})
+	f.runUntil(10*time.Second + maxEmptying + 5*time.Second)
+	require.Equal(t, workload.Completed, alone.state)
+	require.Len(t, f.busyWorkers(4), 4)
+}
+
 // TestFailedByCrashesIsToldAtOnce guards against a caller who learns only at the deadline
 // that a job is given up. The proof is complete once the owner knows that the worker of the
 // last run has crashed.
@@ -571,3 +719,19 @@
 		}
 	}
 }
+
+// TestWorkerThatIsBackAfterItsLeasesHasCrashed guards against a task that is started without
+// end because its workers are back only when their leases have run out.
+func TestWorkerThatIsBackAfterItsLeasesHasCrashed(t *testing.T) {
+	t.Parallel()
+	forEachRestart(t, func(t *testing.T, sameID bool) {
+		f := newFleet(t, 1, 24)
+		f.crashes.sameID = sameID
+		f.crashes.downTime = simMaxLease + 3*time.Second
+		spec := innocentJob("dd00000000000001", 1, time.Second)
+		f.submit(3*time.Second, spec)
+		f.markGuilty(spec.ID)
+		f.runUntil(150 * time.Second)
+		f.requireGuiltyFailed()
+	})
+}
--- a/cell/report.go
+++ b/cell/report.go
@@ -56,6 +56,9 @@
 	c.recordRestart(w, e.Report)
 	w.ended = nil
 	c.releaseHeld(w.ID)
+	if w.wasLeaving {
+		w.wasLeaving, c.commits.rosterDirty = false, true
+	}
 }
 
 // processResults processes the run results that are new.
