poison: silent workers cost a class no admissions

Found by TestRunsOnSilentWorkersDoNotCauseRefusals on the merged parts: with a third of the workers cut off, 77 of 156 lookups were refused, as workers that are silent endanger the classes of their young runs, and admission counted the trials of these. Now it counts them once a crash has named a task: one that is certain, or under a run that its worker had confirmed. After: none refused; TestAcceptedJobsRunBesideTasksThatCrashWorkers passes as before.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -80,6 +80,7 @@
 	number    uint64 // 0: not known
 	age       time.Duration
 	probation bool
+	begun     bool // its worker has confirmed it
 }
 
 // crashRecord returns the record of the task's crashes, or of its gang's.
@@ -133,7 +134,7 @@
 			continue
 		}
 		onProbation := w.probation != nil && w.probation.record == r.task.crashRecord()
-		list = append(list, lostRun{t: r.task, number: r.number, age: at - r.sentAt, probation: onProbation})
+		list = append(list, lostRun{t: r.task, number: r.number, age: at - r.sentAt, probation: onProbation, begun: r.confirmedAt > 0})
 	}
 	slices.SortFunc(list, func(a, b lostRun) int { return cmp.Compare(a.t.name, b.t.name) })
 	return list
@@ -232,7 +233,7 @@
 			runs[i].Members = append(runs[i].Members, l.t.index)
 			continue
 		}
-		run := poison.Run{Record: record, Class: l.t.step.crashClass(), Number: l.number, Age: l.age, Probation: l.probation}
+		run := poison.Run{Record: record, Class: l.t.step.crashClass(), Number: l.number, Age: l.age, Probation: l.probation, Begun: l.begun}
 		if l.t.step.spec.Gang {
 			run.Gang, run.Members = true, []int{l.t.index}
 		}
--- a/poison/danger.go
+++ b/poison/danger.go
@@ -87,6 +87,7 @@
 	exact   bool          // it had one culprit
 	age     time.Duration // of the culprit's run
 	settled bool          // the worker did crash
+	begun   bool          // the culprit's run was known to go on
 	again   bool          // a task was to blame that had crashed a worker before
 }
 
@@ -153,10 +154,11 @@
 }
 
 // TrialTime returns how long it takes to find out about a number of untried tasks of a class
-// on a fleet of the given size, crashes included.
+// on a fleet of the given size, crashes included. It is 0 until a crash has named a task of the
+// class: workers that are cut off, or crash by themselves, cost it little.
 func (l *Ledger) TrialTime(c Class, tasks, workers int) time.Duration {
 	d := l.classes[c]
-	if d == nil || tasks == 0 {
+	if d == nil || tasks == 0 || !slices.ContainsFunc(d.evidence, func(e evidence) bool { return e.exact && (e.settled || e.begun) }) {
 		return 0
 	}
 	assumed := firstTrial.Seconds() + minWorkers*d.guiltyShare()*firstDown.Seconds()
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -244,6 +244,7 @@
 	Number    uint64        // 0: unknown
 	Age       time.Duration // at the crash
 	Probation bool
+	Begun     bool  // its worker has said that it runs
 	Gang      bool  // its run may end with several workers, which counts once
 	Members   []int // indexes of the gang's tasks on the worker
 }
@@ -416,7 +417,7 @@
 func (b blame) evidence(c Crash, settled bool) evidence {
 	e := evidence{worker: c.Worker, at: c.At, settled: settled}
 	if b.culprit != nil {
-		e.exact, e.age, e.again = true, b.culprit.Age, !b.culprit.Empty()
+		e.exact, e.age, e.again, e.begun = true, b.culprit.Age, !b.culprit.Empty(), b.culprit.Begun
 	}
 	return e
 }
