--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -29,13 +29,14 @@
 	dir     string
 	ip      string // loopback address of everything in this deployment
 
-	active   map[string][]*worker // by task
-	done     map[string]*doneEnd
-	starts   map[string]int // by job
-	twice    []string
-	complete map[string]bool // jobs that were shown as completed
-	quit     chan struct{}
-	quitting bool
+	active    map[string][]*worker // by task
+	done      map[string]*doneEnd
+	starts    map[string]int       // by job
+	startedAt map[string]time.Time // first start of a task
+	twice     []string
+	complete  map[string]bool // jobs that were shown as completed
+	quit      chan struct{}
+	quitting  bool
 }
 
 // doneEnd is the end `done` of a task.
@@ -71,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{out: out, ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250)), begun: time.Now(), dir: dir, active: map[string][]*worker{}, done: map[string]*doneEnd{}, starts: map[string]int{}, complete: map[string]bool{}, quit: make(chan struct{})}
+	w := &world{out: out, ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250)), begun: time.Now(), dir: dir, active: map[string][]*worker{}, done: map[string]*doneEnd{}, starts: map[string]int{}, startedAt: map[string]time.Time{}, complete: map[string]bool{}, quit: make(chan struct{})}
 	w.store = newStore(w)
 	storeAddr, err := w.serve(w.store)
 	if err != nil {
@@ -380,6 +381,9 @@
 	}
 	w.active[task] = append(w.active[task], k)
 	w.starts[jobOf(task)]++
+	if w.startedAt[task].IsZero() {
+		w.startedAt[task] = time.Now()
+	}
 }
 
 func (w *world) runEnded(k *worker, task string) {
