--- a/review/stand/due.go
+++ b/review/stand/due.go
@@ -36,13 +36,13 @@
 
 // playDue kills the owner while a timed job waits for its first time.
 func playDue(record string, trouble bool) int {
-	w, err := newWorld(record, 3, 6, 32000, 64000)
+	w, err := newWorld(record, 3, 6)
 	if err != nil {
 		fmt.Println(err)
 		return couldNot
 	}
 	defer w.close()
-	if !w.ready(20 * time.Second) {
+	if !w.ready() {
 		return w.verdict(couldNot, "the hosts are not ready")
 	}
 	owner, other := w.owner()
--- a/review/stand/ends.go
+++ b/review/stand/ends.go
@@ -12,14 +12,14 @@
 func playEnds(record string, trouble bool) int {
 	const jobs, tasks = 4, 300
 	const slow, slowFor = 60, 4500 * time.Millisecond
-	w, err := newWorld(record, 3, 6, 32000, 64000)
+	w, err := newWorld(record, 3, 6)
 	if err != nil {
 		fmt.Println(err)
 		return couldNot
 	}
 	defer w.close()
 	w.quiet = true
-	if !w.ready(20 * time.Second) {
+	if !w.ready() {
 		return w.verdict(couldNot, "the hosts are not ready")
 	}
 	var ids []string
--- a/review/stand/memory.go
+++ b/review/stand/memory.go
@@ -56,13 +56,13 @@
 // playMemory lets a tenant hand in several times its usual number of timed jobs.
 func playMemory(record string, trouble bool) int {
 	const usual, burst = 6, 45
-	w, err := newWorld(record, 3, 6, 32000, 64000)
+	w, err := newWorld(record, 3, 6)
 	if err != nil {
 		fmt.Println(err)
 		return couldNot
 	}
 	defer w.close()
-	if !w.ready(20 * time.Second) {
+	if !w.ready() {
 		return w.verdict(couldNot, "the hosts are not ready")
 	}
 	for _, h := range w.hosts {
@@ -78,7 +78,7 @@
 		return w.verdict(couldNot, "the first job was not accepted: %d", status)
 	}
 	for until := time.Now().Add(40 * time.Second); jobs > 0 && time.Now().Before(until); jobs-- {
-		w.ask("POST", "quotes", "key-large", newID(), map[string]any{"spec": "ms=500", "steps": []any{step(2, 500, 64, 500)},
+		w.ask("POST", "quotes", "key-large", newID(), map[string]any{"spec": "ms=500", "steps": []any{step(1, 500, 64, 500), after(step(1, 500, 64, 500), 0)},
 			"repeat_count": 8760, "start_at_ms": time.Now().UnixMilli() + 3600_000, "interval_ms": 3600_000}, 6)
 	}
 	// The traffic of the tenant ends now. A caller hands in a small job every second.
--- a/review/stand/reborn.go
+++ b/review/stand/reborn.go
@@ -10,13 +10,13 @@
 // playReborn cuts workers off, which crash behind the cut and start again under their ids,
 // while a job that ran there is cancelled.
 func playReborn(record string, trouble bool) int {
-	w, err := newWorld(record, 2, 6, 32000, 64000)
+	w, err := newWorld(record, 2, 6)
 	if err != nil {
 		fmt.Println(err)
 		return couldNot
 	}
 	defer w.close()
-	if !w.ready(20 * time.Second) {
+	if !w.ready() {
 		return w.verdict(couldNot, "the hosts are not ready")
 	}
 	const rounds = 7
--- a/review/stand/rows.go
+++ b/review/stand/rows.go
@@ -11,14 +11,14 @@
 // the same tasks as several jobs.
 func playRows(record string, trouble bool) int {
 	const tasks = 3000
-	w, err := newWorld(record, 3, 48, 32000, 64000)
+	w, err := newWorld(record, 3, 48)
 	if err != nil {
 		fmt.Println(err)
 		return couldNot
 	}
 	defer w.close()
 	w.quiet = true
-	if !w.ready(20 * time.Second) {
+	if !w.ready() {
 		return w.verdict(couldNot, "the hosts are not ready")
 	}
 	// The second step of a small job of another tenant is due while the large job runs.
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -38,7 +38,6 @@
 	history []row
 	ver     uint64
 	changed chan struct{}
-	silent  bool
 	slow    int // answers take this many times as long
 	refused int // transactions refused because a row is too large
 	begun   time.Time
@@ -48,14 +47,6 @@
 	return &store{w: w, rows: map[rowKey]row{}, changed: make(chan struct{}), begun: time.Now()}
 }
 
-// setSilent makes the store leave all calls unanswered, and do nothing for them.
-func (s *store) setSilent(on bool) {
-	s.mu.Lock()
-	s.silent = on
-	s.mu.Unlock()
-	s.w.record("store silent=%v", on)
-}
-
 // setSlow makes the store's answers take x times as long.
 func (s *store) setSlow(x int) {
 	s.mu.Lock()
@@ -70,12 +61,6 @@
 	return storeLatency * time.Duration(max(1, s.slow))
 }
 
-func (s *store) isSilent() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.silent
-}
-
 func (s *store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -94,6 +79,15 @@
 	s.notify()
 }
 
+// removeOwn removes a row of the operator or of a worker.
+func (s *store) removeOwn(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver++
+	s.set(row{Table: table, Key: key, Ver: s.ver, Deleted: true})
+	s.notify()
+}
+
 func (s *store) set(r row) {
 	k := rowKey{r.Table, r.Part, r.Key}
 	if r.Deleted {
@@ -113,10 +107,6 @@
 	if err != nil {
 		return
 	}
-	if s.isSilent() {
-		<-r.Context().Done()
-		return
-	}
 	switch r.Method + " " + r.URL.Path {
 	case "POST /-/rows-tx":
 		s.transact(rw, body)
@@ -142,9 +132,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.silent {
-		return
-	}
 	for _, p := range tx.Put {
 		if len(p.Value) > rowBytes {
 			s.refused++
@@ -221,12 +208,8 @@
 				list = append(list, h)
 			}
 		}
-		changed, ver, silent := s.changed, s.ver, s.silent
+		changed, ver := s.changed, s.ver
 		s.mu.Unlock()
-		if silent {
-			<-r.Context().Done()
-			return
-		}
 		if len(list) > 0 {
 			answer(rw, http.StatusOK, map[string]any{"rows": list, "ver": ver, "now_ms": s.now()})
 			return
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -33,6 +33,7 @@
 	token   uint64
 	lastEnd uint64
 	seq     int
+	lost    bool // for good
 	running map[string]*run
 	ends    []end
 	closed  map[string]uint64
@@ -55,8 +56,8 @@
 	done   *doneEnd // of an end `done`
 }
 
-func newWorker(w *world, index int, cpu, memMB int64) *worker {
-	k := &worker{w: w, index: index, id: fmt.Sprintf("i-%08x", 0x7f3a91c0+index*0x1111), cpu: cpu, memMB: memMB}
+func newWorker(w *world, index int) *worker {
+	k := &worker{w: w, index: index, id: fmt.Sprintf("i-%08x", 0x7f3a91c0+index*0x1111), cpu: 32000, memMB: 64000}
 	k.reset()
 	return k
 }
@@ -68,12 +69,13 @@
 	k.changed = make(chan struct{})
 }
 
-// beat writes the worker's entry, unless the store does not answer.
+// beat writes the worker's entry.
 func (k *worker) beat() {
-	if k.w.store.isSilent() {
+	k.mu.Lock()
+	if k.lost {
+		k.mu.Unlock()
 		return
 	}
-	k.mu.Lock()
 	k.seq++
 	entry := map[string]any{
 		"service": "svc", "address": k.addr, "zone": "zone-" + string(rune('a'+k.index%3)), "version": "v1", "slots": 8, "state": "ready",
