cell: a test that results of a restarted worker are forgotten unread (red)

Every poll carries the highest stored result number as acknowledgement, unless the worker is known to fail. A worker that was idle is not polled, so nobody notices that it has started again under its ID: the poll that follows the next start carries a number of the life before. A busy one is taken for well again once it answers a stop. With cursorStays they also forget what ends after it, up to the number.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -254,7 +255,7 @@
 			f.abortGang(r)
 		}
 	}
-	w.ended, w.endedAt, w.lastSeq, w.token = nil, nil, 0, 0
+	w.ended, w.endedAt, w.lastSeq, w.acked, w.token = nil, nil, 0, 0, 0
 	clear(w.highestBarredRun)
 	w.info.StartedAt++
 }
@@ -423,3 +424,53 @@
 	require.Empty(t, f.store.progress)
 	f.requireNoViolations()
 }
+
+// An acknowledgement that was meant for an earlier incarnation of an idle worker makes the next
+// one forget its first results unread, so that their tasks run twice.
+func TestAcknowledgementsDoNotReachALaterIncarnation(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 4)
+	f.cursorStays = true
+	for i := range 10 {
+		f.submit(2*time.Second, lookupJob(fmt.Sprintf("aa%014x", i)))
+	}
+	f.at(9900*time.Millisecond, func() {
+		for _, w := range inOrder(f.workers) {
+			require.Empty(t, w.runs)
+			f.restartWorker(w)
+		}
+	})
+	for i := range 10 {
+		f.submit(10*time.Second, lookupJob(fmt.Sprintf("bb%014x", i)))
+	}
+	f.runUntil(30 * time.Second)
+	f.requireNoViolations()
+	f.requireAllEnded()
+	require.Equal(t, 40, f.starts)
+}
+
+// Workers crash and come back under their IDs, while stops of their runs are repeated: what the
+// next incarnation answers first is no report.
+func TestResultsOfARestartedWorkerAreReadBeforeTheyAreForgotten(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := newFleet(t, seed, 12)
+			rng := rand.New(rand.NewPCG(seed, 6))
+			f.cursorStays, f.crashes.sameID = true, true
+			f.lateStartShare = 0.02
+			f.submitLightLoad(20 * time.Second)
+			for at := 2 * time.Second; at < 20*time.Second; at += time.Duration(300+rng.IntN(1200)) * time.Millisecond {
+				w := f.workers[fmt.Sprintf("w%03d", rng.IntN(12))]
+				f.at(at, func() { f.crashWorker(w) })
+				if rng.IntN(4) == 0 {
+					f.at(at-10*time.Millisecond, func() { f.cancelAny(rng) })
+				}
+			}
+			f.runUntil(150 * time.Second)
+			for _, v := range f.violations {
+				require.NotContains(t, v, "TWICE")
+			}
+		})
+	}
+}
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -61,6 +61,7 @@
 	lateStartShare    float64             // share of starts that are not answered but executed late
 	stopDelay         time.Duration       // by which stops are carried out late and not answered
 	stopsLost         bool                // stops are not carried out
+	cursorStays       bool                // results are forgotten even if they end after the acknowledgement
 	maxResults        int                 // ends in a report
 	startFailure      func(Start) Failure // why a worker does not carry out a start, if set
 	connectTime       time.Duration       // after which a connection that cannot be made fails; longer if a host has no power
@@ -117,6 +118,7 @@
 	runs             map[string]*simRun
 	ended            []RunResult        // unacknowledged results
 	lastSeq          uint64             // sequence number of the last result
+	acked            uint64             // highest sequence number acknowledged; results up to it are forgotten
 	highestBarredRun map[string]uint64  // highest run stopped or ended, by task
 	lease            Instant            // end of the lease
 	lapsedAt         Instant            // when a lapsed lease was last renewed
@@ -774,6 +776,7 @@
 	if step := j.spec.Steps[r.task.Step]; step.Gang && outcome != Done && outcome != GangAborted {
 		f.abortGang(r)
 	}
+	f.acknowledge(w, 0) // forgotten at once if an acknowledgement has reached it
 	if w.pendingPoll != nil {
 		answer := w.pendingPoll
 		w.pendingPoll = nil
@@ -944,6 +947,10 @@
 // acknowledge removes results that the owner acknowledges, and records them for the
 // checks of later starts.
 func (f *simFleet) acknowledge(w *simWorker, upTo uint64) {
+	if f.cursorStays {
+		upTo = max(upTo, w.acked)
+	}
+	w.acked = max(w.acked, upTo)
 	unacked := w.ended[:0]
 	for _, e := range w.ended {
 		if e.Seq > upTo {
