cell: a lease meant for an earlier life of a worker is reckoned with in the next

What callers would see: TWICE, a task at work on a worker that was cut off is started elsewhere before its lease has ended.

Cause: a lease ends at a time on the worker's clock, which starts anew with each life. A start that reaches the next life unnoticed carries a time far ahead there, and the worker shortens that to the longest lease that it grants, not to the one the owner reckons with (shorter when its last commit is some seconds old).

Change: once a restart is known, leases count for the longest that a worker grants from then on; all that was sent before has arrived.

What remains: an owner that is deposed before it learns of the restart; its successor waits for MaxLeaseAfterCommit only.

--- a/cell/failing_test.go
+++ b/cell/failing_test.go
@@ -158,3 +158,26 @@
 	c.Update(clock, Listed{Workers: []WorkerInfo{info}})
 	require.NotNil(t, c.workers["w1"])
 }
+
+// A lease that ends at a time on the clock of an earlier life may last for as long as a worker
+// grants on that of the next, whose clock starts anew.
+func TestLeaseOfAnEarlierLifeMayLastLongerInTheNext(t *testing.T) {
+	t.Parallel()
+	c := New(Config{MaxLease: simMaxLease, StatusRetention: time.Minute})
+	clock := Clock{Steady: time.Hour, Wall: time.Unix(1, 0)}
+	info := WorkerInfo{ID: "w1", Addr: "a", Service: "s", Capacity: resource.Vector{MilliCPU: 32000}, StartedAt: 1, Clock: time.Minute}
+	c.Update(clock, Claimed{Token: 9, Sent: clock.Steady})
+	c.Update(clock, Listed{Workers: []WorkerInfo{info}})
+	report := func(startedAt int64, reading time.Duration) {
+		c.Update(clock, PollResult{Worker: "w1", Sent: clock.Steady, Received: clock.Steady, Report: Report{StartedAt: startedAt, Clock: reading}})
+	}
+	report(1, time.Minute)
+	w := c.workers["w1"]
+	clock.Steady += 7 * time.Second // the last commit is that old
+	c.Update(clock, PlacementRound{})
+	w.grantLease(clock.Steady, c.leaseLength())
+	require.Less(t, c.leaseLength(), simMaxLease)
+	clock.Steady += 100 * time.Millisecond
+	report(2, time.Second)
+	require.GreaterOrEqual(t, w.leaseEnd, clock.Steady+maxLeaseTime(simMaxLease))
+}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -14,6 +14,7 @@
 	c.noteRestart(w)
 	w.lastProcessed, w.lastStored, w.lastAcked, w.ackable, w.ackableUntil = 0, 0, 0, 0, 0
 	w.incarnation++
+	w.leaseEnd = max(w.leaseEnd, c.now.Steady+maxLeaseTime(c.MaxLease)) // its clock starts anew: a lease may last for as long as it grants
 	w.restartSeenAt = c.now.Steady
 	w.speed = speed.Estimate{}
 	clear(w.strays)
