--- /dev/null
+++ b/cell/drain_test.go
@@ -0,0 +1,142 @@
+package cell
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/workload"
+)
+
+const (
+	longestLease = 10 * time.Second // of a deployment with long leases
+	// finishTime is the time from the end of the traffic to the check of LOST, which a job
+	// fails that has had nothing running for idleLimit.
+	finishTime = 14 * time.Second
+	idleLimit  = 3 * time.Second
+	// lastingIdleLimit is the same for a task that lasts, at any time.
+	lastingIdleLimit = 9 * time.Second
+)
+
+// idleClock follows for how long each accepted job of a fleet has had nothing running.
+type idleClock struct {
+	since   map[string]Instant
+	longest map[string]time.Duration
+}
+
+// watchIdle begins to follow the jobs.
+func (f *simFleet) watchIdle() *idleClock {
+	c := &idleClock{since: map[string]Instant{}, longest: map[string]time.Duration{}}
+	f.every(10*time.Millisecond, func() {
+		running := map[string]bool{}
+		for _, w := range f.workers {
+			for _, r := range w.runs {
+				running[r.task.Job] = running[r.task.Job] || !w.gone
+			}
+		}
+		for id, j := range f.jobs {
+			if since, idle := c.since[id]; running[id] || !j.accepted || j.allDone() {
+				delete(c.since, id)
+			} else if !idle {
+				c.since[id] = f.now
+			} else {
+				c.longest[id] = max(c.longest[id], f.now-since)
+			}
+		}
+	})
+	return c
+}
+
+// newDrainFleet returns a fleet with long leases under single tasks and gangs that go on for
+// a minute.
+func newDrainFleet(t *testing.T) *simFleet {
+	f := newFleet(t, 1, 24)
+	f.maxLease, f.eligiblePercent = longestLease, 100
+	f.owner.MaxLease = longestLease
+	for i := range 40 {
+		spec := quoteJob(fmt.Sprintf("aa%014x", i))
+		spec.Steps = []workload.Step{{Count: 1, Need: resource.Vector{MilliCPU: 2000, MemoryMB: 2000}, Estimate: time.Minute}}
+		f.submit(2*time.Second, spec)
+	}
+	for i := range 5 {
+		spec := gangJob(fmt.Sprintf("bb%014x", i))
+		spec.Steps[0].Estimate = time.Minute
+		f.submit(2*time.Second, spec)
+	}
+	return f
+}
+
+// drainWorkers makes a third of the workers drain at the given time, and exit later.
+func (f *simFleet) drainWorkers(at Instant, drain time.Duration) {
+	f.at(at, func() {
+		for i := range 8 {
+			w := f.workers[fmt.Sprintf("w%03d", 3*i)]
+			w.info.Draining = true
+			f.after(drain, func() { f.leave(w, time.Hour, true) })
+		}
+	})
+}
+
+// TestWorkOfADrainedWorkerRunsAgain guards against tasks and gangs that wait for the long
+// leases of workers that have drained and ended.
+func TestWorkOfADrainedWorkerRunsAgain(t *testing.T) {
+	t.Parallel()
+	f := newDrainFleet(t)
+	f.drainWorkers(15*time.Second, longestLease)
+	f.runUntil(15*time.Second + longestLease - time.Second)
+	idle := f.watchIdle()
+	f.runUntil(f.now + 20*time.Second)
+	f.requireNoViolations()
+	require.GreaterOrEqual(t, len(idle.longest), 5, "few jobs are interrupted")
+	for id, longest := range inOrder(idle.longest) {
+		require.LessOrEqual(t, longest, idleLimit, "job %s", id)
+	}
+}
+
+// TestWorkOfDrainedWorkersRunsAtTheEnd guards against work that waits for long leases at the
+// check after the traffic, which ends as the workers begin to drain.
+func TestWorkOfDrainedWorkersRunsAtTheEnd(t *testing.T) {
+	t.Parallel()
+	for _, drain := range []time.Duration{2 * time.Second, 4 * time.Second, 6 * time.Second, 8 * time.Second} {
+		t.Run(drain.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newDrainFleet(t)
+			f.drainWorkers(15*time.Second, drain)
+			idle := f.watchIdle()
+			f.runUntil(15*time.Second + finishTime)
+			f.requireNoViolations()
+			require.NotEmpty(t, idle.longest)
+			for id, since := range inOrder(idle.since) {
+				require.Less(t, f.now-since, idleLimit, "job %s", id)
+			}
+		})
+	}
+}
+
+// TestLastingTaskOfALostWorkerRunsAgain guards against long-running tasks that wait for the
+// long leases of a worker that was lost without a word.
+func TestLastingTaskOfALostWorkerRunsAgain(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 6)
+	f.maxLease, f.eligiblePercent = longestLease, 100
+	f.owner.MaxLease = longestLease
+	spec := quoteJob("aa00000000000001")
+	spec.Steps = []workload.Step{{Count: 1, Need: resource.Vector{MilliCPU: 2000, MemoryMB: 2000}, Estimate: time.Minute, LongRunning: true}}
+	f.submit(2*time.Second, spec)
+	f.runUntil(15 * time.Second)
+	idle := f.watchIdle()
+	for _, id := range slices.Sorted(maps.Keys(f.workers)) {
+		if w := f.workers[id]; len(w.runs) > 0 {
+			f.leave(w, time.Hour, true)
+		}
+	}
+	f.runUntil(40 * time.Second)
+	f.requireNoViolations()
+	require.NotZero(t, idle.longest[spec.ID])
+	require.LessOrEqual(t, idle.longest[spec.ID], lastingIdleLimit)
+}
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -62,6 +62,7 @@
 	stopDelay         time.Duration       // by which stops are carried out late and not answered
 	stopsLost         bool                // stops are not carried out
 	maxResults        int                 // ends in a report
+	maxLease          time.Duration       // longest lease that workers grant, simMaxLease by default
 	startFailure      func(Start) Failure // why a worker does not carry out a start, if set
 	connectTime       time.Duration       // after which a connection that cannot be made fails; longer if a host has no power
 	aloneEnds         int                 // runs that ended because they had waited too long for their gang
@@ -201,7 +202,7 @@
 		teams: map[string]Team{"blue": {Rate: 100}, "red": {Rate: 100}}, usedByTeam: map[string]int64{}, storeUnreachable: map[*Cell]bool{},
 	}
 	f.now = time.Second
-	f.eligiblePercent, f.maxResults = 45, simMaxResults
+	f.eligiblePercent, f.maxResults, f.maxLease = 45, simMaxResults, simMaxLease
 	f.store = simStore{specs: map[string][]byte{}, progress: map[string]*workload.Progress{}, version: 10}
 	speeds := []float64{0.8, 1, 1.25}
 	for i := range workers {
@@ -263,7 +264,7 @@
 func (f *simFleet) claim() {
 	f.store.version++
 	f.store.token = f.store.version
-	c := New(Config{MaxLease: simMaxLease, StopTimeout: 200 * time.Millisecond, GangTimeout: simGangTimeout, StatusRetention: 120 * time.Second, MaxCapacityAge: simCapacityAge, MaxRowBytes: f.store.rowBytes / 4 * 3, MaxResults: f.maxResults})
+	c := New(Config{MaxLease: f.maxLease, StopTimeout: 200 * time.Millisecond, GangTimeout: simGangTimeout, StatusRetention: 120 * time.Second, MaxCapacityAge: simCapacityAge, MaxRowBytes: f.store.rowBytes / 4 * 3, MaxResults: f.maxResults})
 	previous := f.owner != nil
 	f.owner = c
 	claimed := Claimed{Token: f.store.token, Sent: f.now, Previous: previous, Workers: f.store.roster, Learned: f.store.learned}
@@ -528,11 +529,11 @@
 }
 
 // renew extends the worker's lease.
-func (w *simWorker) renew(now, until Instant) {
-	if now > w.lease {
-		w.lapsedAt = now
+func (f *simFleet) renew(w *simWorker, until Instant) {
+	if f.now > w.lease {
+		w.lapsedAt = f.now
 	}
-	w.lease = max(w.lease, min(until, now+simMaxLease))
+	w.lease = max(w.lease, min(until, f.now+f.maxLease))
 }
 
 // ticket returns the ticket for this incarnation of the worker.
@@ -578,7 +579,7 @@
 		j.startedAgain[e.Task] = f.now
 	}
 	w.runs[e.Task] = r
-	w.renew(f.now, e.LeaseUntil)
+	f.renew(w, e.LeaseUntil)
 	f.usedByTeam[j.spec.Team] += r.need.MilliCPU
 	f.starts++
 	if j.startedAt == 0 {
@@ -892,7 +893,7 @@
 	}
 	w.token = e.Token
 	if e.LeaseUntil > 0 {
-		w.renew(f.now, e.LeaseUntil)
+		f.renew(w, e.LeaseUntil)
 	}
 	f.acknowledge(w, e.Ack)
 	answered := false
