A poll to a worker that does not answer grants no lease

Cause: polls to a failing worker went on granting the longest lease for 1.4 s after its last answer.

--- a/cell/poll.go
+++ b/cell/poll.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// poll asks a worker for its report, and renews its leases while it answers.
+// poll asks a worker for its report, and renews its leases unless the last poll got no answer.
 func (c *Cell) poll(w *worker) {
 	now := c.now.Steady
 	w.pollInFlight, w.polledAt = true, now
@@ -119,7 +119,7 @@
 			effect.Wait = 0
 		}
 	}
-	if length := c.leaseLength(); w.synced && length > 0 && (!w.failing || now-w.answeredAt < silentAfter*2) {
+	if length := c.leaseLength(); w.synced && !w.failing && length > 0 {
 		effect.LeaseUntil = w.grantLease(now, length)
 	}
 	w.ackInFlight = effect.Ack
