Leases of a draining worker are short from its first word on

Cause: each poll of a draining worker granted the longest lease until the worker exited. The owner knows from the list that a worker drains, a successor from the roster until it has read the list.

TestWorkOfADrainedWorkerRunsAgain and TestWorkOfDrainedWorkersRunsAtTheEnd (drains of 4, 6 and 8 s) were red and pass. New: TestDrainingWorkersOutliveUnansweredPolls (ten cuts of half a second lapse nothing) and TestSuccessorKeepsLeasesOfDrainingWorkersShort, which fails without the line in restore.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -291,6 +291,14 @@
 	return min(c.MaxLease, c.leaseLimit()-c.now.Steady)
 }
 
+// leaseLengthOn returns the maximum duration of a lease granted to the worker now.
+func (c *Cell) leaseLengthOn(w *worker) time.Duration {
+	if w.endsSoon {
+		return min(drainLease, c.leaseLength())
+	}
+	return c.leaseLength()
+}
+
 // query answers with the stored state of a job.
 func (c *Cell) query(e Query) {
 	j := c.jobs[e.ID]
--- a/cell/drain_test.go
+++ b/cell/drain_test.go
@@ -98,6 +98,73 @@
 	}
 }
 
+// TestSuccessorKeepsLeasesOfDrainingWorkersShort lets a new owner poll a worker of the roster
+// before it has read the list of workers.
+func TestSuccessorKeepsLeasesOfDrainingWorkersShort(t *testing.T) {
+	t.Parallel()
+	for _, leaving := range []bool{false, true} {
+		c := New(Config{MaxLease: longestLease, StatusRetention: time.Minute})
+		now, clock := time.Hour, time.Minute // the worker's clock
+		longest := time.Duration(0)
+		step := func(event any) {
+			queue := []any{event}
+			for len(queue) > 0 {
+				next := queue[0]
+				queue = queue[1:]
+				for _, effect := range c.Update(Clock{Steady: now, Wall: time.Unix(1, 0)}, next) {
+					switch e := effect.(type) {
+					case Commit:
+						queue = append(queue, Committed{Seq: e.Seq, Sent: now})
+					case Poll:
+						longest = max(longest, e.LeaseUntil-clock)
+						report := Report{StartedAt: 1, Clock: clock, Running: []RunningTask{{Task: "aa00000000000001.0.0.0", Run: 1}}}
+						queue = append(queue, PollResult{Worker: e.Worker, Sent: now, Received: now, Report: report})
+					}
+				}
+			}
+		}
+		poll := func() time.Duration {
+			longest = 0
+			for range 10 {
+				now, clock = now+100*time.Millisecond, clock+100*time.Millisecond
+				step(PlacementRound{})
+			}
+			return longest
+		}
+		step(Claimed{Token: 9, Sent: now, Previous: true, Workers: []WorkerRef{{ID: "w1", Addr: "w1", Service: "s", Leaving: leaving}}})
+		length := poll()
+		require.Equal(t, leaving, length < longestLease/2, "%v", length)
+		step(Listed{Workers: []WorkerInfo{{ID: "w1", Addr: "w1", Service: "s", StartedAt: 1, Draining: !leaving}}})
+		length = poll()
+		require.Equal(t, !leaving, length < longestLease/2, "%v", length)
+	}
+}
+
+// TestDrainingWorkersOutliveUnansweredPolls guards against short leases that run out while
+// workers do not answer for half a second.
+func TestDrainingWorkersOutliveUnansweredPolls(t *testing.T) {
+	t.Parallel()
+	f := newDrainFleet(t)
+	f.drainWorkers(15*time.Second, 40*time.Second)
+	for at := 30 * time.Second; at < 50*time.Second; at += 1970 * time.Millisecond {
+		f.at(at, func() {
+			for _, w := range f.workers {
+				w.cutOff = true
+			}
+		})
+		f.at(at+500*time.Millisecond, func() {
+			for _, w := range f.workers {
+				w.cutOff = false
+			}
+		})
+	}
+	f.runUntil(28 * time.Second)
+	starts := f.starts
+	f.runUntil(52 * time.Second)
+	f.requireNoViolations()
+	require.Equal(t, starts, f.starts, "runs were started again")
+}
+
 // TestWorkOfDrainedWorkersRunsAtTheEnd guards against work that waits for long leases at the
 // check after the traffic, which ends as the workers begin to drain.
 func TestWorkOfDrainedWorkersRunsAtTheEnd(t *testing.T) {
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -110,6 +110,9 @@
 	}
 	if w.synced && !w.failing {
 		effect.Wait = pollWait
+		if w.endsSoon {
+			effect.Wait = drainPollWait
+		}
 		for _, r := range w.runsByAge {
 			if r.state == unconfirmed || r.state == stopping {
 				effect.Wait = 0
@@ -119,7 +122,7 @@
 			effect.Wait = 0
 		}
 	}
-	if length := c.leaseLength(); w.synced && !w.failing && length > 0 {
+	if length := c.leaseLengthOn(w); w.synced && !w.failing && length > 0 {
 		effect.LeaseUntil = w.grantLease(now, length)
 	}
 	w.ackInFlight = effect.Ack
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -69,7 +69,7 @@
 	c.commits.rosterRows = len(c.rosterShares(e.Workers))
 	for _, ref := range e.Workers {
 		w := newWorker(WorkerInfo{ID: ref.ID, Addr: ref.Addr, Service: ref.Service}, c.now.Steady)
-		w.onRoster, w.wasLeaving = true, ref.Leaving
+		w.onRoster, w.wasLeaving, w.endsSoon = true, ref.Leaving, ref.Leaving
 		c.addWorker(w)
 	}
 	c.logInfo("cell claimed", slog.Uint64("token", e.Token), slog.Int("jobs", live), slog.Int("ended", len(e.Jobs)-live), slog.Int("workers", len(e.Workers)))
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -62,7 +62,7 @@
 	w.WorkerInfo = info
 	w.Clock, w.StartedAt = clock, startedAt
 	c.readCapacity(w, info.Capacity, info.StartedAt, info.Clock)
-	w.listed = true
+	w.listed, w.endsSoon = true, info.Draining
 	c.restoreSpeed(w)
 	w.evacuated = c.evacuated.Covers(w.Zone)
 	c.commits.rosterDirty = c.commits.rosterDirty || leaving != w.leaving()
--- a/cell/run.go
+++ b/cell/run.go
@@ -50,7 +50,7 @@
 	if r.state != placing || w.runs[t.name] != r || s.job.spec == nil || s.job.progress.State.Final() {
 		return
 	}
-	if c.leaseLength() < minLease || c.policyExpired() {
+	if c.leaseLengthOn(w) < minLease || c.policyExpired() {
 		c.dropRun(r)
 		c.abortGang(r, "start withheld")
 		return
@@ -70,7 +70,7 @@
 	r.saved, r.resumed = checkpoint, checkpoint != ""
 	c.emit(Start{
 		Command: cmd, Task: t.name, Run: r.number, Spec: s.job.spec.Spec, Checkpoint: checkpoint,
-		Ticket: s.advice.ticketFor(w), LeaseUntil: w.grantLease(c.now.Steady, c.leaseLength()),
+		Ticket: s.advice.ticketFor(w), LeaseUntil: w.grantLease(c.now.Steady, c.leaseLengthOn(w)),
 	})
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -25,6 +25,11 @@
 	// pollWait is how long a poll waits for a new result. Polls renew leases, so it
 	// must be well below the lease duration.
 	pollWait = 1500 * time.Millisecond
+	// drainPollWait replaces pollWait for a worker that drains, as its leases are short.
+	drainPollWait = 300 * time.Millisecond
+	// drainLease is the maximum lease on a worker that drains, so that what runs there when
+	// it exits can soon run elsewhere. It outlives one unanswered poll and the retry.
+	drainLease = 1500 * time.Millisecond
 	// silentAfter is the age of the last answer above which a failing worker
 	// counts as silent and gets no new work.
 	silentAfter = 700 * time.Millisecond
@@ -41,6 +46,7 @@
 	listed        bool              // in the store's list
 	evacuated     bool              // its availability zone is being evacuated
 	wasLeaving    bool              // it was leaving under the owner before; false once it has answered
+	endsSoon      bool              // it drains or, until it is listed, was leaving under the owner before
 	onRoster      bool              // on the stored roster, so that a successor would find it
 	synced        bool              // answered a poll since the claim or its last known restart
 	pollInFlight  bool              // a poll is in flight
