--- a/cell/poll.go
+++ b/cell/poll.go
@@ -108,7 +108,7 @@
 	return !w.failing && w.lastAcked < w.lastStored && now <= w.ackableUntil
 }
 
-// poll asks a worker for its report, and renews its leases while it answers.
+// poll asks a worker for its report, and renews its leases unless the last poll got no answer.
 func (c *Cell) poll(w *worker) {
 	now := c.now.Steady
 	w.pollInFlight, w.polledAt = true, now
@@ -118,6 +118,9 @@
 	}
 	if w.synced && !w.failing {
 		effect.Wait = pollWait
+		if w.endsSoon {
+			effect.Wait = drainPollWait
+		}
 		for _, r := range w.runsByAge {
 			if r.state == unconfirmed || r.state == stopping {
 				effect.Wait = 0
@@ -127,7 +130,7 @@
 			effect.Wait = 0
 		}
 	}
-	if length := c.leaseLength(); w.synced && length > 0 && (!w.failing || now-w.answeredAt < silentAfter*2) {
+	if length := c.leaseLengthOn(w); w.synced && !w.failing && length > 0 {
 		effect.LeaseUntil = w.grantLease(now, length)
 	}
 	c.emit(effect)
