A new owner waits for leases from its first reading of the head row on

Cause: the successor counted the longest lease after a commit (9 s) from the end of its load. The owner before sent its last confirmed commit before anybody could read the version that it wrote, and the claim is conditional on that version; so the wait counts from this host's first reading of it, on this host's own steady clock. An offer counts from its own reading.

--- a/cell/drain_test.go
+++ b/cell/drain_test.go
@@ -209,3 +209,32 @@
 		require.LessOrEqual(t, idle.longest[spec.ID], lastingIdleLimit, "lost at %v", lostAt)
 	}
 }
+
+// TestLastingTaskOutlivesItsWorkerAndTheOwner guards against long-running tasks that wait for
+// leases after their worker and the owner were lost at the same moment. A successor reads the
+// head row once a heartbeat has failed, and claims the cell later.
+func TestLastingTaskOutlivesItsWorkerAndTheOwner(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(10) {
+		for _, lease := range []time.Duration{simMaxLease, longestLease} {
+			f := newFleet(t, seed, 6)
+			f.maxLease, f.eligiblePercent, f.headReadDelay = lease, 100, 500*time.Millisecond
+			f.owner.MaxLease = lease
+			spec := quoteJob("aa00000000000001")
+			spec.Steps = []workload.Step{{Count: 1, Need: resource.Vector{MilliCPU: 2000, MemoryMB: 2000}, Estimate: time.Minute, LongRunning: true}}
+			f.submit(2*time.Second, spec)
+			f.runUntil(15*time.Second + time.Duration(f.rng.Int64N(int64(pollWait))))
+			idle := f.watchIdle()
+			for _, id := range slices.Sorted(maps.Keys(f.workers)) {
+				if w := f.workers[id]; len(w.runs) > 0 {
+					f.leave(w, time.Hour, true)
+				}
+			}
+			f.killOwner(1500 * time.Millisecond)
+			f.runUntil(40 * time.Second)
+			f.requireNoViolations()
+			require.NotZero(t, idle.longest[spec.ID])
+			require.LessOrEqual(t, idle.longest[spec.ID], lastingIdleLimit, "seed %d, leases of %v", seed, lease)
+		}
+	}
+}
--- a/cell/event.go
+++ b/cell/event.go
@@ -25,9 +25,12 @@
 	Sent Instant
 	// Previous is whether an earlier owner may have left runs on workers.
 	Previous bool
-	Jobs     []StoredJob
-	Workers  []WorkerRef // workers that earlier owners may have used
-	Learned  []byte      // row of what the last owner had learned; empty if there is none
+	// PreviousReadAt is when the last version of the head row that the earlier owner wrote
+	// was first read; 0: with this event. It sent its last confirmed commit before.
+	PreviousReadAt Instant
+	Jobs           []StoredJob
+	Workers        []WorkerRef // workers that earlier owners may have used
+	Learned        []byte      // row of what the last owner had learned; empty if there is none
 	// LearnedFailure is why that row could not be read, or empty.
 	LearnedFailure string
 }
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -15,6 +15,10 @@
 // before.
 const runsPerClaim = 1 << 12
 
+// answerTime is how long a new owner waits for workers to answer even if all leases of the
+// earlier owner have expired, so that it learns of ends that were not acknowledged.
+const answerTime = 2 * silentAfter
+
 // restore begins a claim from the stored state. A task that was placed may be
 // running on its worker, so it does not start again before that worker has answered
 // or every lease there has expired.
@@ -25,7 +29,11 @@
 	c.commits.lastSent = e.Sent
 	c.recoverBy = c.now.Steady
 	if e.Previous {
-		c.recoverBy += maxLeaseTime(MaxLeaseAfterCommit)
+		readAt := e.PreviousReadAt
+		if readAt == 0 {
+			readAt = c.now.Steady
+		}
+		c.recoverBy = max(readAt+maxLeaseTime(MaxLeaseAfterCommit), c.now.Steady+answerTime)
 	}
 	c.restoreLearned(e) // before the jobs, whose objectives depend on it
 	baseRun := e.Token * runsPerClaim
--- a/cellhost/ownership.go
+++ b/cellhost/ownership.go
@@ -550,7 +550,7 @@
 	}
 	k.head = head
 	if h.mayClaim(head, now-k.headSince) {
-		h.claim(ctx, head)
+		h.claim(ctx, head, k.headSince)
 	}
 }
 
@@ -588,8 +588,9 @@
 	return h.extraSteps() + int((uint64(hash.Sum32())+version)%candidateSteps)
 }
 
-// claim claims the cell, unless this host owns it or is already claiming it.
-func (h *Host) claim(ctx context.Context, head HeadRow) {
+// claim claims the cell, unless this host owns it or is already claiming it. The head row was
+// first read in this version at readAt.
+func (h *Host) claim(ctx context.Context, head HeadRow, readAt cell.Instant) {
 	if !h.ownership.beginClaim() {
 		return
 	}
@@ -611,13 +612,14 @@
 		return
 	}
 	newHead.Token = version
-	h.takeOver(ctx, &claimedHead{HeadRow: HeadRow{Head: newHead, Version: version}, sent: sent}, head.Version > 0)
+	h.takeOver(ctx, &claimedHead{HeadRow: HeadRow{Head: newHead, Version: version}, sent: sent, previousReadAt: readAt}, head.Version > 0)
 }
 
 // claimedHead is the head row as a new owner last wrote it.
 type claimedHead struct {
 	HeadRow
-	sent cell.Instant // when the last confirmed write of the head row was sent
+	sent           cell.Instant // when the last confirmed write of the head row was sent
+	previousReadAt cell.Instant // when the last version of the earlier owner was first read
 }
 
 // takeOver loads the cell while the head row is refreshed, then makes this host act as
@@ -668,7 +670,7 @@
 	h.ownership.claimedAt = h.Now()
 	h.ownership.mu.Unlock()
 	h.planRelaysForRoster(workers)
-	claimed := cell.Claimed{Token: head.Token, Sent: head.sent, Previous: hadOwner, Jobs: jobs, Workers: workers}
+	claimed := cell.Claimed{Token: head.Token, Sent: head.sent, Previous: hadOwner, PreviousReadAt: head.previousReadAt, Jobs: jobs, Workers: workers}
 	claimed.Learned, claimed.LearnedFailure = learned()
 	h.post(ctx, claimed)
 	h.post(ctx, cell.AdviceHosts{Hosts: []string{h.Name}})
--- a/cellhost/peer_calls.go
+++ b/cellhost/peer_calls.go
@@ -153,6 +153,7 @@
 		return reply{}
 	}
 	head, err := h.readHeadPromptly(ctx)
+	readAt := h.Now()
 	if err == nil && session != "" && head.Session == session && pause.Sleep(ctx, ownerRecoveryWait) {
 		version := head.Version
 		if head, err = h.readHeadPromptly(ctx); head.Version != version {
@@ -160,7 +161,7 @@
 		}
 	}
 	if err == nil && (head.Vacant || session != "" && head.Session == session) {
-		h.claim(context.WithoutCancel(ctx), head)
+		h.claim(context.WithoutCancel(ctx), head, readAt)
 	}
 	return reply{Owner: h.ownership.owns()}
 }
