Leases end 7.5 s after the owner's last confirmed commit, not 9 s

Callers saw a task that lasts without a run for 9.9 s after its worker and the owner were lost at once, and for 9.5 s after the loss of its worker alone where hold_max_ms is 10 s; LOST allows 9 s.

The price: an outage of the store of 7.25 s to 8.75 s lapses what runs, and where hold_max_ms is 10 s a worker that is cut off keeps its work for 5.9 s to 7.5 s, not 7.4 s to 9 s.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -38,8 +38,9 @@
 
 const (
 	// MaxLeaseAfterCommit is how long leases may run after the owner sent its last
-	// confirmed commit. It bridges store outages of a few seconds.
-	MaxLeaseAfterCommit = 9 * time.Second
+	// confirmed commit, and so the longest lease. It bridges store outages of a few seconds.
+	// A long-running task whose worker and owner are lost at once must run again within 9 s.
+	MaxLeaseAfterCommit = 7500 * time.Millisecond
 	// leaseMargin allows for the delay of clock readings and command delivery.
 	leaseMargin = 300 * time.Millisecond
 	// housekeepingInterval is the minimum time between two housekeeping passes.
