--- a/cell/cell.go
+++ b/cell/cell.go
@@ -284,6 +284,16 @@
 	c.emit(LogRecord{Level: slog.LevelInfo, Text: text, Attrs: attrs})
 }
 
+// logGivenUp logs that runs on the worker are given up, with what is known of it.
+func (c *Cell) logGivenUp(text string, w *worker, attrs ...slog.Attr) {
+	attrs = append(attrs, slog.String("worker", w.ID), slog.Duration("silent", c.now.Steady-w.answeredAt),
+		slog.Bool("draining", w.Draining), slog.Bool("listed", w.listed))
+	if w.leaseEnd > 0 {
+		attrs = append(attrs, slog.Duration("leaseLeft", w.leaseEnd-c.now.Steady))
+	}
+	c.logInfo(text, attrs...)
+}
+
 // leaseLimit returns the latest time at which leases may end.
 func (c *Cell) leaseLimit() Instant { return c.commits.confirmedAt + MaxLeaseAfterCommit }
 
--- a/cell/lost_member.go
+++ b/cell/lost_member.go
@@ -39,7 +39,7 @@
 		if !w.failing || slices.ContainsFunc(left, c.mayCrash) || !c.hasAttemptsLeft(s, 1) {
 			continue
 		}
-		c.logInfo("lost members have ended", slog.String("step", s.name), slog.Uint64("run", left[0].number), slog.Int("members", len(left)), slog.String("worker", w.ID))
+		c.logGivenUp("lost members have ended", w, slog.String("step", s.name), slog.Uint64("run", left[0].number), slog.Int("members", len(left)))
 		w.ended = append(w.ended, left...)
 		s.ended = append(s.ended, endedRun{left[0].number, w, c.now.Steady, w.leaseEnd, w.incarnation})
 		for _, r := range left {
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -22,7 +22,7 @@
 // removeLostWorker removes a worker that certainly runs nothing any more, and drops
 // its runs.
 func (c *Cell) removeLostWorker(w *worker, why string) {
-	c.logInfo("worker lost", slog.String("worker", w.ID), slog.String("why", why), slog.Int("runs", len(w.runs)))
+	c.logGivenUp("worker lost", w, slog.String("why", why), slog.Int("runs", len(w.runs)))
 	for r := range w.eachRun {
 		c.dropLostRun(r, "worker lost")
 	}
--- a/cell/report.go
+++ b/cell/report.go
@@ -281,7 +281,7 @@
 	case r.stopAckedAt > 0 && requestedAt > r.stopAckedAt:
 		c.dropRun(r) // its start is prevented, or its result was acknowledged
 	case r.state == running && requestedAt > r.confirmedAt:
-		c.logInfo("run vanished", slog.String("task", r.task.name), slog.Uint64("run", r.number), slog.String("worker", r.w.ID))
+		c.logGivenUp("run vanished", r.w, slog.String("task", r.task.name), slog.Uint64("run", r.number))
 		c.dropLostRun(r, "run vanished")
 	case r.state == unconfirmed && r.stopAckedAt == 0 && requestedAt > r.sentAt:
 		c.stopRun(r)
--- a/logquery/logquery.go
+++ b/logquery/logquery.go
@@ -172,5 +172,5 @@
 
 // isDuration reports whether a field holds a duration in nanoseconds.
 func isDuration(name string) bool {
-	return slices.Contains([]string{"retryAfter", "wait", "slack", "sinceFirst", "commitAge", "took", "waited", "after", "silent", "gain", "age", "youngest"}, name)
+	return slices.Contains([]string{"retryAfter", "wait", "slack", "sinceFirst", "commitAge", "took", "waited", "after", "silent", "leaseLeft", "gain", "age", "youngest"}, name)
 }
