--- a/cell/cell.go
+++ b/cell/cell.go
@@ -38,8 +38,9 @@
 
 const (
 	// MaxLeaseAfterCommit is how long leases may run after the owner sent its last
-	// confirmed commit. It bridges store outages of a few seconds.
-	MaxLeaseAfterCommit = 9 * time.Second
+	// confirmed commit, and so the longest lease. It bridges store outages of a few seconds.
+	// A long-running task whose worker and owner are lost at once must run again within 9 s.
+	MaxLeaseAfterCommit = 7500 * time.Millisecond
 	// leaseMargin allows for the delay of clock readings and command delivery.
 	leaseMargin = 300 * time.Millisecond
 	// housekeepingInterval is the minimum time between two housekeeping passes.
@@ -283,6 +284,16 @@
 	c.emit(LogRecord{Level: slog.LevelInfo, Text: text, Attrs: attrs})
 }
 
+// logGivenUp logs that runs on the worker are given up, with what is known of it.
+func (c *Cell) logGivenUp(text string, w *worker, attrs ...slog.Attr) {
+	attrs = append(attrs, slog.String("worker", w.ID), slog.Duration("silent", c.now.Steady-w.answeredAt),
+		slog.Bool("draining", w.Draining), slog.Bool("listed", w.listed))
+	if w.leaseEnd > 0 {
+		attrs = append(attrs, slog.Duration("leaseLeft", w.leaseEnd-c.now.Steady))
+	}
+	c.logInfo(text, attrs...)
+}
+
 // leaseLimit returns the latest time at which leases may end.
 func (c *Cell) leaseLimit() Instant { return c.commits.confirmedAt + MaxLeaseAfterCommit }
 
