cell: each run given up and each late result is logged

Logged now: run given up (reason, what is left of the leases, time since the last answer), held tasks released (reason), late result (what the owner holds in its place). Existing lines are as they were.

--- a/cell/lost_member.go
+++ b/cell/lost_member.go
@@ -43,6 +43,7 @@
 		w.ended = append(w.ended, left...)
 		s.ended = append(s.ended, endedRun{left[0].number, w, c.now.Steady, w.leaseEnd, w.incarnation})
 		for _, r := range left {
+			c.logGivenUp(r, "all other members are broken")
 			c.dropLostRun(r, "worker lost")
 		}
 	}
--- a/cell/missing_members.go
+++ b/cell/missing_members.go
@@ -46,6 +46,9 @@
 		c.abortGang(r, cause)
 		return
 	}
+	if r.state != placing {
+		c.logGivenUp(r, "member to be placed anew: "+cause)
+	}
 	s.notStarted = r
 }
 
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -24,9 +24,10 @@
 func (c *Cell) removeLostWorker(w *worker, why string) {
 	c.logInfo("worker lost", slog.String("worker", w.ID), slog.String("why", why), slog.Int("runs", len(w.runs)))
 	for r := range w.eachRun {
+		c.logGivenUp(r, why)
 		c.dropLostRun(r, "worker lost")
 	}
-	c.releaseHeld(w.ID)
+	c.releaseHeld(w.ID, releasedByLoss)
 	c.removeWorker(w)
 	c.commits.rosterDirty = true
 }
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -117,7 +117,7 @@
 	c.recovered = true
 	for _, worker := range slices.Sorted(maps.Keys(c.held)) {
 		if w := c.workers[worker]; w == nil || !w.resultsLeft {
-			c.releaseHeld(worker)
+			c.releaseHeld(worker, releasedByRecovery)
 		}
 	}
 	c.logInfo("recovery complete", slog.Uint64("token", c.token), slog.Int("workers", len(c.workers)))
@@ -125,11 +125,12 @@
 
 // releaseHeld allows tasks that are held for a worker to start. It is called once the
 // worker has reported its runs or certainly runs nothing any more.
-func (c *Cell) releaseHeld(worker string) {
+func (c *Cell) releaseHeld(worker, why string) {
 	tasks := c.held[worker]
 	if len(tasks) == 0 {
 		return
 	}
+	c.logReleased(worker, why, len(tasks))
 	delete(c.held, worker)
 	for _, t := range tasks {
 		if t.heldFor == worker {
--- a/cell/report.go
+++ b/cell/report.go
@@ -58,7 +58,7 @@
 	if !w.resultsLeft {
 		c.recordRestart(w, e.Report)
 		w.ended = nil
-		c.releaseHeld(w.ID)
+		c.releaseHeld(w.ID, releasedByReport)
 	}
 	if w.wasLeaving {
 		w.wasLeaving, c.commits.rosterDirty = false, true
@@ -90,6 +90,9 @@
 	if r != nil {
 		t = r.task
 	}
+	if r == nil {
+		c.logLateResult(w, result, t)
+	}
 	if t == nil {
 		return
 	}
@@ -279,9 +282,11 @@
 func (c *Cell) handleAbsentRun(r *run, requestedAt Instant) {
 	switch {
 	case r.stopAckedAt > 0 && requestedAt > r.stopAckedAt:
+		c.logGivenUp(r, "stop acknowledged")
 		c.dropRun(r) // its start is prevented, or its result was acknowledged
 	case r.state == running && requestedAt > r.confirmedAt:
 		c.logInfo("run vanished", slog.String("task", r.task.name), slog.Uint64("run", r.number), slog.String("worker", r.w.ID))
+		c.logGivenUp(r, "run vanished")
 		c.dropLostRun(r, "run vanished")
 	case r.state == unconfirmed && r.stopAckedAt == 0 && requestedAt > r.sentAt:
 		c.stopRun(r)
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -78,16 +78,17 @@
 		if held := c.held[w.ID]; w.failing && expired && len(w.runs)+len(held) > 0 && now-w.answeredAt > silentAfter*2 {
 			c.logInfo("leases ran out", slog.String("worker", w.ID), slog.Int("runs", len(w.runs)), slog.Int("held", len(held)), slog.Duration("silent", now-w.answeredAt))
 			for r := range w.eachRun {
+				c.logGivenUp(r, "leases ran out")
 				c.dropLostRun(r, "leases ran out")
 			}
-			c.releaseHeld(w.ID)
+			c.releaseHeld(w.ID, releasedByLeases)
 		}
 		if !w.listed && len(w.runs) == 0 && expired && (w.failing || w.synced) {
 			gone = append(gone, w)
 		}
 	}
 	for _, w := range gone {
-		c.releaseHeld(w.ID)
+		c.releaseHeld(w.ID, releasedByRemoval)
 		c.removeWorker(w)
 		c.commits.rosterDirty = true
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -127,6 +127,7 @@
 		return
 	}
 	if e.Failure == OtherWorker {
+		c.logGivenUp(r, "another worker answers at its address")
 		c.dropRun(r) // before the worker's other runs, which may have begun
 		c.handleFatal(w, e.Failure)
 		c.replaceMember(r, "start refused")
@@ -164,6 +165,9 @@
 		r.task.lastRun = max(r.task.lastRun, r.number+1)
 	}
 	c.logInfo("start refused", slog.String("task", e.Task), slog.Uint64("run", e.Run), slog.String("worker", e.Worker), slog.Int("failure", int(e.Failure)))
+	if why := e.Failure.givenUpBy(); why != "" {
+		c.logGivenUp(r, why)
+	}
 	r.task.step.notBefore = c.now.Steady + refusalBackoff
 	c.dropRun(r)
 	if e.Failure.replaceable() {
