--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -57,14 +57,19 @@
 
 	teams             map[string]Team
 	evacuated         evacuation.Orders
-	usedByTeam        map[string]int64    // processors that a team's runs really use, in thousandths
-	lateStartShare    float64             // share of starts that are not answered but executed late
-	stopDelay         time.Duration       // by which stops are carried out late and not answered
-	stopsLost         bool                // stops are not carried out
-	maxResults        int                 // ends in a report
-	startFailure      func(Start) Failure // why a worker does not carry out a start, if set
-	connectTime       time.Duration       // after which a connection that cannot be made fails; longer if a host has no power
-	aloneEnds         int                 // runs that ended because they had waited too long for their gang
+	usedByTeam        map[string]int64     // processors that a team's runs really use, in thousandths
+	lateStartShare    float64              // share of starts that are not answered but executed late
+	stopDelay         time.Duration        // by which stops are carried out late and not answered
+	stopsLost         bool                 // stops are not carried out
+	maxResults        int                  // ends in a report
+	startFailure      func(Start) Failure  // why a worker does not carry out a start, if set
+	connectTime       time.Duration        // after which a connection that cannot be made fails; longer if a host has no power
+	aloneEnds         int                  // runs that ended because they had waited too long for their gang
+	latePollShare     float64              // share of polls that are not answered but executed late
+	answerDelay       func() time.Duration // by which a worker's answer is late, if set
+	commitAnswerDelay func() time.Duration // by which the store's answer to a commit is late, if set
+	hostsReclaim      bool                 // an earlier owner that still runs claims the cell again
+	formerOwners      []*Cell              // owners that were replaced and still run
 	storeDown         bool
 	storeUnreachable  map[*Cell]bool // owners that the store does not answer
 	forgetsLearned    bool           // no learned state is stored
@@ -126,6 +131,7 @@
 	cutOffFrom       map[*Cell]bool     // owners that cannot reach it
 	gone             bool
 	crashes          int
+	answersLost      bool   // what it answers does not arrive
 	refuses          bool   // connections to it are refused
 	replaced         bool   // another worker answers at its address
 	failing          bool   // every run on it fails
@@ -264,6 +270,11 @@
 	f.store.version++
 	f.store.token = f.store.version
 	c := New(Config{MaxLease: simMaxLease, StopTimeout: 200 * time.Millisecond, GangTimeout: simGangTimeout, StatusRetention: 120 * time.Second, MaxCapacityAge: simCapacityAge, MaxRowBytes: f.store.rowBytes / 4 * 3, MaxResults: f.maxResults})
+	if i := slices.IndexFunc(f.formerOwners, func(c *Cell) bool { return !f.storeUnreachable[c] }); i >= 0 && f.hostsReclaim {
+		c = f.formerOwners[i]
+		f.formerOwners = slices.Delete(f.formerOwners, i, i+1)
+		f.send(c, Deposed{Reason: "claimed"})
+	}
 	previous := f.owner != nil
 	f.owner = c
 	claimed := Claimed{Token: f.store.token, Sent: f.now, Previous: previous, Workers: f.store.roster, Learned: f.store.learned}
@@ -372,20 +383,27 @@
 // handleCommit executes a transaction if its owner has not been replaced. While the store
 // is down, it retries.
 func (f *simFleet) handleCommit(c *Cell, e Commit, sent Instant) {
+	f.writeCommit(c, c.token, e, sent)
+}
+
+// writeCommit executes a transaction of the claim with the given token.
+func (f *simFleet) writeCommit(c *Cell, token uint64, e Commit, sent Instant) {
 	f.after(max(simCommitLatency, f.storeLatency), func() {
 		if f.storeDown || f.storeUnreachable[c] {
-			f.after(50*time.Millisecond, func() { f.handleCommit(c, e, sent) })
+			f.after(50*time.Millisecond, func() { f.writeCommit(c, token, e, sent) })
 			return
 		}
-		if (c.token != f.store.token || !c.owner) && f.fault != unconditionalCommits {
-			f.send(c, Deposed{Reason: "claimed"})
+		if (token != f.store.token || !c.owner) && f.fault != unconditionalCommits {
+			if c.token == token {
+				f.send(c, Deposed{Reason: "claimed"})
+			}
 			return
 		}
 		if rows := len(e.Puts) + len(e.Drops) + 2; rows > 100 {
 			f.violate("STORE", "%d entries in one transaction", rows)
 		}
 		if !f.checkSize(e) {
-			f.after(50*time.Millisecond, func() { f.handleCommit(c, e, sent) })
+			f.after(50*time.Millisecond, func() { f.writeCommit(c, token, e, sent) })
 			return
 		}
 		f.store.version++
@@ -414,7 +432,11 @@
 		if lost := f.crashes.answerLost; lost != nil && lost(e) {
 			return
 		}
-		f.send(c, Committed{Seq: e.Seq, Sent: sent})
+		if f.commitAnswerDelay == nil {
+			f.send(c, Committed{Seq: e.Seq, Sent: sent})
+			return
+		}
+		f.after(f.commitAnswerDelay(), func() { f.send(c, Committed{Seq: e.Seq, Sent: sent}) })
 	})
 }
 
@@ -492,11 +514,28 @@
 
 func (w *simWorker) unreachable(c *Cell) bool { return w.gone || w.cutOff || w.cutOffFrom[c] }
 
+// answerTime returns how long a worker's answer takes, at most the given time, and whether it is
+// lost.
+func (f *simFleet) answerTime(w *simWorker, limit time.Duration) (took time.Duration, lost bool) {
+	took = simNetworkDelay
+	if f.answerDelay != nil {
+		took += f.answerDelay()
+	}
+	if w != nil && w.answersLost || took > limit {
+		return limit, true
+	}
+	return took, false
+}
+
 // handleStart handles a start command that arrives at its worker.
 func (f *simFleet) handleStart(c *Cell, e Start) {
 	w := f.workers[e.Worker]
 	answer := func(failure Failure) {
-		f.after(simNetworkDelay, func() {
+		late, lost := f.answerTime(w, simCommandTimeout)
+		if lost {
+			failure = NoAnswer
+		}
+		f.after(late, func() {
 			f.send(c, Started{Worker: e.Worker, Task: e.Task, Run: e.Run, Received: f.now, Failure: failure, Clock: f.now})
 		})
 	}
@@ -834,7 +873,11 @@
 func (f *simFleet) handleStop(c *Cell, e Stop) {
 	w := f.workers[e.Worker]
 	answer := func(failure Failure) {
-		f.after(simNetworkDelay, func() {
+		late, lost := f.answerTime(w, simCommandTimeout)
+		if lost {
+			failure = NoAnswer
+		}
+		f.after(late, func() {
 			f.send(c, StopDone{Worker: e.Worker, Task: e.Task, Run: e.Run, Received: f.now, Failure: failure})
 		})
 	}
@@ -887,6 +930,20 @@
 		fail(Fenced)
 		return
 	}
+	if f.latePollShare > 0 && f.rng.Float64() < f.latePollShare {
+		crashes := w.crashes
+		f.after(time.Duration(1+f.rng.IntN(6))*time.Second, func() {
+			if w.crashes == crashes && !w.unreachable(c) && !w.refuses && e.Token >= w.token {
+				w.token = e.Token
+				if e.LeaseUntil >= f.now {
+					w.renew(f.now, e.LeaseUntil)
+				}
+				f.acknowledge(w, e.Ack)
+			}
+		})
+		f.after(simCommandTimeout, func() { fail(NoAnswer) })
+		return
+	}
 	if f.fault == earlyAcks {
 		e.Ack = max(e.Ack, w.lastReported)
 	}
@@ -913,7 +970,12 @@
 			}
 			report.Running = append(report.Running, RunningTask{Task: name, Run: r.number, Percent: percent, Checkpoint: f.lastCheckpoint(name, r)})
 		}
-		f.after(simNetworkDelay, func() {
+		late, lost := f.answerTime(w, sent+e.Wait+simCommandTimeout-f.now)
+		if lost {
+			f.after(late, func() { fail(NoAnswer) })
+			return
+		}
+		f.after(late, func() {
 			f.send(c, PollResult{Worker: e.Worker, Sent: sent, Received: f.now, Report: report})
 		})
 	}
@@ -1099,6 +1161,23 @@
 	f.after(delay, f.claimBySuccessor)
 }
 
+// giveUp makes the owner give the cell up. Another process owns it for the given time; then the
+// first claims it again, while answers to its earlier calls are on their way.
+func (f *simFleet) giveUp(length time.Duration) {
+	first := f.owner
+	f.send(first, Deposed{Reason: "handed over"})
+	f.after(10*time.Millisecond, func() {
+		f.claimBySuccessor()
+		second := f.owner
+		f.after(length, func() {
+			if f.owner == second && !f.storeUnreachable[first] {
+				f.formerOwners = append([]*Cell{first}, slices.DeleteFunc(f.formerOwners, func(c *Cell) bool { return c == first })...)
+				f.claim()
+			}
+		})
+	})
+}
+
 // isolateOwner disconnects the owner from the store. The old owner keeps running. A
 // successor, which cannot reach half of the workers, claims the cell after the delay.
 // After the given length, all can reach each other again.
@@ -1113,6 +1192,7 @@
 	f.every(simRoundInterval, func() { f.send(old, PlacementRound{}) })
 	f.after(delay, func() {
 		f.claimBySuccessor()
+		f.formerOwners = append(f.formerOwners, old)
 		for id, w := range f.workers {
 			if id[len(id)-1]%2 == 0 {
 				w.cutOffFrom = map[*Cell]bool{f.owner: true}
