--- a/cell/commit.go
+++ b/cell/commit.go
@@ -108,7 +108,7 @@
 	commits.seq++
 	commits.lastSent = c.now.Steady
 	p := &pendingCommit{seq: commits.seq}
-	effect := Commit{Seq: commits.seq}
+	effect := Commit{Token: c.token, Seq: commits.seq}
 	size := 0
 	if commits.rosterDirty {
 		commits.rosterDirty = false
--- a/cell/effect.go
+++ b/cell/effect.go
@@ -10,6 +10,7 @@
 // Commit is a transaction that the store accepts only while this host owns the
 // cell. Commits are written in order, one at a time.
 type Commit struct {
+	Token uint64 // fencing token of the claim that it belongs to
 	Seq   uint64
 	Puts  []Row
 	Drops []Row
--- a/cell/event.go
+++ b/cell/event.go
@@ -88,8 +88,9 @@
 // Committed reports that the store accepted a Commit. Sent is when it was sent; the
 // ownership that it confirms held at that time.
 type Committed struct {
-	Seq  uint64
-	Sent Instant
+	Token uint64 // of the Commit; 0: of the current claim
+	Seq   uint64
+	Sent  Instant
 }
 
 // Listed is the complete list of workers in the store.
@@ -132,6 +133,7 @@
 
 // PollResult is the outcome of a Poll.
 type PollResult struct {
+	Token    uint64 // of the command, as in all outcomes of commands; 0: of the current claim
 	Worker   string
 	Sent     Instant
 	Received Instant
@@ -200,6 +202,7 @@
 
 // Started is the outcome of a Start.
 type Started struct {
+	Token    uint64
 	Worker   string
 	Task     string
 	Run      uint64
@@ -210,6 +213,7 @@
 
 // StopDone is the outcome of a Stop.
 type StopDone struct {
+	Token    uint64
 	Worker   string
 	Task     string
 	Run      uint64
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -433,10 +433,10 @@
 			return
 		}
 		if f.commitAnswerDelay == nil {
-			f.send(c, Committed{Seq: e.Seq, Sent: sent})
+			f.send(c, Committed{Token: e.Token, Seq: e.Seq, Sent: sent})
 			return
 		}
-		f.after(f.commitAnswerDelay(), func() { f.send(c, Committed{Seq: e.Seq, Sent: sent}) })
+		f.after(f.commitAnswerDelay(), func() { f.send(c, Committed{Token: e.Token, Seq: e.Seq, Sent: sent}) })
 	})
 }
 
@@ -536,7 +536,7 @@
 			failure = NoAnswer
 		}
 		f.after(late, func() {
-			f.send(c, Started{Worker: e.Worker, Task: e.Task, Run: e.Run, Received: f.now, Failure: failure, Clock: f.now})
+			f.send(c, Started{Token: e.Token, Worker: e.Worker, Task: e.Task, Run: e.Run, Received: f.now, Failure: failure, Clock: f.now})
 		})
 	}
 	if failure := w.connectFailure(); failure != None {
@@ -878,7 +878,7 @@
 			failure = NoAnswer
 		}
 		f.after(late, func() {
-			f.send(c, StopDone{Worker: e.Worker, Task: e.Task, Run: e.Run, Received: f.now, Failure: failure})
+			f.send(c, StopDone{Token: e.Token, Worker: e.Worker, Task: e.Task, Run: e.Run, Received: f.now, Failure: failure})
 		})
 	}
 	switch {
@@ -915,7 +915,7 @@
 	w := f.workers[e.Worker]
 	fail := func(failure Failure) {
 		f.after(simNetworkDelay, func() {
-			f.send(c, PollResult{Worker: e.Worker, Sent: sent, Received: f.now, Failure: failure})
+			f.send(c, PollResult{Token: e.Token, Worker: e.Worker, Sent: sent, Received: f.now, Failure: failure})
 		})
 	}
 	switch {
@@ -976,7 +976,7 @@
 			return
 		}
 		f.after(late, func() {
-			f.send(c, PollResult{Worker: e.Worker, Sent: sent, Received: f.now, Report: report})
+			f.send(c, PollResult{Token: e.Token, Worker: e.Worker, Sent: sent, Received: f.now, Report: report})
 		})
 	}
 	if e.Wait == 0 || len(w.ended) > 0 {
--- a/cellhost/dispatch.go
+++ b/cellhost/dispatch.go
@@ -262,11 +262,11 @@
 func (r *relayed) failed(failure cell.Failure, now cell.Instant) any {
 	switch c := r.command.(type) {
 	case cell.Start:
-		return cell.Started{Worker: c.Worker, Task: c.Task, Run: c.Run, Received: now, Failure: failure}
+		return cell.Started{Token: c.Token, Worker: c.Worker, Task: c.Task, Run: c.Run, Received: now, Failure: failure}
 	case cell.Stop:
-		return cell.StopDone{Worker: c.Worker, Task: c.Task, Run: c.Run, Received: now, Failure: failure}
+		return cell.StopDone{Token: c.Token, Worker: c.Worker, Task: c.Task, Run: c.Run, Received: now, Failure: failure}
 	case cell.Poll:
-		return cell.PollResult{Worker: c.Worker, Sent: r.sent, Received: now, Failure: failure}
+		return cell.PollResult{Token: c.Token, Worker: c.Worker, Sent: r.sent, Received: now, Failure: failure}
 	default:
 		return nil // dispatch is given no other commands
 	}
--- a/cellhost/effects.go
+++ b/cellhost/effects.go
@@ -92,13 +92,13 @@
 			defer cancel()
 			done = h.Start(ctx, c)
 		}
-		done.Worker, done.Task, done.Run, done.Received = c.Worker, c.Task, c.Run, h.Now()
+		done.Token, done.Worker, done.Task, done.Run, done.Received = c.Token, c.Worker, c.Task, c.Run, h.Now()
 		return done
 	case cell.Stop:
 		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 		defer cancel()
 		done := h.Stop(ctx, c)
-		done.Worker, done.Task, done.Run, done.Received = c.Worker, c.Task, c.Run, h.Now()
+		done.Token, done.Worker, done.Task, done.Run, done.Received = c.Token, c.Worker, c.Task, c.Run, h.Now()
 		return done
 	case cell.Poll:
 		sent := h.Now()
@@ -108,7 +108,7 @@
 		ctx, cancel := context.WithTimeout(ctx, c.Wait+pollMargin)
 		defer cancel()
 		done := h.Poll(ctx, c)
-		done.Worker, done.Sent, done.Received = c.Worker, sent, h.Now()
+		done.Token, done.Worker, done.Sent, done.Received = c.Token, c.Worker, sent, h.Now()
 		return done
 	default:
 		panic(fmt.Sprintf("cellhost: %T is not a command", cmd))
@@ -219,7 +219,7 @@
 	h.resendDelay.observe(h.Now() - w.sent)
 	h.ownership.commitConfirmed(h, w.version, start)
 	h.Counts.Commit.Observe(h.Now() - start)
-	h.post(ctx, cell.Committed{Seq: head.Seq, Sent: start})
+	h.post(ctx, cell.Committed{Token: head.Token, Seq: head.Seq, Sent: start})
 }
 
 // writeVacancy marks the cell as vacant in the store and reports whether the store
--- a/cellhost/relay_messages.go
+++ b/cellhost/relay_messages.go
@@ -199,9 +199,9 @@
 func (m *relayResult) outcome(r *relayed, now cell.Instant) any {
 	switch c := r.command.(type) {
 	case cell.Start:
-		return cell.Started{Worker: c.Worker, Task: c.Task, Run: c.Run, Received: now, Failure: m.Failure, Clock: m.Clock}
+		return cell.Started{Token: c.Token, Worker: c.Worker, Task: c.Task, Run: c.Run, Received: now, Failure: m.Failure, Clock: m.Clock}
 	case cell.Stop:
-		return cell.StopDone{Worker: c.Worker, Task: c.Task, Run: c.Run, Received: now, Failure: m.Failure}
+		return cell.StopDone{Token: c.Token, Worker: c.Worker, Task: c.Task, Run: c.Run, Received: now, Failure: m.Failure}
 	case cell.Poll:
 		report := cell.Report{StartedAt: m.StartedAt, Clock: m.Clock}
 		if v := m.Capacity; v != nil {
@@ -213,7 +213,7 @@
 		for _, e := range m.Ended {
 			report.Ended = append(report.Ended, cell.RunResult{Seq: e.Seq, Task: e.Task, Run: e.Run, Outcome: e.Outcome, Checkpoint: e.Checkpoint})
 		}
-		return cell.PollResult{Worker: c.Worker, Sent: r.sent, Received: now, Failure: m.Failure, Report: report}
+		return cell.PollResult{Token: c.Token, Worker: c.Worker, Sent: r.sent, Received: now, Failure: m.Failure, Report: report}
 	default:
 		return nil // only commands are relayed
 	}
