cell: an outcome of an earlier claim's command changes nothing in the current one

A host that owns the cell again within the time of a poll (1.85 s at most) got the answer to a poll of its earlier claim. It took the worker for one that has reported, and released the tasks that the owner in between had placed there: they were started again beside a run at work, or after one that had ended as done. A refusal with fence of such a command ended the current claim.

Cause: the cell told outcomes apart by worker only. dispatcher.reset forgets the commands that went through relays, not those of direct calls, which small fleets use. Outcomes carry the token of their command; one with another token than the claim's is ignored.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -188,8 +188,25 @@
 	return c.effects
 }
 
-// updateOwned applies an event that only the owner handles.
+// claimOf returns the token of the claim that an event belongs to; 0: the current one.
+func claimOf(event any) uint64 {
+	switch e := event.(type) {
+	case PollResult:
+		return e.Token
+	case Started:
+		return e.Token
+	case StopDone:
+		return e.Token
+	}
+	return 0
+}
+
+// updateOwned applies an event that only the owner handles, unless it belongs to an earlier
+// claim of this host: another one may have owned the cell since.
 func (c *Cell) updateOwned(event any) {
+	if token := claimOf(event); token > 0 && token != c.token {
+		return
+	}
 	switch e := event.(type) {
 	case Submit:
 		c.submit(e)
