cell: the answer to a commit of an earlier claim confirms none of the current one

Commits are numbered from 1 in each claim, and the store's answer to one of an earlier claim can arrive after the host has claimed the cell again (a call takes 1 s at most). It confirmed the commit in flight with the same number: its job counted as accepted, its tasks were started, and its ends were acknowledged to the workers, with nothing stored. If that commit then failed, the next owner started the tasks again after their ends had been taken note of, which is what the issue reports.

Committed carries the token of its Commit; one of another claim is ignored.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -197,6 +197,8 @@
 		return e.Token
 	case StopDone:
 		return e.Token
+	case Committed:
+		return e.Token
 	}
 	return 0
 }
