cellhost: the answer to a commit of an earlier claim leaves the current head row as it is

The store's late answer to a commit of an earlier claim set the version of the current claim's head row, so the next commit was taken for that of a replaced owner and the claim ended; it also counted as confirmation of the current claim, or overwrote the version of another owner. commitConfirmed compares the token. Two tests give it the token of their owner.

--- a/cellhost/client_calls_test.go
+++ b/cellhost/client_calls_test.go
@@ -40,7 +40,7 @@
 		require.Equal(t, Outcome{Verdict: cell.Accepted, State: workload.Active}, out)
 
 		start := time.Now()
-		time.AfterFunc(100*time.Millisecond, func() { h.ownership.commitConfirmed(h, 8, h.Now()) })
+		time.AfterFunc(100*time.Millisecond, func() { h.ownership.commitConfirmed(h, 5, 8, h.Now()) })
 		require.Equal(t, cell.Unknown, h.Cancel(ctx, "aa00000000000001").Verdict)
 		require.Less(t, time.Since(start), 200*time.Millisecond)
 	})
--- a/cellhost/effects.go
+++ b/cellhost/effects.go
@@ -217,7 +217,7 @@
 		w.version = w.current.Version // another write of the same commit took effect
 	}
 	h.resendDelay.observe(h.Now() - w.sent)
-	h.ownership.commitConfirmed(h, w.version, start)
+	h.ownership.commitConfirmed(h, head.Token, w.version, start)
 	h.Counts.Commit.Observe(h.Now() - start)
 	h.post(ctx, cell.Committed{Token: head.Token, Seq: head.Seq, Sent: start})
 }
--- a/cellhost/ownership.go
+++ b/cellhost/ownership.go
@@ -212,14 +212,17 @@
 	return o.owner, o.isOwner
 }
 
-// commitConfirmed records that a commit of this host, first sent at the given time,
-// took effect.
-func (o *ownership) commitConfirmed(h *Host, version uint64, sent cell.Instant) {
+// commitConfirmed records that a commit of this host's claim with the given token, first
+// sent at the given time, took effect. That of an earlier claim says only that the store
+// answers.
+func (o *ownership) commitConfirmed(h *Host, token, version uint64, sent cell.Instant) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.owner.Version = version
+	if o.isOwner && o.owner.Token == token {
+		o.owner.Version = version
+		o.confirmedAt = max(o.confirmedAt, sent)
+	}
 	o.storeRefuses = false
-	o.confirmedAt = max(o.confirmedAt, sent)
 	if o.storeDown {
 		o.storeDown = false
 		h.Log.Info("store answers again")
--- a/cellhost/ownership_keeper_test.go
+++ b/cellhost/ownership_keeper_test.go
@@ -74,7 +74,7 @@
 		close(done)
 	}()
 	require.Eventually(t, func() bool { return connections.Load() > 0 }, time.Second, time.Millisecond)
-	h.ownership.commitConfirmed(h, 8, h.Now())
+	h.ownership.commitConfirmed(h, 5, 8, h.Now())
 	select {
 	case <-done:
 	case <-time.After(2 * heartbeatTimeout):
