cellhost: a commit of an earlier claim is not written under a later one

A commit in the queue of the goroutine that writes took the head row of whatever claim the host had by then. If that was a later one, its rows overwrote what the owner in between had stored: ends that it had taken note of, so that the owner after next starts their tasks again. Commits carry their claim's token; one of another claim is dropped. commitOnce in the tests names the token of its owner.

--- a/cellhost/effects.go
+++ b/cellhost/effects.go
@@ -158,8 +158,8 @@
 // changes.
 func (h *Host) writeCommit(ctx context.Context, commit cell.Commit) {
 	head, owned := h.ownership.nextHead(commit.Seq)
-	if !owned {
-		return
+	if !owned || head.Token != commit.Token {
+		return // another owner may have written since the commit was made
 	}
 	h.Counts.Commits.Add(1)
 	ctx, cancel := context.WithCancel(ctx)
--- a/cellhost/effects_test.go
+++ b/cellhost/effects_test.go
@@ -51,7 +51,8 @@
 // commitOnce writes a commit to the store and returns the time that it took.
 func commitOnce(t *testing.T, h *Host, seq uint64) time.Duration {
 	start := time.Now()
-	h.writeCommit(t.Context(), cell.Commit{Seq: seq})
+	head, _ := h.ownership.currentOwner()
+	h.writeCommit(t.Context(), cell.Commit{Token: head.Token, Seq: seq})
 	took := time.Since(start)
 	require.IsType(t, cell.Committed{}, <-h.events)
 	return took
