--- a/cell/cell.go
+++ b/cell/cell.go
@@ -189,8 +189,27 @@
 	return c.effects
 }
 
-// updateOwned applies an event that only the owner handles.
+// claimOf returns the token of the claim that an event belongs to; 0: the current one.
+func claimOf(event any) uint64 {
+	switch e := event.(type) {
+	case PollResult:
+		return e.Token
+	case Started:
+		return e.Token
+	case StopDone:
+		return e.Token
+	case Committed:
+		return e.Token
+	}
+	return 0
+}
+
+// updateOwned applies an event that only the owner handles, unless it belongs to an earlier
+// claim of this host: another one may have owned the cell since.
 func (c *Cell) updateOwned(event any) {
+	if token := claimOf(event); token > 0 && token != c.token {
+		return
+	}
 	switch e := event.(type) {
 	case Submit:
 		c.submit(e)
@@ -284,8 +303,8 @@
 	c.emit(LogRecord{Level: slog.LevelInfo, Text: text, Attrs: attrs})
 }
 
-// logGivenUp logs that runs on the worker are given up, with what is known of it.
-func (c *Cell) logGivenUp(text string, w *worker, attrs ...slog.Attr) {
+// logLoss logs that runs on the worker are given up, with what is known of it.
+func (c *Cell) logLoss(text string, w *worker, attrs ...slog.Attr) {
 	attrs = append(attrs, slog.String("worker", w.ID), slog.Duration("silent", c.now.Steady-w.answeredAt),
 		slog.Bool("draining", w.Draining), slog.Bool("listed", w.listed))
 	if w.leaseEnd > 0 {
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -23,11 +23,12 @@
 // removeLostWorker removes a worker that certainly runs nothing any more, and drops
 // its runs.
 func (c *Cell) removeLostWorker(w *worker, why string) {
-	c.logGivenUp("worker lost", w, slog.String("why", why), slog.Int("runs", len(w.runs)))
+	c.logLoss("worker lost", w, slog.String("why", why), slog.Int("runs", len(w.runs)))
 	for r := range w.eachRun {
+		c.logGivenUp(r, why)
 		c.dropLostRun(r, "worker lost")
 	}
-	c.releaseHeld(w.ID)
+	c.releaseHeld(w.ID, releasedByLoss)
 	c.removeWorker(w)
 	c.commits.rosterDirty = true
 }
--- a/cell/report.go
+++ b/cell/report.go
@@ -61,7 +61,7 @@
 	if !w.resultsLeft {
 		c.recordRestart(w, e.Report)
 		w.ended = nil
-		c.releaseHeld(w.ID)
+		c.releaseHeld(w.ID, releasedByReport)
 	}
 	if w.wasLeaving {
 		w.wasLeaving, c.commits.rosterDirty = false, true
@@ -93,6 +93,9 @@
 	if r != nil {
 		t = r.task
 	}
+	if r == nil {
+		c.logLateResult(w, result, t)
+	}
 	if t == nil {
 		return
 	}
@@ -282,9 +285,10 @@
 func (c *Cell) handleAbsentRun(r *run, requestedAt Instant) {
 	switch {
 	case r.stopAckedAt > 0 && requestedAt > r.stopAckedAt:
+		c.logGivenUp(r, "stop acknowledged")
 		c.dropRun(r) // its start is prevented, or its result was acknowledged
 	case r.state == running && requestedAt > r.confirmedAt:
-		c.logGivenUp("run vanished", r.w, slog.String("task", r.task.name), slog.Uint64("run", r.number))
+		c.logLoss("run vanished", r.w, slog.String("task", r.task.name), slog.Uint64("run", r.number))
 		c.dropLostRun(r, "run vanished")
 	case r.state == unconfirmed && r.stopAckedAt == 0 && requestedAt > r.sentAt:
 		c.stopRun(r)
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -76,18 +76,19 @@
 	for _, w := range c.sortedWorkers {
 		expired := now > w.leaseEnd && now > c.recoverBy
 		if held := c.held[w.ID]; w.failing && expired && len(w.runs)+len(held) > 0 && now-w.answeredAt > silentAfter*2 {
-			c.logGivenUp("leases ran out", w, slog.Int("runs", len(w.runs)), slog.Int("held", len(held)))
+			c.logLoss("leases ran out", w, slog.Int("runs", len(w.runs)), slog.Int("held", len(held)))
 			for r := range w.eachRun {
+				c.logGivenUp(r, "leases ran out")
 				c.dropLostRun(r, "leases ran out")
 			}
-			c.releaseHeld(w.ID)
+			c.releaseHeld(w.ID, releasedByLeases)
 		}
 		if !w.listed && len(w.runs) == 0 && expired && (w.failing || w.synced) {
 			gone = append(gone, w)
 		}
 	}
 	for _, w := range gone {
-		c.releaseHeld(w.ID)
+		c.releaseHeld(w.ID, releasedByRemoval)
 		c.removeWorker(w)
 		c.commits.rosterDirty = true
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -127,6 +127,7 @@
 		return
 	}
 	if e.Failure == OtherWorker {
+		c.logGivenUp(r, "another worker answers at its address")
 		c.dropRun(r) // before the worker's other runs, which may have begun
 		c.handleFatal(w, e.Failure)
 		c.replaceMember(r, "start refused")
@@ -163,7 +164,7 @@
 	case Superseded:
 		r.task.lastRun = max(r.task.lastRun, r.number+1)
 	}
-	c.logGivenUp("start refused", w, slog.String("task", e.Task), slog.Uint64("run", e.Run), slog.Int("failure", int(e.Failure)))
+	c.logLoss("start refused", w, slog.String("task", e.Task), slog.Uint64("run", e.Run), slog.Int("failure", int(e.Failure)))
 	r.task.step.notBefore = c.now.Steady + refusalBackoff
 	c.dropRun(r)
 	if e.Failure.replaceable() {
--- a/cellhost/effects.go
+++ b/cellhost/effects.go
@@ -93,13 +93,13 @@
 			defer cancel()
 			done = h.Start(ctx, c)
 		}
-		done.Worker, done.Task, done.Run, done.Received = c.Worker, c.Task, c.Run, h.Now()
+		done.Token, done.Worker, done.Task, done.Run, done.Received = c.Token, c.Worker, c.Task, c.Run, h.Now()
 		return done
 	case cell.Stop:
 		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 		defer cancel()
 		done := h.Stop(ctx, c)
-		done.Worker, done.Task, done.Run, done.Received = c.Worker, c.Task, c.Run, h.Now()
+		done.Token, done.Worker, done.Task, done.Run, done.Received = c.Token, c.Worker, c.Task, c.Run, h.Now()
 		return done
 	case cell.Poll:
 		sent := h.Now()
@@ -112,7 +112,7 @@
 		ctx, cancel := context.WithTimeout(ctx, c.Wait+pollMargin)
 		defer cancel()
 		done := h.Poll(ctx, c)
-		done.Worker, done.Sent, done.Received, done.Ack = c.Worker, sent, h.Now(), c.Ack
+		done.Token, done.Worker, done.Sent, done.Received, done.Ack = c.Token, c.Worker, sent, h.Now(), c.Ack
 		return done
 	default:
 		panic(fmt.Sprintf("cellhost: %T is not a command", cmd))
@@ -162,8 +162,8 @@
 // changes.
 func (h *Host) writeCommit(ctx context.Context, commit cell.Commit) {
 	head, owned := h.ownership.nextHead(commit.Seq)
-	if !owned {
-		return
+	if !owned || head.Token != commit.Token {
+		return // another owner may have written since the commit was made
 	}
 	h.Counts.Commits.Add(1)
 	ctx, cancel := context.WithCancel(ctx)
@@ -221,9 +221,9 @@
 		w.version = w.current.Version // another write of the same commit took effect
 	}
 	h.resendDelay.observe(h.Now() - w.sent)
-	h.ownership.commitConfirmed(h, w.version, start)
+	h.ownership.commitConfirmed(h, head.Token, w.version, start)
 	h.Counts.Commit.Observe(h.Now() - start)
-	h.post(ctx, cell.Committed{Seq: head.Seq, Sent: start})
+	h.post(ctx, cell.Committed{Token: head.Token, Seq: head.Seq, Sent: start})
 }
 
 // writeVacancy marks the cell as vacant in the store and reports whether the store
--- a/cellhost/relay_messages.go
+++ b/cellhost/relay_messages.go
@@ -201,9 +201,9 @@
 func (m *relayResult) outcome(r *relayed, now cell.Instant) any {
 	switch c := r.command.(type) {
 	case cell.Start:
-		return cell.Started{Worker: c.Worker, Task: c.Task, Run: c.Run, Received: now, Failure: m.Failure, Clock: m.Clock}
+		return cell.Started{Token: c.Token, Worker: c.Worker, Task: c.Task, Run: c.Run, Received: now, Failure: m.Failure, Clock: m.Clock}
 	case cell.Stop:
-		return cell.StopDone{Worker: c.Worker, Task: c.Task, Run: c.Run, Received: now, Failure: m.Failure}
+		return cell.StopDone{Token: c.Token, Worker: c.Worker, Task: c.Task, Run: c.Run, Received: now, Failure: m.Failure}
 	case cell.Poll:
 		report := cell.Report{StartedAt: m.StartedAt, Clock: m.Clock}
 		if v := m.Capacity; v != nil {
@@ -219,7 +219,7 @@
 		if m.Late {
 			ack = 0
 		}
-		return cell.PollResult{Worker: c.Worker, Sent: r.sent, Received: now, Failure: m.Failure, Ack: ack, Report: report}
+		return cell.PollResult{Token: c.Token, Worker: c.Worker, Sent: r.sent, Received: now, Failure: m.Failure, Ack: ack, Report: report}
 	default:
 		return nil // only commands are relayed
 	}
