A poll waits for a quarter of its lease at most

While the store is away, leases are bound by the last confirmed commit and get shorter from poll to poll, but each poll was held for up to 1.5 s. So leases were renewed up to 1.5 s after the store's return, and with leases that end 7.5 s after the last commit, an outage of 6.5 s lapsed work. A poll now waits for a quarter of the lease that it grants, 0.3 s at least and 1.5 s at most; leases of 6 s and more are polled as before. This replaces the wait of polls to draining workers (0.38 s, was 0.3 s).

--- a/cell/drain_test.go
+++ b/cell/drain_test.go
@@ -238,3 +238,48 @@
 		}
 	}
 }
+
+// TestRunsOutliveShortOutages guards against leases that are too short: the store is away for
+// 6.5 s at any time between two polls.
+func TestRunsOutliveShortOutages(t *testing.T) {
+	t.Parallel()
+	for _, lease := range []time.Duration{simMaxLease, longestLease} {
+		f := newDrainFleet(t)
+		f.maxLease, f.owner.MaxLease = lease, lease
+		f.runUntil(15 * time.Second)
+		starts := f.starts
+		for phase := range 4 {
+			f.storeDown = true
+			f.runUntil(f.now + 6500*time.Millisecond)
+			f.storeDown = false
+			f.runUntil(f.now + 2*time.Second + time.Duration(phase)*310*time.Millisecond)
+		}
+		f.requireNoViolations()
+		require.Equal(t, starts, f.starts, "runs were started again, leases of %v", lease)
+	}
+}
+
+// TestRunsOutliveShortCuts guards against the same while a third of the workers is cut off,
+// for 5 s under long leases and for 3.5 s otherwise.
+func TestRunsOutliveShortCuts(t *testing.T) {
+	t.Parallel()
+	for lease, cut := range map[time.Duration]time.Duration{simMaxLease: 3500 * time.Millisecond, longestLease: 5 * time.Second} {
+		f := newDrainFleet(t)
+		f.maxLease, f.owner.MaxLease = lease, lease
+		f.runUntil(15 * time.Second)
+		starts := f.starts
+		setCut := func(cutOff bool) {
+			for i := range 8 {
+				f.workers[fmt.Sprintf("w%03d", 3*i)].cutOff = cutOff
+			}
+		}
+		for phase := range 4 {
+			setCut(true)
+			f.runUntil(f.now + cut)
+			setCut(false)
+			f.runUntil(f.now + 2*time.Second + time.Duration(phase)*310*time.Millisecond)
+		}
+		f.requireNoViolations()
+		require.Equal(t, starts, f.starts, "runs were started again, leases of %v", lease)
+	}
+}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -117,11 +117,9 @@
 	if w.mayAcknowledge(now) {
 		effect.Ack = w.lastStored
 	}
+	length := c.leaseLengthOn(w)
 	if w.synced && !w.failing {
-		effect.Wait = pollWait
-		if w.endsSoon {
-			effect.Wait = drainPollWait
-		}
+		effect.Wait = min(pollWait, max(minPollWait, length/pollsPerLease))
 		for _, r := range w.runsByAge {
 			if r.state == unconfirmed || r.state == stopping {
 				effect.Wait = 0
@@ -131,7 +129,7 @@
 			effect.Wait = 0
 		}
 	}
-	if length := c.leaseLengthOn(w); w.synced && !w.failing && length > 0 {
+	if w.synced && !w.failing && length > 0 {
 		effect.LeaseUntil = w.grantLease(now, length)
 	}
 	c.emit(effect)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -27,11 +27,11 @@
 	maxPollTime = pollWait + 600*time.Millisecond
 	// pollRetryDelay is the pause after an unanswered poll.
 	pollRetryDelay = 200 * time.Millisecond
-	// pollWait is how long a poll waits for a new result. Polls renew leases, so it
-	// must be well below the lease duration.
-	pollWait = 1500 * time.Millisecond
-	// drainPollWait replaces pollWait for a worker that drains, as its leases are short.
-	drainPollWait = 300 * time.Millisecond
+	// pollWait is how long a poll waits for a new result at most. Polls renew leases, so
+	// it waits no longer than a pollsPerLease-th of its lease, and minPollWait at least.
+	pollWait      = 1500 * time.Millisecond
+	minPollWait   = 300 * time.Millisecond
+	pollsPerLease = 4
 	// drainLease is the maximum lease on a worker that drains, so that what runs there when
 	// it exits can soon run elsewhere. It outlives one unanswered poll and the retry.
 	drainLease = 1500 * time.Millisecond
