--- a/cell/drain_test.go
+++ b/cell/drain_test.go
@@ -283,3 +283,20 @@
 		require.Equal(t, starts, f.starts, "runs were started again, leases of %v", lease)
 	}
 }
+
+// TestDeposedOwnerOfSlowClocksCausesNoDoubleRun cuts the owner off from the store while it
+// renews leases on workers whose clocks are as slow as they may be. Its successor cannot reach
+// half of them, and knows when the owner's last commit was stored.
+func TestDeposedOwnerOfSlowClocksCausesNoDoubleRun(t *testing.T) {
+	t.Parallel()
+	for phase := range 12 {
+		f := newDrainFleet(t)
+		f.clockRate = 1 - clockDrift
+		f.runUntil(15*time.Second + time.Duration(phase)*70*time.Millisecond)
+		starts := f.starts
+		f.isolateOwner(1500*time.Millisecond, 20*time.Second)
+		f.runUntil(45 * time.Second)
+		f.requireNoViolations()
+		require.Greater(t, f.starts, starts, "no run is given up")
+	}
+}
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -65,6 +65,7 @@
 	cursorStays       bool                 // results are forgotten even if they end after the acknowledgement
 	maxResults        int                  // ends in a report
 	maxLease          time.Duration        // longest lease that workers grant, simMaxLease by default
+	clockRate         float64              // of the workers' clocks, 1 by default
 	startFailure      func(Start) Failure  // why a worker does not carry out a start, if set
 	connectTime       time.Duration        // after which a connection that cannot be made fails; longer if a host has no power
 	aloneEnds         int                  // runs that ended because they had waited too long for their gang
@@ -212,7 +213,7 @@
 		teams: map[string]Team{"blue": {Rate: 100}, "red": {Rate: 100}}, usedByTeam: map[string]int64{}, storeUnreachable: map[*Cell]bool{},
 	}
 	f.now = time.Second
-	f.eligiblePercent, f.maxResults, f.maxLease = 45, simMaxResults, simMaxLease
+	f.eligiblePercent, f.maxResults, f.maxLease, f.clockRate = 45, simMaxResults, simMaxLease, 1
 	f.store = simStore{specs: map[string][]byte{}, progress: map[string]*workload.Progress{}, version: 10}
 	speeds := []float64{0.8, 1, 1.25}
 	for i := range workers {
@@ -577,7 +578,15 @@
 	if f.now > w.lease {
 		w.lapsedAt = f.now
 	}
-	w.lease = max(w.lease, min(until, f.now+f.maxLease))
+	w.lease = max(w.lease, min(f.fromWorkerClock(until), f.now+f.fromWorkerClock(f.maxLease)))
+}
+
+// workerClock returns the reading of the workers' clocks.
+func (f *simFleet) workerClock() time.Duration { return time.Duration(float64(f.now) * f.clockRate) }
+
+// fromWorkerClock returns the simulated time at which the workers' clocks show the reading.
+func (f *simFleet) fromWorkerClock(reading time.Duration) Instant {
+	return Instant(float64(reading) / f.clockRate)
 }
 
 // ticket returns the ticket for this incarnation of the worker.
@@ -590,7 +599,7 @@
 		return NoAnswer
 	case e.Token < w.token && f.fault != noFencing:
 		return Fenced
-	case e.LeaseUntil < f.now:
+	case e.LeaseUntil < f.workerClock():
 		return Expired
 	case e.Ticket != "" && e.Ticket != w.ticket():
 		return BadTicket
@@ -966,7 +975,7 @@
 		}
 		answered = true
 		w.lastReported = w.lastSeq
-		report := Report{StartedAt: w.info.StartedAt, Clock: f.now, Ended: slices.Clone(w.ended[:min(len(w.ended), f.maxResults)])}
+		report := Report{StartedAt: w.info.StartedAt, Clock: f.workerClock(), Ended: slices.Clone(w.ended[:min(len(w.ended), f.maxResults)])}
 		for name, r := range inOrder(w.runs) {
 			percent := 0
 			if !r.waiting && r.work > 0 {
