--- a/cell/finalpart_test.go
+++ b/cell/finalpart_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipgap/cowslipgap/resource"
+	"github.com/cowslipgap/cowslipgap/workload"
 )
 
 // An end was acknowledged while the state of its job, which made the progress of the job's later
@@ -95,3 +96,21 @@
 		require.Less(t, clock.Steady, time.Minute)
 	}
 }
+
+// A successor that found only the row of a gang's later members took the gang for one that has
+// to run, and passed over the ends that its workers still listed.
+func TestGangIsDoneIfTheRowOfSomeMembersSaysSo(t *testing.T) {
+	t.Parallel()
+	spec := gangJob("aa00000000000001")
+	spec.Steps[0].Count = 16
+	c := New(Config{MaxRowBytes: 8 * minTaskBytes})
+	j := newJob(spec, workload.Progress{}, 0)
+	j.restoreParts(workload.Progress{}, nil, c.partTasks())
+	j.occurrences[0].steps[0].finish()
+	require.NotEmpty(t, j.more)
+	stored := j.progressRecord(j.more[0].first, j.more[0].end)
+
+	restored := newJob(spec, workload.Progress{}, 0)
+	restored.restoreParts(workload.Progress{}, []StoredPart{{First: j.more[0].first, Progress: &stored}}, c.partTasks())
+	require.True(t, restored.occurrences[0].steps[0].done)
+}
