cell: a gang is done if any of its rows says so

The members of a gang are done together, which the row of its first member says, and each other row of its members as far as it reaches. A commit that was full could store a later row only. A successor then took the gang for one that had to run, and passed over the ends of the members that it took for done: if the workers of the others were lost as well, the gang was started again and those ends were acknowledged.

TestGangIsDoneIfTheRowOfSomeMembersSaysSo was red and is green. Gangs that share a row are not affected.

--- a/cell/job.go
+++ b/cell/job.go
@@ -210,7 +210,8 @@
 	eachOf(rec.Crashes, has, func(i int, r poison.Record) { s.tasks[i].crashRecord().Record = r })
 	eachOf(rec.Evictions, has, func(i, n int) { s.tasks[i].evictions = n })
 	eachOf(rec.Placed, has, func(i int, at workload.Placement) { s.tasks[i].heldFor, s.tasks[i].heldSince = at.Worker, at.StartedAt })
-	if rec.AllDone && has(0) || s.tasksLeft == 0 {
+	someDone := s.tasksLeft < len(s.tasks)
+	if rec.AllDone && has(0) || s.tasksLeft == 0 || s.spec.Gang && someDone { // members are done together
 		s.finish()
 	}
 	return known
