--- a/cell/commit.go
+++ b/cell/commit.go
@@ -149,9 +149,10 @@
 	p := s.dirty[0]
 	main := &p.job.main
 	if p != main && main.dirty && p.job.progress.State.Final() {
-		i := slices.Index(s.dirty, main)
-		s.dirty = slices.Insert(slices.Delete(s.dirty, i, i+1), 0, main)
-		main.mark = p.mark
+		if i := slices.Index(s.dirty, main); i > 0 {
+			s.dirty = slices.Insert(slices.Delete(s.dirty, i, i+1), 0, main)
+			main.mark = p.mark
+		}
 	}
 	return s.dirty[0]
 }
