cell: a late refusal from a former address ends no runs of the next life

Callers would see TWICE: a task at work on a worker that is back under its ID at another address is started elsewhere.

Cause: an answer that another worker is at the address removes the worker with its runs, also if the call was sent to the address of its life before. Only the note of replaced workers compared the time of sending.

TestLateAnswerFromAFormerAddressEndsNoRuns, poll and stop, was red: run 2 of a task starts while run 1 goes on. Now such an answer counts only if the call was sent after the present life became known: by the time of sending of a poll, of the run's start, and of its last stop.

--- a/cell/report.go
+++ b/cell/report.go
@@ -14,7 +14,10 @@
 		return
 	}
 	w.pollInFlight = false
-	if e.Failure == OtherWorker && e.Sent >= w.lifeSince {
+	if e.Failure == OtherWorker {
+		if e.Sent < w.lifeSince {
+			return // from an address of an earlier life
+		}
 		c.replaced[w.ID] = life{w.Addr, w.StartedAt, w.listedStart}
 	}
 	if c.handleFatal(w, e.Failure) {
--- a/cell/run.go
+++ b/cell/run.go
@@ -129,7 +129,9 @@
 	if e.Failure == OtherWorker {
 		c.logGivenUp(r, "another worker answers at its address")
 		c.dropRun(r) // before the worker's other runs, which may have begun
-		c.handleFatal(w, e.Failure)
+		if r.sentAt >= w.lifeSince {
+			c.handleFatal(w, e.Failure)
+		}
 		c.replaceMember(r, "start refused")
 		return
 	}
@@ -271,6 +273,9 @@
 	if w == nil {
 		return
 	}
+	if r := w.runs[e.Task]; e.Failure == OtherWorker && (r == nil || r.number != e.Run || r.stopSentAt < w.lifeSince) {
+		return // maybe from an address of an earlier life; a poll will tell
+	}
 	if c.handleFatal(w, e.Failure) {
 		return
 	}
