cell: a late report of an earlier life sets no clock

Callers would see TWICE or LOST: leases that end at a time on the wrong clock, too long or too short.

Cause: the clock and the time of a report were taken over before its life was looked at, and an answer to a start names no life at all.

TestLateReportOfAnEarlierLifeSetsNoClock was red (1m2s where 2s is right). Now a report of an earlier life changes nothing, and the answer to a start sets the clock only if the start was sent to the present life.

--- a/cell/otherlife_test.go
+++ b/cell/otherlife_test.go
@@ -48,3 +48,30 @@
 		})
 	}
 }
+
+// idleWorker returns a cell, its clock and a worker after the worker, known with a clock of a
+// minute, has been idle for a while since the last commit.
+func idleWorker(idle time.Duration) (*Cell, *Clock, *worker) {
+	c := New(Config{MaxLease: simMaxLease, StatusRetention: time.Minute})
+	clock := Clock{Steady: time.Hour, Wall: time.Unix(1, 0)}
+	info := WorkerInfo{ID: "w1", Addr: "a", Service: "s", Capacity: resource.Vector{MilliCPU: 32000}, StartedAt: 1, Clock: time.Minute}
+	c.Update(clock, Claimed{Token: 9, Sent: clock.Steady})
+	c.Update(clock, Listed{Workers: []WorkerInfo{info}})
+	c.Update(clock, PollResult{Worker: "w1", Sent: clock.Steady, Received: clock.Steady, Report: Report{StartedAt: 1, Clock: time.Minute}})
+	clock.Steady += idle
+	c.Update(clock, PlacementRound{})
+	return c, &clock, c.workers["w1"]
+}
+
+// TestLateReportOfAnEarlierLifeSetsNoClock reads a report that an earlier life of a worker sent,
+// after the next one has reported: leases would end at a time on the wrong clock.
+func TestLateReportOfAnEarlierLifeSetsNoClock(t *testing.T) {
+	t.Parallel()
+	c, clock, w := idleWorker(2 * time.Second)
+	sent := clock.Steady
+	clock.Steady += time.Second
+	c.Update(*clock, PollResult{Worker: "w1", Sent: clock.Steady, Received: clock.Steady, Report: Report{StartedAt: 2, Clock: time.Second}})
+	clock.Steady += time.Second
+	c.Update(*clock, PollResult{Worker: "w1", Sent: sent, Received: clock.Steady, Report: Report{StartedAt: 1, Clock: time.Minute + 2*time.Second}})
+	require.LessOrEqual(t, w.minClock(clock.Steady), 2*time.Second, "the worker's clock")
+}
--- a/cell/report.go
+++ b/cell/report.go
@@ -33,19 +33,19 @@
 		}
 		return
 	}
-	failing := w.failing
-	w.answered(e.Sent, e.Received)
-	if failing && !w.failing {
-		c.logInfo("worker answers again", slog.String("worker", w.ID))
-	}
-	w.reportedAt, w.reportClock = e.Received, e.Report.Clock
-	w.setClock(e.Report.Clock, e.Received)
 	if e.Report.StartedAt > 0 && w.StartedAt > 0 && e.Report.StartedAt != w.StartedAt {
 		if e.Sent < w.lifeSince {
 			return // of an earlier incarnation, or a later poll will tell
 		}
 		c.handleRestart(w)
 		w.lifeSince = c.now.Steady
+	} else if e.Sent >= w.unsureGrantAt {
+		w.unsureGrantAt, w.unsureLeaseEnd = 0, 0
+	}
+	failing := w.failing
+	w.answered(e.Sent, e.Received)
+	if failing && !w.failing {
+		c.logInfo("worker answers again", slog.String("worker", w.ID))
 	}
 	if e.Report.StartedAt > 0 {
 		w.StartedAt = e.Report.StartedAt
--- a/cell/run.go
+++ b/cell/run.go
@@ -138,7 +138,7 @@
 	if c.handleFatal(w, e.Failure) {
 		return
 	}
-	if e.Failure != NoAnswer && e.Failure != NotSent && e.Failure != Withheld {
+	if e.Failure != NoAnswer && e.Failure != NotSent && e.Failure != Withheld && r.sentAt >= w.lifeSince {
 		w.setClock(e.Clock, e.Received)
 		w.answered(r.sentAt, e.Received)
 	}
