cell: a lease that an unnoticed life may have got counts in full until a report

Callers would see TWICE, a task started elsewhere while a lease goes on, or LOST, a wait of 10 s after each restart.

Cause: the lease of a start to a worker that has started again unnoticed ends at a time on the old clock; the worker shortens it to the longest that it grants. That was reckoned with once the restart was known, too late if the worker is cut off before, and also if nothing had been granted.

TestLeaseThatReachesAnUnnoticedLifeIsReckonedWith was red (7.95 s reckoned where 10 s are possible; 1.83 s where 6 s are), and so was TestLastingTaskOfAWorkerThatEndsSoonAfterItsStartRunsAgain (9.2 s without a run, LOST allows 9 s). The long lease test was given a second of idle time, as a worker that answered at this moment has not started again.

Now a grant to a worker without a recent report counts in full until a report shows that the life is the same. A worker in steady contact is reckoned with as before, so waits for lost workers don't grow. TestLeaseOfAnEarlierLifeMayLastLongerInTheNext grants as the cell does.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -307,8 +307,8 @@
 func (c *Cell) logLoss(text string, w *worker, attrs ...slog.Attr) {
 	attrs = append(attrs, slog.String("worker", w.ID), slog.Duration("silent", c.now.Steady-w.answeredAt),
 		slog.Bool("draining", w.Draining), slog.Bool("listed", w.listed))
-	if w.leaseEnd > 0 {
-		attrs = append(attrs, slog.Duration("leaseLeft", w.leaseEnd-c.now.Steady))
+	if w.leasesEnd() > 0 {
+		attrs = append(attrs, slog.Duration("leaseLeft", w.leasesEnd()-c.now.Steady))
 	}
 	c.logInfo(text, attrs...)
 }
--- a/cell/failing_test.go
+++ b/cell/failing_test.go
@@ -175,7 +175,7 @@
 	w := c.workers["w1"]
 	clock.Steady += 7 * time.Second // the last commit is that old
 	c.Update(clock, PlacementRound{})
-	w.grantLease(clock.Steady, c.leaseLength())
+	c.grantLease(w, c.leaseLength())
 	require.Less(t, c.leaseLength(), simMaxLease)
 	clock.Steady += 100 * time.Millisecond
 	report(2, time.Second)
--- a/cell/givenup.go
+++ b/cell/givenup.go
@@ -8,7 +8,7 @@
 // worker whose leases have run out, or which has ended, lists no end of it later.
 func (c *Cell) logGivenUp(r *run, why string) {
 	c.logInfo("run given up", slog.String("task", r.task.name), slog.Uint64("run", r.number), slog.String("worker", r.w.ID), slog.String("why", why),
-		slog.Duration("leaseLeft", r.w.leaseEnd-c.now.Steady), slog.Duration("silent", c.now.Steady-r.w.answeredAt))
+		slog.Duration("leaseLeft", r.w.leasesEnd()-c.now.Steady), slog.Duration("silent", c.now.Steady-r.w.answeredAt))
 }
 
 // logReleased logs that the tasks held for a worker may start again. A new owner releases those
--- a/cell/lost_member.go
+++ b/cell/lost_member.go
@@ -41,7 +41,7 @@
 		}
 		c.logLoss("lost members have ended", w, slog.String("step", s.name), slog.Uint64("run", left[0].number), slog.Int("members", len(left)))
 		w.ended = append(w.ended, left...)
-		s.ended = append(s.ended, endedRun{left[0].number, w, c.now.Steady, w.leaseEnd, w.incarnation})
+		s.ended = append(s.ended, endedRun{left[0].number, w, c.now.Steady, w.leasesEnd(), w.incarnation})
 		for _, r := range left {
 			c.logGivenUp(r, "all other members are broken")
 			c.dropLostRun(r, "worker lost")
--- a/cell/otherlife_test.go
+++ b/cell/otherlife_test.go
@@ -75,3 +75,59 @@
 	c.Update(*clock, PollResult{Worker: "w1", Sent: sent, Received: clock.Steady, Report: Report{StartedAt: 1, Clock: time.Minute + 2*time.Second}})
 	require.LessOrEqual(t, w.minClock(clock.Steady), 2*time.Second, "the worker's clock")
 }
+
+// TestLeaseThatReachesAnUnnoticedLifeIsReckonedWith starts a task on a worker that has started
+// again while it was idle and is cut off before its next report.
+func TestLeaseThatReachesAnUnnoticedLifeIsReckonedWith(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name              string
+		maxLease, oldness time.Duration
+	}{
+		{"the last commit is old", simMaxLease, 6 * time.Second},
+		{"workers grant long leases", longestLease, time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c, clock, w := idleWorker(test.oldness)
+			c.MaxLease = test.maxLease
+			length := c.leaseLengthOn(w)
+			require.Greater(t, length, minLease)
+			until := c.grantLease(w, length)
+			clockOfLife := time.Second
+			lasts := min(until-clockOfLife, test.maxLease) // a worker shortens a lease to the longest it grants
+			require.GreaterOrEqual(t, w.leasesEnd(), clock.Steady+lasts, "the worker's runs go on until then")
+		})
+	}
+}
+
+// TestLastingTaskOfAWorkerThatEndsSoonAfterItsStartRunsAgain lets idle workers start again, and
+// the one that gets a task that lasts end once more. No lease was granted to its former life.
+func TestLastingTaskOfAWorkerThatEndsSoonAfterItsStartRunsAgain(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 6)
+	f.maxLease, f.eligiblePercent = longestLease, 100
+	f.owner.MaxLease = longestLease
+	f.runUntil(10 * time.Second)
+	for _, w := range inOrder(f.workers) {
+		f.restartWorker(w)
+	}
+	f.runUntil(11 * time.Second)
+	spec := quoteJob("aa00000000000001")
+	spec.Queue.Advice = nil
+	spec.Steps = []workload.Step{{Count: 1, Need: resource.Vector{MilliCPU: 2000, MemoryMB: 2000}, Estimate: time.Minute, LongRunning: true}}
+	f.submit(f.now, spec)
+	f.runUntil(11500 * time.Millisecond)
+	ended := 0
+	for _, w := range inOrder(f.workers) {
+		if len(w.runs) > 0 {
+			f.leave(w, time.Hour, true)
+			ended++
+		}
+	}
+	require.Equal(t, 1, ended)
+	idle := f.watchIdle()
+	f.runUntil(30 * time.Second)
+	f.requireNoViolations()
+	require.LessOrEqual(t, idle.longest[spec.ID], lastingIdleLimit)
+}
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -14,7 +14,10 @@
 	c.noteRestart(w)
 	w.lastProcessed, w.lastStored, w.lastAcked, w.ackable, w.ackableUntil = 0, 0, 0, 0, 0
 	w.incarnation++
-	w.leaseEnd = max(w.leaseEnd, c.now.Steady+maxLeaseTime(c.MaxLease)) // its clock starts anew: a lease may last for as long as it grants
+	if w.unsureLeaseEnd > 0 { // by now, the new life has got what was sent to it
+		w.leaseEnd = max(w.leaseEnd, c.now.Steady+maxLeaseTime(c.MaxLease))
+		w.unsureGrantAt, w.unsureLeaseEnd = 0, 0
+	}
 	w.restartSeenAt = c.now.Steady
 	w.speed = speed.Estimate{}
 	clear(w.strays)
@@ -130,7 +133,7 @@
 		}
 	}
 	if w.synced && !w.failing && length > 0 {
-		effect.LeaseUntil = w.grantLease(now, length)
+		effect.LeaseUntil = c.grantLease(w, length)
 	}
 	c.emit(effect)
 }
--- a/cell/report.go
+++ b/cell/report.go
@@ -47,6 +47,8 @@
 	if failing && !w.failing {
 		c.logInfo("worker answers again", slog.String("worker", w.ID))
 	}
+	w.reportedAt, w.reportClock = e.Received, e.Report.Clock
+	w.setClock(e.Report.Clock, e.Received)
 	if e.Report.StartedAt > 0 {
 		w.StartedAt = e.Report.StartedAt
 	}
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -74,7 +74,7 @@
 	now := c.now.Steady
 	var gone []*worker
 	for _, w := range c.sortedWorkers {
-		expired := now > w.leaseEnd && now > c.recoverBy
+		expired := now > w.leasesEnd() && now > c.recoverBy
 		if held := c.held[w.ID]; w.failing && expired && len(w.runs)+len(held) > 0 && now-w.answeredAt > silentAfter*2 {
 			c.logLoss("leases ran out", w, slog.Int("runs", len(w.runs)), slog.Int("held", len(held)))
 			for r := range w.eachRun {
--- a/cell/run.go
+++ b/cell/run.go
@@ -70,7 +70,7 @@
 	r.saved, r.resumed = checkpoint, checkpoint != ""
 	c.emit(Start{
 		Command: cmd, Task: t.name, Run: r.number, Spec: s.job.spec.Spec, Checkpoint: checkpoint,
-		Ticket: s.advice.ticketFor(w), LeaseUntil: w.grantLease(c.now.Steady, c.leaseLengthOn(w)),
+		Ticket: s.advice.ticketFor(w), LeaseUntil: c.grantLease(w, c.leaseLengthOn(w)),
 	})
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -48,54 +48,56 @@
 // worker is the cell's view of one worker.
 type worker struct {
 	WorkerInfo
-	listed        bool              // in the store's list
-	evacuated     bool              // its availability zone is being evacuated
-	wasLeaving    bool              // it was leaving under the owner before; false once it has answered
-	endsSoon      bool              // it drains or, until it is listed, was leaving under the owner before
-	onRoster      bool              // on the stored roster, so that a successor would find it
-	synced        bool              // answered a poll since the claim or its last known restart
-	pollInFlight  bool              // a poll is in flight
-	polledAt      Instant           // when the last poll was sent
-	answeredAt    Instant           // when it last answered
-	reportedAt    Instant           // when its last report arrived
-	reportClock   time.Duration     // the worker's clock in its last report
-	failingAt     Instant           // when failing was set; 0 while it answers
-	failureNoted  bool              // the ledger of crashes knows that it fails
-	lost          []lostRun         // runs before a restart that no report has settled yet
-	lostOthers    bool              // beside these, young runs of ended jobs
-	probation     *probation        // of the run on it that may crash it; nil: none
-	riskZone      bool              // runs on probation prefer it
-	failing       bool              // the last poll failed or a start since got no answer
-	refusedAt     Instant           // when no connection could be made; 0: it has answered a call sent since
-	unansweredAt  Instant           // when a start last got no answer
-	clockAt       Instant           // when Clock was read
-	lastProcessed uint64            // sequence number of the last result processed
-	lastStored    uint64            // sequence number of the last result whose effect is stored
-	lastAcked     uint64            // sequence number of the last result acknowledged
-	unstored      bool              // in commitState.unstored
-	ackable       uint64            // sequence number of the result that the next commit may store
-	markedAt      uint64            // commitState.marked when ackable was processed
-	ackableUntil  Instant           // until when its results may be acknowledged, by its last report
-	incarnation   int               // number of known restarts
-	restartSeenAt Instant           // when the last restart became known
-	lifeSince     Instant           // when its address and start became known
-	listedStart   int64             // start that its entry last named; 0: none
-	runs          map[string]*run   // by task
-	runsByAge     []*run            // the same, the oldest first
-	ended         []*run            // dropped, because they have certainly ended, since its last report
-	resultsLeft   bool              // its last report was full, so more runs may have ended
-	removed       bool              // from the cell
-	strays        map[string]uint64 // run numbers of the stray runs, by task
-	used          resource.Vector
-	capacity      capacityReading
-	leaseEnd      Instant // when all its leases have certainly expired unless renewed
-	pausedUntil   Instant // no new work before this time
-	reservedFrom  Instant // when a gang needs it, according to the last placement round
-	reservedRank  int     // rank of that gang
-	speed         speed.Estimate
-	factor        float64    // speed relative to the usual one of an uneven service; 0 if speeds are alike
-	speedBand     int        // workers of one band have like speeds; higher is faster
-	candidate     *candidate // in the last placement round; nil if it was not usable
+	listed         bool              // in the store's list
+	evacuated      bool              // its availability zone is being evacuated
+	wasLeaving     bool              // it was leaving under the owner before; false once it has answered
+	endsSoon       bool              // it drains or, until it is listed, was leaving under the owner before
+	onRoster       bool              // on the stored roster, so that a successor would find it
+	synced         bool              // answered a poll since the claim or its last known restart
+	pollInFlight   bool              // a poll is in flight
+	polledAt       Instant           // when the last poll was sent
+	answeredAt     Instant           // when it last answered
+	reportedAt     Instant           // when its last report arrived
+	reportClock    time.Duration     // the worker's clock in its last report
+	failingAt      Instant           // when failing was set; 0 while it answers
+	failureNoted   bool              // the ledger of crashes knows that it fails
+	lost           []lostRun         // runs before a restart that no report has settled yet
+	lostOthers     bool              // beside these, young runs of ended jobs
+	probation      *probation        // of the run on it that may crash it; nil: none
+	riskZone       bool              // runs on probation prefer it
+	failing        bool              // the last poll failed or a start since got no answer
+	refusedAt      Instant           // when no connection could be made; 0: it has answered a call sent since
+	unansweredAt   Instant           // when a start last got no answer
+	clockAt        Instant           // when Clock was read
+	lastProcessed  uint64            // sequence number of the last result processed
+	lastStored     uint64            // sequence number of the last result whose effect is stored
+	lastAcked      uint64            // sequence number of the last result acknowledged
+	unstored       bool              // in commitState.unstored
+	ackable        uint64            // sequence number of the result that the next commit may store
+	markedAt       uint64            // commitState.marked when ackable was processed
+	ackableUntil   Instant           // until when its results may be acknowledged, by its last report
+	incarnation    int               // number of known restarts
+	restartSeenAt  Instant           // when the last restart became known
+	lifeSince      Instant           // when its address and start became known
+	listedStart    int64             // start that its entry last named; 0: none
+	runs           map[string]*run   // by task
+	runsByAge      []*run            // the same, the oldest first
+	ended          []*run            // dropped, because they have certainly ended, since its last report
+	resultsLeft    bool              // its last report was full, so more runs may have ended
+	removed        bool              // from the cell
+	strays         map[string]uint64 // run numbers of the stray runs, by task
+	used           resource.Vector
+	capacity       capacityReading
+	leaseEnd       Instant // when all its leases have certainly expired unless renewed
+	unsureGrantAt  Instant // when a lease was last granted that an unnoticed life may have got; 0: none was since its last report
+	unsureLeaseEnd Instant // when such leases have certainly expired
+	pausedUntil    Instant // no new work before this time
+	reservedFrom   Instant // when a gang needs it, according to the last placement round
+	reservedRank   int     // rank of that gang
+	speed          speed.Estimate
+	factor         float64    // speed relative to the usual one of an uneven service; 0 if speeds are alike
+	speedBand      int        // workers of one band have like speeds; higher is faster
+	candidate      *candidate // in the last placement round; nil if it was not usable
 }
 
 // newWorker returns a worker that has not answered yet.
@@ -151,6 +153,20 @@
 	return until
 }
 
+// grantLease returns the end, on the worker's clock, of a lease of the given length. If the
+// worker may have started again unnoticed, its clock may have started anew, and the lease may
+// last for as long as it grants.
+func (c *Cell) grantLease(w *worker, length time.Duration) time.Duration {
+	now := c.now.Steady
+	if inContact := now <= w.ackableUntil || w.pollInFlight && !w.failing && w.polledAt < now; !inContact {
+		w.unsureGrantAt, w.unsureLeaseEnd = now, max(w.unsureLeaseEnd, now+maxLeaseTime(c.MaxLease))
+	}
+	return w.grantLease(now, length)
+}
+
+// leasesEnd returns when all leases on the worker have certainly expired.
+func (w *worker) leasesEnd() Instant { return max(w.leaseEnd, w.unsureLeaseEnd) }
+
 // free returns the worker's unused capacity.
 func (w *worker) free() resource.Vector { return w.Capacity.Sub(w.used) }
 
