cell: an owner that is behind with its events acknowledges ends

The rule on acknowledgements asks that ends are taken note of. An owner whose events waited for over 500 ms acknowledged none, as the time for it ran from the arrival of the report. TestResultsAreAcknowledgedByAnOwner- ThatIsBehind was red with a lag of 600 ms: none in 10 s.

--- a/cell/otherlife_test.go
+++ b/cell/otherlife_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -131,3 +132,58 @@
 	f.requireNoViolations()
 	require.LessOrEqual(t, idle.longest[spec.ID], lastingIdleLimit)
 }
+
+// playResults lets a worker list an end at each look until it is acknowledged. Reports travel
+// for the given time, and are read later by the lag of the owner. It returns the polls that
+// acknowledge, with the ages of the report before them.
+func playResults(travel, lag time.Duration) (ages []time.Duration) {
+	c, clock, _ := idleWorker(0)
+	type answer struct {
+		at    Instant
+		event any
+	}
+	var queue []answer
+	madeAt, start := Instant(0), clock.Steady
+	handle := func(effects []any) {
+		for _, effect := range slices.Clone(effects) {
+			switch e := effect.(type) {
+			case Commit:
+				queue = append(queue, answer{clock.Steady + 5*time.Millisecond, Committed{Seq: e.Seq, Sent: clock.Steady}})
+			case Poll:
+				if e.Ack > 0 {
+					ages = append(ages, clock.Steady-madeAt)
+				}
+				report := Report{StartedAt: 1, Clock: time.Minute + clock.Steady - start}
+				report.Ended = []RunResult{{Seq: 1, Task: "aa00000000000001.0.0.0", Run: 1, Outcome: Done}}
+				queue = append(queue, answer{clock.Steady + travel + lag, PollResult{Worker: "w1", Sent: clock.Steady, Received: clock.Steady + travel, Report: report}})
+			}
+		}
+	}
+	report := Report{StartedAt: 1, Clock: time.Minute, Ended: []RunResult{{Seq: 1, Task: "aa00000000000001.0.0.0", Run: 1, Outcome: Done}}}
+	queue = append(queue, answer{clock.Steady + travel + lag, PollResult{Worker: "w1", Sent: clock.Steady, Received: clock.Steady + travel, Report: report}})
+	madeAt = clock.Steady
+	for range 2000 {
+		clock.Steady += 5 * time.Millisecond
+		due := queue
+		queue = nil
+		for _, a := range due {
+			if a.at > clock.Steady {
+				queue = append(queue, a)
+				continue
+			}
+			if result, ok := a.event.(PollResult); ok {
+				madeAt = max(madeAt, result.Sent)
+			}
+			handle(c.Update(*clock, a.event))
+		}
+		handle(c.Update(*clock, Flush{}))
+	}
+	return ages
+}
+
+// TestResultsAreAcknowledgedByAnOwnerThatIsBehind lets an owner read its events late.
+func TestResultsAreAcknowledgedByAnOwnerThatIsBehind(t *testing.T) {
+	t.Parallel()
+	require.NotEmpty(t, playResults(2*time.Millisecond, 100*time.Millisecond))
+	require.NotEmpty(t, playResults(2*time.Millisecond, 600*time.Millisecond), "no end was acknowledged in 10 s")
+}
--- a/cell/report.go
+++ b/cell/report.go
@@ -54,8 +54,8 @@
 	}
 	w.synced = true
 	w.lastAcked = max(w.lastAcked, min(e.Ack, w.lastStored))
-	if e.Received-e.Sent <= maxPollTime { // else it may tell of long ago
-		w.ackableUntil = e.Received + ackWindow
+	if c.now.Steady-e.Sent <= maxPollTime { // else it may tell of long ago
+		w.ackableUntil = c.now.Steady + ackWindow
 	}
 	if e.Report.Capacity != nil {
 		c.readCapacity(w, *e.Report.Capacity, e.Report.StartedAt, e.Report.Clock)
