cell: leases of draining workers outlive an unanswered poll through a relay

Cost seen by review: a lost poll through a relay counts as unanswered after its wait and 0.65 s, so that the lease of 1.5 s ran out before the next grant arrived: what runs on a draining worker lapsed. Polls that waited for a quarter of the lease left less room still.

TestShortLeasesOutliveAnUnansweredRelayedPoll was red with 15 ms and with 60 ms each way. Polls of draining workers wait for 0.2 s at most, and the lease stays, as LOST bounds it. A lost poll and a lost retry lapse the work of a draining worker.

--- a/cell/poll.go
+++ b/cell/poll.go
@@ -123,6 +123,9 @@
 	length := c.leaseLengthOn(w)
 	if w.synced && !w.failing {
 		effect.Wait = min(pollWait, max(minPollWait, length/pollsPerLease))
+		if w.endsSoon {
+			effect.Wait = minPollWait
+		}
 		for _, r := range w.runsByAge {
 			if r.state == unconfirmed || r.state == stopping {
 				effect.Wait = 0
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -28,12 +28,12 @@
 	// pollRetryDelay is the pause after an unanswered poll.
 	pollRetryDelay = 200 * time.Millisecond
 	// pollWait is how long a poll waits for a new result at most. Polls renew leases, so
-	// it waits no longer than a pollsPerLease-th of its lease, and minPollWait at least.
+	// it waits no longer than a pollsPerLease-th of its lease, and minPollWait at least, or if the worker drains.
 	pollWait      = 1500 * time.Millisecond
-	minPollWait   = 300 * time.Millisecond
+	minPollWait   = 200 * time.Millisecond
 	pollsPerLease = 4
 	// drainLease is the maximum lease on a worker that drains, so that what runs there when
-	// it exits can soon run elsewhere. It outlives one unanswered poll and the retry.
+	// it exits can soon run elsewhere. It outlives one unanswered poll through a relay.
 	drainLease = 1500 * time.Millisecond
 	// silentAfter is the age of the last answer above which a failing worker
 	// counts as silent and gets no new work.
