--- a/cell/givenup.go
+++ b/cell/givenup.go
@@ -11,6 +11,14 @@
 		slog.Duration("leaseLeft", r.w.leaseEnd-c.now.Steady), slog.Duration("silent", c.now.Steady-r.w.answeredAt))
 }
 
+// logRefused logs that a start was refused.
+func (c *Cell) logRefused(r *run, failure Failure) {
+	c.logInfo("start refused", slog.String("task", r.task.name), slog.Uint64("run", r.number), slog.String("worker", r.w.ID), slog.Int("failure", int(failure)))
+	if why := failure.givenUpBy(); why != "" {
+		c.logGivenUp(r, why)
+	}
+}
+
 // logReleased logs that the tasks held for a worker may start again. A new owner releases those
 // of each worker that reports, so that case is logged in detail only.
 func (c *Cell) logReleased(worker, why string, tasks int) {
--- a/cell/run.go
+++ b/cell/run.go
@@ -164,10 +164,7 @@
 	case Superseded:
 		r.task.lastRun = max(r.task.lastRun, r.number+1)
 	}
-	c.logInfo("start refused", slog.String("task", e.Task), slog.Uint64("run", e.Run), slog.String("worker", e.Worker), slog.Int("failure", int(e.Failure)))
-	if why := e.Failure.givenUpBy(); why != "" {
-		c.logGivenUp(r, why)
-	}
+	c.logRefused(r, e.Failure)
 	r.task.step.notBefore = c.now.Steady + refusalBackoff
 	c.dropRun(r)
 	if e.Failure.replaceable() {
