--- a/cell/report.go
+++ b/cell/report.go
@@ -24,13 +24,7 @@
 		return
 	}
 	if e.Failure != None {
-		if !w.failing {
-			c.logInfo("worker does not answer", slog.String("worker", w.ID), slog.Int("failure", int(e.Failure)))
-		}
-		w.failing = true
-		if e.Failure == NotSent {
-			w.refused(e.Received)
-		}
+		c.handlePollFailure(w, e)
 		return
 	}
 	if e.Report.StartedAt > 0 && w.StartedAt > 0 && e.Report.StartedAt != w.StartedAt {
@@ -73,6 +67,17 @@
 	}
 }
 
+// handlePollFailure handles a poll that got no report.
+func (c *Cell) handlePollFailure(w *worker, e PollResult) {
+	if !w.failing {
+		c.logInfo("worker does not answer", slog.String("worker", w.ID), slog.Int("failure", int(e.Failure)))
+	}
+	w.failing = true
+	if e.Failure == NotSent {
+		w.refused(e.Received)
+	}
+}
+
 // processResults processes the run results that are new.
 func (c *Cell) processResults(w *worker, results []RunResult) {
 	for _, result := range results {
--- a/cell/run.go
+++ b/cell/run.go
@@ -127,12 +127,7 @@
 		return
 	}
 	if e.Failure == OtherWorker {
-		c.logGivenUp(r, "another worker answers at its address")
-		c.dropRun(r) // before the worker's other runs, which may have begun
-		if r.sentAt >= w.lifeSince {
-			c.handleFatal(w, e.Failure)
-		}
-		c.replaceMember(r, "start refused")
+		c.handleStartElsewhere(r)
 		return
 	}
 	if c.handleFatal(w, e.Failure) {
@@ -176,6 +171,17 @@
 	}
 }
 
+// handleStartElsewhere handles a start that reached another worker. If it was sent before the
+// present life of the worker became known, its address may be that of an earlier one.
+func (c *Cell) handleStartElsewhere(r *run) {
+	c.logGivenUp(r, "another worker answers at its address")
+	c.dropRun(r) // before the worker's other runs, which may have begun
+	if r.sentAt >= r.w.lifeSince {
+		c.handleFatal(r.w, OtherWorker)
+	}
+	c.replaceMember(r, "start refused")
+}
+
 // confirmRun records that a run is known to be running.
 func (c *Cell) confirmRun(r *run, at Instant) {
 	r.state, r.confirmedAt, r.progressAt = running, at, at
