--- a/cell/run.go
+++ b/cell/run.go
@@ -133,7 +133,7 @@
 	if c.handleFatal(w, e.Failure) {
 		return
 	}
-	if e.Failure != NoAnswer && e.Failure != NotSent && e.Failure != Withheld && r.sentAt >= w.lifeSince {
+	if e.Failure.answered() && r.sentAt >= w.lifeSince {
 		w.setClock(e.Clock, e.Received)
 		w.answered(r.sentAt, e.Received)
 	}
@@ -171,6 +171,9 @@
 	}
 }
 
+// answered reports whether the worker has answered.
+func (f Failure) answered() bool { return f != NoAnswer && f != NotSent && f != Withheld }
+
 // handleStartElsewhere handles a start that reached another worker. If it was sent before the
 // present life of the worker became known, its address may be that of an earlier one.
 func (c *Cell) handleStartElsewhere(r *run) {
