cell: a stop that an earlier life of a worker acknowledged bars no start in the next

A worker that restarts knows of no stop. The acknowledgement of a stop is forgotten for runs that were never confirmed, so the stop is sent again before the task may start anew.

TestUnansweredStartIsBarredInTheNextLifeOfItsWorker was red and is green.

--- a/cell/poll.go
+++ b/cell/poll.go
@@ -17,6 +17,11 @@
 	w.restartSeenAt = c.now.Steady
 	w.speed = speed.Estimate{}
 	clear(w.strays)
+	for r := range w.eachRun {
+		if r.confirmedAt == 0 {
+			r.stopAckedAt = 0 // this life does not know of the stop, and the start may still reach it
+		}
+	}
 }
 
 // removeLostWorker removes a worker that certainly runs nothing any more, and drops
