--- a/cell/twice_test.go
+++ b/cell/twice_test.go
@@ -18,6 +18,8 @@
 var (
 	twiceSeeds = flag.Int("twiceSeeds", 30, "number of seeds of TestNoTaskRunsTwice")
 	twiceFirst = flag.Uint64("twiceFirst", 1, "first seed of TestNoTaskRunsTwice")
+	// twiceRestarts leaves only starts and stops that are held up, cuts, and restarts of workers.
+	twiceRestarts = flag.Bool("twiceRestarts", false, "TestNoTaskRunsTwice draws few kinds of faults, for jobs without advice")
 )
 
 const (
@@ -145,6 +147,11 @@
 		return
 	}
 	w := f.workers[ids[rng.IntN(len(ids))]]
+	if *twiceRestarts {
+		kinds := []int{0, 0, 1, 2, 12, 8, 3, 9, 9, 9} // in twiceFaults
+		twiceFaults[kinds[rng.IntN(len(kinds))]](f, w, span, rng)
+		return
+	}
 	twiceFaults[rng.IntN(len(twiceFaults))](f, w, span, rng)
 }
 
@@ -168,6 +175,11 @@
 			})
 		}
 	}
+	for _, j := range f.jobs {
+		if *twiceRestarts {
+			j.spec.Queue.Advice = nil
+		}
+	}
 	for range rng.IntN(twiceSpans) {
 		f.at(2*time.Second+time.Duration(rng.Int64N(int64(twiceLoad))), func() { f.twiceFault(rng) })
 	}
