cell: a trial that a task survives takes back the crashes that it disproves

A task that had survived its trial was a suspect again after any later crash under the same run, and its next trial lasted for twice the age of that run: 2 to 3 s for each of some 200 innocent tasks beside one that crashes its workers, on 3 workers.

Cause: a run takes back the crashes that it has clearly outlived only when it ends. A crash of its worker is judged before the run is dropped, so that the disproved crash counted as the first of two.

The end of a trial now takes them back at once, for the time that the run is known to have gone on. A gang's crashes are still taken back by member, at the end of the member's run.

TestSurvivedTrialTakesBackCrashes: before, the record kept the crash of "w0".

--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -381,3 +381,26 @@
 		require.Equal(t, []string{s.Worker}, c.crashes())
 	}
 }
+
+// A task was a suspect after a crash late in the run in which it had survived its trial.
+func TestSurvivedTrialTakesBackCrashes(t *testing.T) {
+	progress := &workload.Progress{State: workload.Active, Steps: []workload.StepRecord{{
+		Crashes: map[int]poison.Record{0: {Workers: []string{"w0"}, Ages: []time.Duration{100 * time.Millisecond}, Suspect: true}},
+	}}}
+	c := newCrashCell(t, []StoredJob{{ID: crashedJob, Job: crashedSpec(), Progress: progress}}, "w1", "w2")
+	c.report("w1", 1)
+	c.report("w2", 1)
+	for range 2 {
+		c.round()
+	}
+	require.Len(t, c.starts, 1)
+	s := c.starts[0]
+	c.send(Started{Worker: s.Worker, Task: s.Task, Run: s.Run, Received: c.clock.Steady, Clock: c.clock.Steady})
+	c.clock.Steady += 2 * time.Second
+	c.report(s.Worker, 1, RunningTask{Task: s.Task, Run: s.Run})
+	c.round()
+	require.Empty(t, c.crashes())
+	c.report(s.Worker, 2)
+	require.Equal(t, []string{s.Worker}, c.crashes())
+	require.False(t, c.stored[crashedJob].Steps[0].Crashes[0].Suspect)
+}
--- a/cell/probation.go
+++ b/cell/probation.go
@@ -264,14 +264,16 @@
 	if !slices.ContainsFunc(p.task.unit(), func(t *task) bool { return w.runs[t.name] != nil }) {
 		return true
 	}
+	age := poison.LongLife
 	for _, t := range p.task.unit() {
 		for _, r := range t.runs {
-			if !c.outlived(r, p.need) {
-				return false
-			}
+			age = min(age, c.seenFor(r))
 		}
 	}
-	c.survived(p.task, p.need)
+	if age < p.need {
+		return false
+	}
+	c.survived(p.task, age)
 	return true
 }
 
@@ -283,16 +285,16 @@
 	return t.step.tasks[t.index : t.index+1]
 }
 
-// outlived reports whether a run is known to have gone on for the given time.
-func (c *Cell) outlived(r *run, need time.Duration) bool {
+// seenFor returns how long a run is known to have gone on.
+func (c *Cell) seenFor(r *run) time.Duration {
 	if r.state != running {
-		return false
+		return 0
 	}
 	seen := r.w.answeredAt - r.confirmedAt
 	if r.w.pollInFlight {
 		seen = max(seen, c.now.Steady-r.confirmedAt-unbrokenMargin)
 	}
-	return seen >= need
+	return max(0, seen)
 }
 
 // survived clears a task whose run did not crash its worker within the given time.
@@ -301,6 +303,9 @@
 	record.tried = true
 	c.crashes.ledger.Survived(t.step.crashClass())
 	if !record.Empty() {
+		if !t.step.spec.Gang {
+			record.Outlived(age)
+		}
 		record.Clear(age)
 		c.markTaskDirty(t)
 	}
