cell: many suspects of one crash are tried in groups

A worker that crashed under some 400 small tasks as its owner died made all of them suspects. They were tried one on a worker at a time, on 2 or 3 workers that were all but empty, and accepted jobs had nothing running for tens of seconds.

Cause: a trial has a worker to itself so that a crash names its task. That costs one probation for each suspect, although few of those of one crash can be guilty.

If the trials of the suspects of one crash would take more than 3 s, as many as bring it down to that are now tried on a worker at once. A group that survives is cleared as a whole; one that crashes its worker names none, and its tasks, which have then crashed twice after like times, are tried one by one. A guilty task costs one crash more: 4 starts, BUDGET allows 5. Suspects with proofs, with two crashes after like times, that must run alone, and gangs are tried as before, and so are the suspects of an ordinary crash (up to 18 on 2 workers at risk).

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -56,6 +56,8 @@
 	idle        map[string]int           // of these, usable ones without runs
 	free        map[string]float64       // share of the processors of usable workers, by service
 	accused     map[*job]bool            // jobs with a task that was named by a crash
+	suspectsOf  map[string]int           // tasks that one crash made suspects, by its worker, until all are tried
+	group       *worker                  // the last on which several of them are tried together
 }
 
 // crashRecord is what is known of a task, or of a gang, whose worker crashed.
@@ -133,7 +135,7 @@
 			w.lostOthers = w.lostOthers || at-r.sentAt < endedYoung
 			continue
 		}
-		onProbation := w.probation != nil && w.probation.record == r.task.crashRecord()
+		onProbation := w.probation != nil && w.probation.tries(r.task.crashRecord())
 		list = append(list, lostRun{t: r.task, number: r.number, age: at - r.sentAt, probation: onProbation, begun: r.confirmedAt > 0})
 	}
 	slices.SortFunc(list, func(a, b lostRun) int { return cmp.Compare(a.t.name, b.t.name) })
--- a/cell/place.go
+++ b/cell/place.go
@@ -199,11 +199,14 @@
 	needed := c.neededSpeed(s)
 	left, placed := 0, 0
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || t.heldFor != "" || allowed == 0 || !c.mayTry(t) {
+		if t.done || len(t.runs) > 0 || t.heldFor != "" || allowed == 0 {
+			continue
+		}
+		cand, may := c.candidateFor(s, t, duration, needed, candidates)
+		if !may {
 			continue
 		}
 		allowed--
-		cand := c.bestCandidate(s, t, duration, needed, candidates)
 		if cand == nil {
 			left++
 			continue
@@ -221,6 +224,18 @@
 	}
 }
 
+// candidateFor returns the worker for a task, nil if none has room, and reports whether the
+// task may start now.
+func (c *Cell) candidateFor(s *step, t *task, duration time.Duration, needed float64, candidates []*candidate) (*candidate, bool) {
+	if cand := c.groupCandidate(t, candidates); cand != nil {
+		return cand, true
+	}
+	if !c.mayTry(t) {
+		return nil, false
+	}
+	return c.bestCandidate(s, t, duration, needed, candidates), true
+}
+
 // bestCandidate returns the worker with the lowest score for the task, or nil if none
 // has room. Apart from penalties, it prefers fast workers and those on which the task
 // leaves the least processor time unused. On an uneven fleet it prefers slow workers, if
--- a/cell/probation.go
+++ b/cell/probation.go
@@ -42,6 +42,7 @@
 type probation struct {
 	task     *task
 	record   *crashRecord
+	beside   []*task      // suspects of the same crash that are tried with the task
 	scope    poison.Class // class whose limit it counts for
 	need     time.Duration
 	since    Instant
@@ -131,15 +132,22 @@
 		return true
 	}
 	scope, _ := state.ledger.Scope(t.step.crashClass())
-	service := t.step.queue.Service
-	workers, atRisk := state.fleet[service], state.atRisk[scope]
+	limit := c.trialLimit(scope, t.step.queue.Service)
+	return state.atRisk[scope] < limit && c.hasTrialShare(c.trialKey(t, t.step.rank), limit)
+}
+
+// trialLimit returns how many workers of a service may be at risk for a class.
+func (c *Cell) trialLimit(scope poison.Class, service string) float64 {
+	state := &c.crashes
+	workers := state.fleet[service]
 	limit := float64(state.ledger.Limit(scope, workers))
 	if float64(state.idle[service]) > minIdleShare*float64(workers) {
-		limit = max(limit, maxIdleRisk*float64(workers))
-	} else if state.free[service] > minFreeShare {
-		limit = max(limit, float64(workers)/riskZoneParts)
+		return max(limit, maxIdleRisk*float64(workers))
 	}
-	return atRisk < limit && c.hasTrialShare(c.trialKey(t, t.step.rank), limit)
+	if state.free[service] > minFreeShare {
+		return max(limit, float64(workers)/riskZoneParts)
+	}
+	return limit
 }
 
 // startProbation puts a worker on probation for a run that was just placed there.
@@ -147,10 +155,15 @@
 	if c.crashesQuiet() || !c.trialOf(t).needed {
 		return
 	}
-	if w.probation != nil && !w.probation.emptying {
-		return // another member of the gang
+	if p := w.probation; p != nil && !p.emptying {
+		if p.record != t.crashRecord() { // else another member of the gang
+			p.beside = append(p.beside, t)
+			p.need = max(p.need, c.crashes.ledger.Probation(t.step.crashClass(), &t.crashRecord().Record))
+		}
+		return
 	}
 	c.putOnProbation(t, w, false)
+	c.crashes.group = w
 }
 
 func (c *Cell) putOnProbation(t *task, w *worker, emptying bool) {
@@ -201,6 +214,7 @@
 	}
 	state := &c.crashes
 	state.fleet, state.idle, state.accused = map[string]int{}, map[string]int{}, map[*job]bool{}
+	suspectsOf := map[string]int{}
 	capacity, used := map[string]int64{}, map[string]int64{}
 	for _, w := range c.sortedWorkers {
 		if !w.listed {
@@ -226,7 +240,14 @@
 		if record.Suspect && record.Proofs > 0 {
 			state.accused[t.step.job] = true
 		}
+		if t.mayShareTrial() {
+			suspectsOf[record.LastWorker()]++
+		}
+	}
+	for worker, n := range suspectsOf {
+		suspectsOf[worker] = max(n, state.suspectsOf[worker])
 	}
+	state.suspectsOf = suspectsOf
 	for scope, n := range state.atRisk {
 		state.ledger.Spend(scope, n, c.now.Steady-state.riskAt)
 	}
@@ -254,6 +275,11 @@
 	if w.failing || len(w.lost) > 0 {
 		return len(w.runs) == 0
 	}
+	for _, t := range p.group() {
+		if t.over() || w.runs[t.name] == nil {
+			p.remove(t)
+		}
+	}
 	if p.task.step.job.spec == nil || p.task.step.done {
 		return true
 	}
@@ -265,7 +291,7 @@
 		return true
 	}
 	age := poison.LongLife
-	for _, t := range p.task.unit() {
+	for _, t := range slices.Concat(p.task.unit(), p.beside) {
 		for _, r := range t.runs {
 			age = min(age, c.seenFor(r))
 		}
@@ -274,6 +300,9 @@
 		return false
 	}
 	c.survived(p.task, age)
+	for _, t := range p.beside {
+		c.survived(t, age)
+	}
 	return true
 }
 
@@ -342,8 +371,12 @@
 	if c.crashesQuiet() || outcome != Done && outcome != Failed || r.task.step.job.spec == nil {
 		return
 	}
-	if p := r.w.probation; p != nil && p.record == r.task.crashRecord() {
-		r.w.probation = nil
+	if p := r.w.probation; p != nil && p.tries(r.task.crashRecord()) {
+		if p.last() {
+			r.w.probation = nil
+		} else {
+			p.remove(r.task)
+		}
 		c.survived(r.task, 0)
 	}
 }
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -84,6 +84,23 @@
 // Alone reports whether the task may only run with nothing beside it.
 func (r *Record) Alone() bool { return len(r.Workers) >= aloneFrom }
 
+// LastWorker returns the worker of the last crash, empty if there is none.
+func (r *Record) LastWorker() string {
+	if r.Empty() {
+		return ""
+	}
+	return r.Workers[len(r.Workers)-1]
+}
+
+// Repeated reports whether the last crash came after a time like that of an earlier one.
+func (r *Record) Repeated() bool {
+	if len(r.Ages) == 0 {
+		return len(r.Workers) > 1
+	}
+	crashes, _ := r.alike(r.Ages[len(r.Ages)-1], -1)
+	return crashes > 1
+}
+
 // Clear ends the suspicion after a run of the given age. The crashes count on unless the
 // run has gone on for long.
 func (r *Record) Clear(age time.Duration) {
@@ -304,7 +321,7 @@
 	if !r.Suspect || r.Empty() {
 		return
 	}
-	e := evidence{worker: r.Workers[len(r.Workers)-1], at: now, settled: true}
+	e := evidence{worker: r.LastWorker(), at: now, settled: true}
 	if r.Proofs > 0 {
 		e.exact, e.age = true, r.ProofAge
 		l.addDelay(c, r.ProofAge)
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -351,3 +351,26 @@
 	r := &Record{Workers: []string{"1", "2", "3"}, Ages: ages, Run: 3}
 	require.Equal(t, []Finding{Guilty}, l.Judge(Crash{Worker: "4", Runs: []Run{ofGang(r, 4, 10*time.Millisecond, 5)}}))
 }
+
+func TestLastCrashIsRepeatedAfterALikeTime(t *testing.T) {
+	const second = time.Second
+	for _, c := range []struct {
+		ages []time.Duration
+		want bool
+	}{
+		{nil, false},
+		{[]time.Duration{second}, false},
+		{[]time.Duration{second, 1200 * time.Millisecond}, true},
+		{[]time.Duration{second, 3 * second}, false},
+		{[]time.Duration{second, second, 3 * second}, false},
+	} {
+		r := Record{Ages: c.ages}
+		for i := range c.ages {
+			r.Workers = append(r.Workers, fmt.Sprint("w", i))
+		}
+		require.Equal(t, c.want, r.Repeated(), c.ages)
+	}
+	require.True(t, (&Record{Workers: []string{"w1", "w2"}}).Repeated(), "ages not known")
+	require.Empty(t, (&Record{}).LastWorker())
+	require.Equal(t, "w2", (&Record{Workers: []string{"w1", "w2"}}).LastWorker())
+}
