cell: a run counts for one crash of its worker

Innocent jobs were failed where workers started again twice within a second or two: the crashes of their tasks were as many as the restarts, with the same run in two of them.

Cause: a restart is recorded with the worker's runs when its first report is there, but a run whose report is older than what is known of it, or whose start was not answered, is kept until a later one. The next restart recorded it again, at another age. A gang's run was told apart by its number, a task's was not.

A run now carries that a crash was recorded with it, and is in no other.

TestRunCountsForOneCrash: before, the record was [w1 w1], now [w1].

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -79,6 +79,7 @@
 // lostRun is a run that a crash may have ended.
 type lostRun struct {
 	t         *task
+	run       *run   // nil: of an earlier owner
 	number    uint64 // 0: not known
 	age       time.Duration
 	probation bool
@@ -128,7 +129,7 @@
 	w.lostOthers = false
 	var list []lostRun
 	for _, r := range w.runsBeforeFailure() {
-		if r.state == placing || r.sentAt > at {
+		if r.state == placing || r.sentAt > at || r.crashed {
 			continue
 		}
 		if r.task.over() {
@@ -136,7 +137,7 @@
 			continue
 		}
 		onProbation := w.probation != nil && w.probation.tries(r.task.crashRecord())
-		list = append(list, lostRun{t: r.task, number: r.number, age: at - r.sentAt, probation: onProbation, begun: r.confirmedAt > 0})
+		list = append(list, lostRun{t: r.task, run: r, number: r.number, age: at - r.sentAt, probation: onProbation, begun: r.confirmedAt > 0})
 	}
 	slices.SortFunc(list, func(a, b lostRun) int { return cmp.Compare(a.t.name, b.t.name) })
 	return list
@@ -208,6 +209,11 @@
 	if len(lost) == 0 {
 		return
 	}
+	for _, l := range lost {
+		if l.run != nil {
+			l.run.crashed = true
+		}
+	}
 	crash, tasks := c.crashOf(w, at, lost)
 	youngest := time.Duration(0)
 	for i, run := range crash.Runs {
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -404,3 +404,14 @@
 	require.Equal(t, []string{s.Worker}, c.crashes())
 	require.False(t, c.stored[crashedJob].Steps[0].Crashes[0].Suspect)
 }
+
+// One run was counted for two crashes of its worker, if it was still known when the worker
+// started a second time.
+func TestRunCountsForOneCrash(t *testing.T) {
+	c := newCrashCell(t, nil, "w1", "w2")
+	first := c.start()
+	before := c.clock.Steady - time.Millisecond // the report is older than what is known of the run
+	c.send(PollResult{Worker: first.Worker, Sent: before, Received: c.clock.Steady, Report: Report{StartedAt: 2, Clock: c.clock.Steady}})
+	c.report(first.Worker, 3)
+	require.Equal(t, []string{first.Worker}, c.crashes())
+}
--- a/cell/job.go
+++ b/cell/job.go
@@ -129,6 +129,7 @@
 	sentAt         Instant
 	confirmedAt    Instant // when it was first known to be running
 	aliveAt        Instant // when it was last known to be running
+	crashed        bool    // a crash of its worker was recorded with it
 	adopted        bool    // an earlier owner started it, at an unknown time before confirmedAt
 	stopSentAt     Instant
 	firstStopAt    Instant // when the first stop was sent
