cell: a worker that is back after its leases ran out may have crashed

A task whose workers were back 9 s after the crash was started 19 times in 150 s: BUDGET, and a worker down each time.

Cause: when the leases of a failing worker ran out, its runs were dropped and forgotten. When another life of it, or another worker, answered at its address, there was no run left that the crash could have ended, so none was counted.

These runs are now kept for a minute, by address, with the time at which the worker began to fail (cell/lapse.go). The first report from there tells: the same life was cut off, as before; any other has crashed, and the crash is judged with those runs. What failed at the same moment and lapsed counts when a crash is one of many, so that a rack or zone that is down for long proves nothing. A worker that drains, or whose zone is evacuated, isn't kept. A successor doesn't know of lapses.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -58,6 +59,7 @@
 	accused     map[*job]bool            // jobs with a task that was named by a crash
 	suspectsOf  map[string]int           // tasks that one crash made suspects, by its worker, until all are tried
 	group       *worker                  // the last on which several of them are tried together
+	lapsed      map[string]*lapse        // by address, of the last lapseMemory
 }
 
 // crashRecord is what is known of a task, or of a gang, whose worker crashed.
@@ -163,6 +165,7 @@
 // recordRestart records the crash of a worker that has restarted, and of one that has
 // restarted since an earlier owner placed tasks there.
 func (c *Cell) recordRestart(w *worker, report Report) {
+	c.settleLapse(WorkerInfo{ID: w.ID, Addr: w.Addr, StartedAt: report.StartedAt})
 	if len(w.lost) == 0 && len(c.held[w.ID]) == 0 {
 		return
 	}
@@ -351,7 +354,7 @@
 			onRack++
 		}
 	}
-	for _, past := range c.crashes.past {
+	for _, past := range c.pastCrashes() {
 		count(past)
 	}
 	for _, o := range c.sortedWorkers {
@@ -379,6 +382,7 @@
 			}
 		}
 	}
+	maps.DeleteFunc(state.lapsed, func(_ string, l *lapse) bool { return now-l.past.at > lapseMemory })
 	state.past = slices.DeleteFunc(state.past, func(p pastCrash) bool { return now-p.at > crashMemory })
 	state.ledger.Expire(now)
 	for record, t := range state.recorded {
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -77,6 +77,7 @@
 		expired := now > w.leaseEnd && now > c.recoverBy
 		if held := c.held[w.ID]; w.failing && expired && len(w.runs)+len(held) > 0 && now-w.answeredAt > silentAfter*2 {
 			c.logInfo("leases ran out", slog.String("worker", w.ID), slog.Int("runs", len(w.runs)), slog.Int("held", len(held)), slog.Duration("silent", now-w.answeredAt))
+			c.noteLapse(w)
 			for r := range w.eachRun {
 				c.dropLostRun(r, "leases ran out")
 			}
