--- a/cell/crash.go
+++ b/cell/crash.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -56,6 +57,9 @@
 	idle        map[string]int           // of these, usable ones without runs
 	free        map[string]float64       // share of the processors of usable workers, by service
 	accused     map[*job]bool            // jobs with a task that was named by a crash
+	suspectsOf  map[string]int           // tasks that one crash made suspects, by its worker, until all are tried
+	group       *worker                  // the last on which several of them are tried together
+	lapsed      map[string]*lapse        // by address, of the last lapseMemory
 }
 
 // crashRecord is what is known of a task, or of a gang, whose worker crashed.
@@ -77,6 +81,7 @@
 // lostRun is a run that a crash may have ended.
 type lostRun struct {
 	t         *task
+	run       *run   // nil: of an earlier owner
 	number    uint64 // 0: not known
 	age       time.Duration
 	probation bool
@@ -126,15 +131,15 @@
 	w.lostOthers = false
 	var list []lostRun
 	for _, r := range w.runsBeforeFailure() {
-		if r.state == placing || r.sentAt > at {
+		if r.state == placing || r.sentAt > at || r.crashed {
 			continue
 		}
 		if r.task.over() {
 			w.lostOthers = w.lostOthers || at-r.sentAt < endedYoung
 			continue
 		}
-		onProbation := w.probation != nil && w.probation.record == r.task.crashRecord()
-		list = append(list, lostRun{t: r.task, number: r.number, age: at - r.sentAt, probation: onProbation, begun: r.confirmedAt > 0})
+		onProbation := w.probation != nil && w.probation.tries(r.task.crashRecord())
+		list = append(list, lostRun{t: r.task, run: r, number: r.number, age: at - r.sentAt, probation: onProbation, begun: r.confirmedAt > 0})
 	}
 	slices.SortFunc(list, func(a, b lostRun) int { return cmp.Compare(a.t.name, b.t.name) })
 	return list
@@ -160,6 +165,7 @@
 // recordRestart records the crash of a worker that has restarted, and of one that has
 // restarted since an earlier owner placed tasks there.
 func (c *Cell) recordRestart(w *worker, report Report) {
+	c.settleLapse(WorkerInfo{ID: w.ID, Addr: w.Addr, StartedAt: report.StartedAt})
 	if len(w.lost) == 0 && len(c.held[w.ID]) == 0 {
 		return
 	}
@@ -206,6 +212,11 @@
 	if len(lost) == 0 {
 		return
 	}
+	for _, l := range lost {
+		if l.run != nil {
+			l.run.crashed = true
+		}
+	}
 	crash, tasks := c.crashOf(w, at, lost)
 	youngest := time.Duration(0)
 	for i, run := range crash.Runs {
@@ -343,7 +354,7 @@
 			onRack++
 		}
 	}
-	for _, past := range c.crashes.past {
+	for _, past := range c.pastCrashes() {
 		count(past)
 	}
 	for _, o := range c.sortedWorkers {
@@ -371,6 +382,7 @@
 			}
 		}
 	}
+	maps.DeleteFunc(state.lapsed, func(_ string, l *lapse) bool { return now-l.past.at > lapseMemory })
 	state.past = slices.DeleteFunc(state.past, func(p pastCrash) bool { return now-p.at > crashMemory })
 	state.ledger.Expire(now)
 	for record, t := range state.recorded {
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -381,3 +381,37 @@
 		require.Equal(t, []string{s.Worker}, c.crashes())
 	}
 }
+
+// A task was a suspect after a crash late in the run in which it had survived its trial.
+func TestSurvivedTrialTakesBackCrashes(t *testing.T) {
+	progress := &workload.Progress{State: workload.Active, Steps: []workload.StepRecord{{
+		Crashes: map[int]poison.Record{0: {Workers: []string{"w0"}, Ages: []time.Duration{100 * time.Millisecond}, Suspect: true}},
+	}}}
+	c := newCrashCell(t, []StoredJob{{ID: crashedJob, Job: crashedSpec(), Progress: progress}}, "w1", "w2")
+	c.report("w1", 1)
+	c.report("w2", 1)
+	for range 2 {
+		c.round()
+	}
+	require.Len(t, c.starts, 1)
+	s := c.starts[0]
+	c.send(Started{Worker: s.Worker, Task: s.Task, Run: s.Run, Received: c.clock.Steady, Clock: c.clock.Steady})
+	c.clock.Steady += 2 * time.Second
+	c.report(s.Worker, 1, RunningTask{Task: s.Task, Run: s.Run})
+	c.round()
+	require.Empty(t, c.crashes())
+	c.report(s.Worker, 2)
+	require.Equal(t, []string{s.Worker}, c.crashes())
+	require.False(t, c.stored[crashedJob].Steps[0].Crashes[0].Suspect)
+}
+
+// One run was counted for two crashes of its worker, if it was still known when the worker
+// started a second time.
+func TestRunCountsForOneCrash(t *testing.T) {
+	c := newCrashCell(t, nil, "w1", "w2")
+	first := c.start()
+	before := c.clock.Steady - time.Millisecond // the report is older than what is known of the run
+	c.send(PollResult{Worker: first.Worker, Sent: before, Received: c.clock.Steady, Report: Report{StartedAt: 2, Clock: c.clock.Steady}})
+	c.report(first.Worker, 3)
+	require.Equal(t, []string{first.Worker}, c.crashes())
+}
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -77,6 +77,7 @@
 		expired := now > w.leasesEnd() && now > c.recoverBy
 		if held := c.held[w.ID]; w.failing && expired && len(w.runs)+len(held) > 0 && now-w.answeredAt > silentAfter*2 {
 			c.logLoss("leases ran out", w, slog.Int("runs", len(w.runs)), slog.Int("held", len(held)))
+			c.noteLapse(w)
 			for r := range w.eachRun {
 				c.logGivenUp(r, "leases ran out")
 				c.dropLostRun(r, "leases ran out")
