--- a/cell/poll.go
+++ b/cell/poll.go
@@ -136,7 +136,7 @@
 				effect.Wait = 0
 			}
 		}
-		if len(w.strays) > 0 || len(w.runs) == 0 || w.unsureGrantAt > 0 || !w.inContact(now) && !w.hasBegun() {
+		if len(w.strays) > 0 || len(w.runs) == 0 || w.unsureGrantAt > 0 {
 			effect.Wait = 0
 		}
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -158,22 +158,12 @@
 // last for as long as it grants.
 func (c *Cell) grantLease(w *worker, length time.Duration) time.Duration {
 	now := c.now.Steady
-	if !w.inContact(now) {
+	if inContact := now <= w.ackableUntil || w.pollInFlight && !w.failing && w.polledAt < now; !inContact {
 		w.unsureGrantAt, w.unsureLeaseEnd = now, max(w.unsureLeaseEnd, now+maxLeaseTime(c.MaxLease))
 	}
 	return w.grantLease(now, length)
 }
 
-// inContact reports whether the worker has certainly not started again since its last report.
-func (w *worker) inContact(now Instant) bool {
-	return now <= w.ackableUntil || w.pollInFlight && !w.failing && w.polledAt < now
-}
-
-// hasBegun reports whether a run on the worker is known to have begun.
-func (w *worker) hasBegun() bool {
-	return slices.ContainsFunc(w.runsByAge, func(r *run) bool { return r.confirmedAt > 0 })
-}
-
 // leasesEnd returns when all leases on the worker have certainly expired.
 func (w *worker) leasesEnd() Instant { return max(w.leaseEnd, w.unsureLeaseEnd) }
 
