--- a/review/_stand2/cluster.go
+++ b/review/_stand2/cluster.go
@@ -58,12 +58,20 @@
 // startCluster starts the platform with its workers and the entry hosts, and waits until all
 // hosts are ready.
 func startCluster(r *record, workers, hosts int) (*cluster, error) {
+	return startWatchedCluster(r, workers, hosts, nil)
+}
+
+// startWatchedCluster does the same with a watch in front of the workers, unless it is nil.
+func startWatchedCluster(r *record, workers, hosts int, w *watch) (*cluster, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
 	c := &cluster{dir: dir, record: r, client: &http.Client{Timeout: platformtest.CallerTimeout}}
 	c.platform.Workers = workers
+	if w != nil {
+		c.platform.ProxyAddr = w.proxyAddr
+	}
 	if err := c.platform.Start(); err != nil {
 		return c, err
 	}
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -20,6 +20,7 @@
 
 var cases = map[string]func(r *record, trouble bool) int{
 	"flapping": flapping,
+	"waiting":  waiting,
 }
 
 func main() {
