--- a/review/_stand2/cluster.go
+++ b/review/_stand2/cluster.go
@@ -135,6 +135,12 @@
 	return h.cmd.Start()
 }
 
+// kill ends the process at once and waits for its end.
+func (h *host) kill() {
+	_ = h.cmd.Process.Kill()
+	_ = h.cmd.Wait()
+}
+
 func (c *cluster) isReady(h *host) bool {
 	resp, err := c.client.Get("http://" + h.ready + "/-/readiness")
 	if err != nil {
@@ -147,8 +153,7 @@
 // close ends all processes, and removes the temporary folder unless KEEP is set.
 func (c *cluster) close() {
 	for _, h := range c.hosts {
-		_ = h.cmd.Process.Kill()
-		_ = h.cmd.Wait()
+		h.kill()
 		_ = h.log.Close()
 	}
 	c.platform.Close()
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -19,8 +19,8 @@
 )
 
 var cases = map[string]func(r *record, trouble bool) int{
-	"flapping": flapping,
-	"waiting":  waiting,
+	"waiting": waiting,
+	"outage":  outage,
 }
 
 func main() {
