cell: a crash is dated by the first failed call, also if a stop is answered before the report

What callers saw: a task that crashes its workers was started a third time more after three crashes (BUDGET), as crashes that it had brought about were taken back.

Cause: any answer ended the failure of a worker, also that of its next life to a stop. The report of the new life then found no failure and dated the crash to its own arrival: the runs seemed to have gone on for the 3 s in which the worker was down, which disproved their earlier crashes.

Change: the failure stands until a report, which tells the life. A failure after such an answer is a new one.

TestCrashIsDatedByTheFailureBeforeAnAnsweredStop failed before (the crash was dated by the answer).

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -106,10 +106,12 @@
 	w := c.workers[worker]
 	switch {
 	case w == nil:
-	case w.failing && w.failingAt == 0:
-		w.failingAt, w.failureNoted = c.now.Steady, false
+	case w.failing && (w.failingAt == 0 || w.answers):
+		w.failingAt, w.failureNoted, w.answers = c.now.Steady, false, false
+	case !w.failing && w.failingAt > 0 && w.reportedAt < w.failingAt:
+		w.answers = true // maybe in its next life, which only a report tells
 	case !w.failing && w.failingAt > 0:
-		w.failingAt = 0
+		w.failingAt, w.answers = 0, false
 		if w.failureNoted {
 			c.crashes.ledger.Withdraw(w.ID)
 		}
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -288,6 +288,26 @@
 	require.Equal(t, []string{s.Worker}, c.crashes())
 }
 
+// A stop that the next life of a worker answered made its crash one of the moment of its return:
+// its tasks seemed to have run until then, and were taken for innocent.
+func TestCrashIsDatedByTheFailureBeforeAnAnsweredStop(t *testing.T) {
+	c := newCrashCell(t, nil, "w1")
+	s := c.start()
+	c.report("w1", 1, RunningTask{Task: s.Task, Run: s.Run})
+	c.round()
+	c.send(PollResult{Worker: "w1", Sent: c.clock.Steady, Received: c.clock.Steady, Failure: NoAnswer})
+	failed := c.clock.Steady
+	age := c.crashedAt(c.Cell.workers["w1"])
+	require.Equal(t, failed, age)
+	c.clock.Steady += 3 * time.Second
+	c.send(StopDone{Worker: "w1", Task: "aa00000000000001.0.0.0", Run: 1, Received: c.clock.Steady})
+	require.Equal(t, failed, c.crashedAt(c.Cell.workers["w1"]))
+	c.report("w1", 2)
+	require.Len(t, c.crashes(), 1)
+	require.Less(t, c.stored[crashedJob].Steps[0].Crashes[0].Ages[0], 3*time.Second)
+	require.Zero(t, c.Cell.workers["w1"].failingAt)
+}
+
 // Jobs were failed for crashes of tasks beside theirs that crash their workers late.
 func TestTasksThatCrashWorkersLateFailNoOther(t *testing.T) {
 	t.Parallel()
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -59,7 +59,8 @@
 	answeredAt     Instant           // when it last answered
 	reportedAt     Instant           // when its last report arrived
 	reportClock    time.Duration     // the worker's clock in its last report
-	failingAt      Instant           // when failing was set; 0 while it answers
+	failingAt      Instant           // when failing was set; 0 once a report shows that it lives
+	answers        bool              // it has answered since, but not with a report
 	failureNoted   bool              // the ledger of crashes knows that it fails
 	lost           []lostRun         // runs before a restart that no report has settled yet
 	lostOthers     bool              // beside these, young runs of ended jobs
