poison: a run that may not have begun is not one of two crashed workers

What callers saw: a job was shown as failed though one worker had crashed under its task (LOST).

Cause: a successor counts a crash under a placement that it finds stored, also if the start was never sent. Its age is not known and was recorded as 0, which is like that of a task that crashes its workers at once; with one proof later the two made a pair.

Change: a crash of unknown age fits any age, but its worker is not one of the two that must have crashed. Five such crashes fail a task all the same, so that owners that die after each crash keep the budget.

TestRunThatMayNotHaveBegunIsNoSecondWorker failed before (Guilty at the second crash).

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -141,7 +141,7 @@
 			continue
 		}
 		onProbation := w.probation != nil && w.probation.tries(r.task.crashRecord())
-		list = append(list, lostRun{t: r.task, run: r, number: r.number, age: at - r.sentAt, probation: onProbation, begun: r.confirmedAt > 0})
+		list = append(list, lostRun{t: r.task, run: r, number: r.number, age: max(1, at-r.sentAt), probation: onProbation, begun: r.confirmedAt > 0})
 	}
 	slices.SortFunc(list, func(a, b lostRun) int { return cmp.Compare(a.t.name, b.t.name) })
 	return list
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -34,7 +34,8 @@
 	// maxCrashes is how many crashes at ages alike a task is blamed for at most. It may be
 	// started twice more after three; one of its crashes may have been taken for another's.
 	maxCrashes = 4
-	// maxInconclusiveCrashes is the same for a gang whose crashes may be chance at that age.
+	// maxInconclusiveCrashes is the same for a gang whose crashes may be chance at that age, and
+	// for runs that may not have begun.
 	maxInconclusiveCrashes = 5
 	// minGangCrashes is how many crashes name a gang if there were no others.
 	minGangCrashes = 3
@@ -210,18 +211,20 @@
 }
 
 // alike returns the crashes at ages like the given one that the member may have caused, and
-// of how many workers. What crashes its workers does so after a similar time.
+// of how many workers. What crashes its workers does so after a similar time. A run of which no
+// age is known may not have begun, so that its worker is not among them.
 func (r *Record) alike(age time.Duration, member int) (crashes, workers int) {
 	var seen []string
 	for i, w := range r.Workers {
-		if i < len(r.Ages) && !alike(r.Ages[i], age) {
+		known := i >= len(r.Ages) || r.Ages[i] > 0
+		if i < len(r.Ages) && known && age > 0 && !alike(r.Ages[i], age) {
 			continue
 		}
 		if members := r.members(i); member >= 0 && len(members) > 0 && !slices.Contains(members, member) {
 			continue
 		}
 		crashes++
-		if !slices.Contains(seen, w) {
+		if known && !slices.Contains(seen, w) {
 			seen = append(seen, w)
 		}
 	}
@@ -263,7 +266,7 @@
 	*Record
 	Class
 	Number    uint64        // 0: unknown
-	Age       time.Duration // at the crash
+	Age       time.Duration // at the crash; 0: unknown, it may not have begun
 	Probation bool
 	Begun     bool  // its worker has said that it runs
 	Gang      bool  // its run may end with several workers, which counts once
@@ -400,7 +403,7 @@
 		limit = maxInconclusiveCrashes
 	}
 	switch {
-	case crashes >= limit:
+	case crashes >= limit && workers >= minWorkers, crashes >= maxInconclusiveCrashes:
 		return true
 	case !culprit || workers < minWorkers:
 		return false
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -427,3 +427,26 @@
 	_, endangered := l.Scope(checks)
 	require.True(t, endangered)
 }
+
+// A start that an earlier owner had stored and never sent counted as one of the two workers that
+// a task must have crashed, and its job was failed after one.
+func TestRunThatMayNotHaveBegunIsNoSecondWorker(t *testing.T) {
+	var l Ledger
+	for n := range strongEvidence {
+		l.Judge(Crash{Worker: fmt.Sprint("x", n), At: time.Second, Runs: []Run{onProbation(&Record{}, checks, 1)}})
+	}
+	r := &Record{}
+	l.Judge(Crash{Worker: "w1", At: time.Second, Runs: []Run{{Record: r, Class: checks, Number: 1}}})
+	require.Equal(t, []Finding{Suspected}, l.Judge(Crash{Worker: "w2", At: 5 * time.Second, Runs: []Run{onProbation(r, checks, 2)}}))
+	require.Equal(t, []Finding{Guilty}, l.Judge(Crash{Worker: "w3", At: 9 * time.Second, Runs: []Run{onProbation(r, checks, 3)}}))
+}
+
+// A task whose owners died after each crash was started without end.
+func TestCrashesOfUnknownAgeAreCapped(t *testing.T) {
+	var l Ledger
+	r := &Record{}
+	for n := range uint64(maxInconclusiveCrashes) {
+		finding := l.Judge(Crash{Worker: fmt.Sprint(n), At: time.Duration(n) * time.Second, Runs: []Run{{Record: r, Class: checks, Number: n + 1}}})[0]
+		require.Equal(t, n+1 == maxInconclusiveCrashes, finding == Guilty, n)
+	}
+}
