cell: one bound over all precautions against crashes

Cause: each precaution had its own bound or none: 30 s for a run on probation under a task with three crashes, 15 s for a worker kept empty, none for the limits of a class and the other tasks of an accused job. None followed from what users are promised, and none knew of the others.

Change: the time since any of them first keeps a task from a worker with room counts for all. It may then start beside a run on probation; a crash there proves nothing. The same for gangs and the workers reserved for them.

Why it works: a wait that follows from the promise holds for each precaution that there is or will be.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -140,7 +140,7 @@
 			w.lostOthers = w.lostOthers || at-r.sentAt < endedYoung
 			continue
 		}
-		onProbation := w.probation != nil && w.probation.tries(r.task.crashRecord())
+		onProbation := w.probation != nil && w.probation.tries(r.task.crashRecord()) && !w.probation.shared
 		list = append(list, lostRun{t: r.task, run: r, number: r.number, age: max(1, at-r.sentAt), probation: onProbation, begun: r.confirmedAt > 0})
 	}
 	slices.SortFunc(list, func(a, b lostRun) int { return cmp.Compare(a.t.name, b.t.name) })
--- a/cell/crashload_test.go
+++ b/cell/crashload_test.go
@@ -190,6 +190,15 @@
 // requireNoUnusedRoom plays the load and checks that, once it is asked for, no accepted
 // job stands beside room for it.
 func (f *simFleet) requireNoUnusedRoom(end Instant) {
+	f.t.Helper()
+	lost := f.idleBesideRoom(end)
+	require.Empty(f.t, f.violations)
+	require.Empty(f.t, lost)
+}
+
+// idleBesideRoom plays the load and returns the accepted jobs that stand beside room for them all
+// the while once they are asked for.
+func (f *simFleet) idleBesideRoom(end Instant) []string {
 	f.t.Helper()
 	f.runUntil(end + startAfterTraffic)
 	counts := map[string]int{}
@@ -209,8 +218,7 @@
 	u := f.owner.use()
 	f.t.Logf("lost %d; at the end %d steps wait, %d gangs, %d of %d cores used, %d reserved", len(lost), len(f.owner.waiting), u.gangs, u.used.MilliCPU/1000, u.capacity.MilliCPU/1000, u.reserved/1000)
 	f.t.Logf("%v", f.outcomesByQueue())
-	require.Empty(f.t, f.violations)
-	require.Empty(f.t, lost)
+	return lost
 }
 
 // TestAcceptedJobsUseTheRoomAfterTheTraffic simulates gangs that wait at the end of the
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -132,10 +132,21 @@
 // assigned; otherwise it also returns spare assignments.
 func (c *Cell) assignMembers(pool *servicePool, s *step) (assignments, spare []assignment) {
 	duration := c.queueStats(s.queue.Name).expectedDuration(s.spec.Estimate)
+	free, onProbation := 0, 0
 	for _, cand := range pool.mayRunOn(s) {
-		if n := s.room(cand.w, cand.free); n > 0 && cand.w.probation == nil && !cand.blocks(c.now.Steady, cand.w.duration(duration)) && s.eligibleOn(cand.w) {
-			assignments = append(assignments, assignment{cand, n})
+		n := s.room(cand.w, cand.free)
+		if n == 0 || cand.blocks(c.now.Steady, cand.w.duration(duration)) || !s.eligibleOn(cand.w) {
+			continue
 		}
+		if !c.mayShare(s.tasks[0], cand.w) {
+			onProbation += n
+			continue
+		}
+		free += n
+		assignments = append(assignments, assignment{cand, n})
+	}
+	if free < len(s.tasks) && free+onProbation >= len(s.tasks) {
+		c.withhold(s.tasks[0])
 	}
 	trial := c.trialOf(s.tasks[0])
 	preference := func(w *worker) int {
@@ -150,7 +161,7 @@
 		}
 	}
 	slices.SortStableFunc(assignments, func(a, b assignment) int {
-		return cmp.Or(cmp.Compare(trial.penalty(a.w), trial.penalty(b.w)), cmp.Compare(preference(a.w), preference(b.w)), cmp.Compare(b.n, a.n))
+		return cmp.Or(cmp.Compare(a.w.onTrial(), b.w.onTrial()), cmp.Compare(trial.penalty(a.w), trial.penalty(b.w)), cmp.Compare(preference(a.w), preference(b.w)), cmp.Compare(b.n, a.n))
 	})
 	if s.spec.RackLocal {
 		if onRack := singleRack(assignments, len(s.tasks)); onRack != nil {
--- a/cell/job.go
+++ b/cell/job.go
@@ -103,9 +103,10 @@
 	copies     int             // copies of slow runs that have been started
 	minSpeed   float64         // preferred speed of its worker, after a move from a slow one
 	crashes    crashRecord
-	brokenRun  uint64 // last run that its worker listed as broken
-	heldSince  int64  // start of that worker when the run was placed; 0: unknown
-	heldFor    string // worker that may still execute a run that an earlier owner started; until that is known, no run starts
+	withheldAt Instant // since when precautions against crashes keep it from running; 0 if none do
+	brokenRun  uint64  // last run that its worker listed as broken
+	heldSince  int64   // start of that worker when the run was placed; 0: unknown
+	heldFor    string  // worker that may still execute a run that an earlier owner started; until that is known, no run starts
 }
 
 // runState is the last known state of a run.
--- a/cell/place.go
+++ b/cell/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/cowslipgap/cowslipgap/resource"
@@ -16,7 +17,9 @@
 	// weighted speed.
 	penaltyFailed  = 4 // the task failed there before
 	penaltyOffRack = 8 // the data is on another rack, so the task takes longer
-	penaltyLate    = 3 // the worker is too slow for the job's objective
+	// penaltyProbation applies to workers with a run on probation, which the task would share.
+	penaltyProbation = 16
+	penaltyLate      = 3 // the worker is too slow for the job's objective
 	// penaltyReserved applies to workers that the last round reserved for a gang.
 	// Steps ranked before the gang may use them if no other worker has room.
 	penaltyReserved = 2
@@ -233,7 +236,11 @@
 	if !c.mayTry(t) {
 		return nil, false
 	}
-	return c.bestCandidate(s, t, duration, needed, candidates), true
+	cand := c.bestCandidate(s, t, duration, needed, candidates)
+	if cand == nil && slices.ContainsFunc(candidates, func(cand *candidate) bool { return s.room(cand.w, cand.free) > 0 }) {
+		c.withhold(t)
+	}
+	return cand, true
 }
 
 // bestCandidate returns the worker with the lowest score for the task, or nil if none
@@ -242,13 +249,13 @@
 // they are fast enough.
 func (c *Cell) bestCandidate(s *step, t *task, duration time.Duration, needed float64, candidates []*candidate) *candidate {
 	trial := c.trialOf(t)
-	if trial.alone {
+	if trial.alone && !c.overdue(t) {
 		return c.emptyCandidate(t, candidates)
 	}
 	var best *candidate
 	bestScore := 0.0
 	for _, cand := range candidates {
-		if s.room(cand.w, cand.free) == 0 || cand.w.probation != nil {
+		if s.room(cand.w, cand.free) == 0 || !c.mayShare(t, cand.w) {
 			continue
 		}
 		score := float64(cand.free.MilliCPU-s.spec.Need.MilliCPU) / float64(max(1, cand.w.Capacity.MilliCPU, s.spec.Need.MilliCPU))
@@ -260,6 +267,9 @@
 			score += penaltyCold
 		}
 		score += trial.penalty(cand.w)
+		if cand.w.probation != nil {
+			score += penaltyProbation
+		}
 		if t.avoid[cand.w.ID] {
 			score += penaltyFailed
 		}
--- a/cell/probation.go
+++ b/cell/probation.go
@@ -30,9 +30,6 @@
 	// unbrokenMargin is how much longer than its probation a run must have gone on if only
 	// a poll that is still unanswered shows that the worker lives.
 	unbrokenMargin = 20 * time.Millisecond
-	// maxEmptying is how long a worker is kept for a task that must run alone. What runs there
-	// may last; the task then starts beside it.
-	maxEmptying = 15 * time.Second
 )
 
 // This file tries the tasks that may crash their workers where they can harm least: on a
@@ -46,6 +43,7 @@
 	scope    poison.Class // class whose limit it counts for
 	need     time.Duration
 	since    Instant
+	shared   bool // a task that waited for too long was placed beside it, so that a crash proves nothing
 	emptying bool // the task waits until nothing else runs on the worker
 	kind     trialKind
 }
@@ -118,9 +116,19 @@
 	return endangered || !r.task.crashRecord().Empty()
 }
 
-// mayTry reports whether the task may be placed beside those that are on probation. The
-// other tasks of a job that will likely be failed wait until that is known.
+// mayTry reports whether the task may be placed beside those that are on probation, or has
+// waited for that as long as it may.
 func (c *Cell) mayTry(t *task) bool {
+	if c.withinLimits(t) {
+		return true
+	}
+	c.withhold(t)
+	return c.overdue(t)
+}
+
+// withinLimits reports whether the limits on the workers at risk leave room for the task. The
+// other tasks of a job that will likely be failed wait until that is known.
+func (c *Cell) withinLimits(t *task) bool {
 	if c.crashesQuiet() {
 		return true
 	}
@@ -152,18 +160,23 @@
 
 // startProbation puts a worker on probation for a run that was just placed there.
 func (c *Cell) startProbation(t *task, w *worker) {
-	if c.crashesQuiet() || !c.trialOf(t).needed {
+	if c.crashesQuiet() {
 		return
 	}
-	if p := w.probation; p != nil && !p.emptying {
-		if p.record != t.crashRecord() { // else another member of the gang
-			p.beside = append(p.beside, t)
-			p.need = max(p.need, c.crashes.ledger.Probation(t.step.crashClass(), &t.crashRecord().Record))
+	needed := c.trialOf(t).needed
+	switch p := w.probation; {
+	case p == nil || p.emptying:
+		if needed {
+			c.putOnProbation(t, w, false)
+			c.crashes.group = w
 		}
-		return
+	case p.record == t.crashRecord(): // another member of the gang
+	case needed && w == c.crashes.group && p.since == c.now.Steady:
+		p.beside = append(p.beside, t)
+		p.need = max(p.need, c.crashes.ledger.Probation(t.step.crashClass(), &t.crashRecord().Record))
+	default:
+		p.shared = true
 	}
-	c.putOnProbation(t, w, false)
-	c.crashes.group = w
 }
 
 func (c *Cell) putOnProbation(t *task, w *worker, emptying bool) {
@@ -284,7 +297,7 @@
 		return true
 	}
 	if p.emptying {
-		p.record.crowded = c.now.Steady-p.since > maxEmptying
+		p.record.crowded = c.overdue(p.task) // what runs there may last
 		return p.record.crowded || p.task.done || !p.record.Alone()
 	}
 	if !slices.ContainsFunc(p.task.unit(), func(t *task) bool { return w.runs[t.name] != nil }) {
--- a/cell/reservation.go
+++ b/cell/reservation.go
@@ -119,7 +119,7 @@
 func (c *Cell) gangOpenings(pool *servicePool, s *step) []opening {
 	var openings []opening
 	for _, cand := range pool.mayRunOn(s) {
-		if cand.reservedFrom == 0 && cand.w.probation == nil && s.eligibleOn(cand.w) {
+		if cand.reservedFrom == 0 && c.mayShare(s.tasks[0], cand.w) && s.eligibleOn(cand.w) {
 			openings = c.openings(openings, s, cand)
 		}
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -38,6 +38,7 @@
 	if len(t.runs) == 1 {
 		t.step.tasksWithRuns++
 	}
+	t.withheldAt = 0
 	r.workerStart = r.w.StartedAt
 	r.w.addRun(r)
 	r.w.charge(r, 1)
