poison: admission counts trials of a class that chance can't explain

Cause: the wait for trials was counted only if a crash had named a task. Where workers crash by chance, such a crash proves nothing at these ages, although the class as a whole is beyond doubt.

Change: odds of 1,000 against chance count as well.

--- a/poison/chance.go
+++ b/poison/chance.go
@@ -24,6 +24,8 @@
 	// accusation is the odds from which a class counts as one that crashes workers. Chance
 	// brings about fewer than one accusation of a class in as many crashes.
 	accusation = 20
+	// certainty is the odds from which callers are refused for the wait for trials.
+	certainty = 1000
 
 	// maxProofChance is how likely a crash by chance may be up to the age of a run, for its
 	// crash to be a proof; maxDangerChance the same for a proof that endangers its class.
--- a/poison/danger.go
+++ b/poison/danger.go
@@ -71,6 +71,7 @@
 type danger struct {
 	evidence   []evidence
 	endangered bool
+	odds       float64 // that it crashes workers, against chance, at its last crash
 	limit      float64 // workers at risk; 0: not used yet
 	survived   int     // since the last crash
 	passed     float64 // decayed number of tasks that survived
@@ -157,10 +158,12 @@
 
 // TrialTime returns how long it takes to find out about a number of untried tasks of a class
 // on a fleet of the given size, crashes included. It is 0 until a crash has named a task of the
-// class: workers that are cut off, or crash by themselves, cost it little.
+// class, or chance is out of the question: workers that are cut off, or crash by themselves, cost it
+// little.
 func (l *Ledger) TrialTime(c Class, tasks, workers int) time.Duration {
 	d := l.classes[c]
-	if d == nil || tasks == 0 || !slices.ContainsFunc(d.evidence, func(e evidence) bool { return e.exact && (e.settled || e.begun) }) {
+	named := func(e evidence) bool { return e.exact && (e.settled || e.begun) }
+	if d == nil || tasks == 0 || d.odds < certainty && !slices.ContainsFunc(d.evidence, named) {
 		return 0
 	}
 	assumed := firstTrial.Seconds() + minWorkers*d.guiltyShare()*firstDown.Seconds()
@@ -218,13 +221,15 @@
 		l.classes[c] = d
 	}
 	d.crashed(e)
-	d.endangered = d.endangered || e.exact || l.odds(c) >= accusation
+	d.odds = l.odds(c)
+	d.endangered = d.endangered || e.exact || d.odds >= accusation
 	queue := Class{Queue: c.Queue}
 	if shared := l.classes[queue]; shared != nil {
 		shared.crashed(e)
+		shared.odds = l.odds(queue)
 	} else if l.endangeredTeams(c.Queue) > 1 || l.accusedTeams(c.Queue) > 1 && l.odds(queue) >= accusation {
 		d.endangered = true
-		l.classes[queue] = &danger{evidence: []evidence{e}, endangered: true}
+		l.classes[queue] = &danger{evidence: []evidence{e}, endangered: true, odds: l.odds(queue)}
 	}
 }
 
