poison: crashes of a task at any ages are bounded by their number

What callers saw: a task that crashes its workers at another age each time was started six to ten times (BUDGET).

Cause: a longer run took back the crashes at younger ages, and only crashes at like ages count together.

Change: the workers that crashed under a task of known ages are counted whether disproved or not, with the time that its runs took. Four fail it if chance, at the rate of crashes that fit no task, brings about as many in that time with less than one in a million.

A crash under runs of 10 s or more counts as one by chance also after starts have become rare: their rate says nothing of runs from before.

--- a/poison/chance.go
+++ b/poison/chance.go
@@ -14,6 +14,8 @@
 	minRateTime = time.Second
 	// crashWindow is the time from which the rate of crashes by chance is taken.
 	crashWindow = 30 * time.Second
+	// minCrashSpan is the least time over which they are counted against a task.
+	minCrashSpan = 10 * time.Second
 
 	// calibration is the exponent of the bet against chance: under it, a crash whose youngest
 	// run is young with probability p multiplies the odds by calibration*p^(calibration-1),
@@ -27,6 +29,9 @@
 	// certainty is the odds from which callers are refused for the wait for trials.
 	certainty = 1000
 
+	// maxTotalChance is how likely chance may be to bring about all crashes of a task, at whatever
+	// ages, for it to be given up for their number.
+	maxTotalChance = 1e-6
 	// maxProofChance is how likely a crash by chance may be up to the age of a run, for its
 	// crash to be a proof; maxDangerChance the same for a proof that endangers its class.
 	maxProofChance  = 0.01
@@ -102,8 +107,10 @@
 	}
 	l.unobserve(c.Worker)
 	o := observation{worker: c.Worker, at: c.At, settled: settled, chance: 1}
-	if l.starts[Class{}] != nil && len(c.Runs) > 0 || slices.ContainsFunc(c.Runs, func(run Run) bool { return l.Young(run.Class, run.Age) }) {
-		o.chance = l.chance(Class{}, youngest(c.Runs), c.At)
+	age := youngest(c.Runs)
+	known := l.starts[Class{}] != nil && len(c.Runs) > 0 && age <= rateMemory
+	if known || slices.ContainsFunc(c.Runs, func(run Run) bool { return l.Young(run.Class, run.Age) }) {
+		o.chance = l.chance(Class{}, age, c.At)
 	}
 	l.addObservation(o)
 }
@@ -136,7 +143,7 @@
 // chanceRate estimates how often a worker crashes by chance, a second, with one crash more
 // than there were. Half of such crashes find nothing younger than is usual; crashes that tasks
 // bring about are rarely among them. It is 0 if the size of the fleet is not known.
-func (l *Ledger) chanceRate() float64 {
+func (l *Ledger) chanceRate(span time.Duration) float64 {
 	if l.workers == 0 {
 		return 0
 	}
@@ -146,13 +153,31 @@
 			old++
 		}
 	}
-	return float64(1+min(2*old, len(l.observed))) / (crashWindow.Seconds() * float64(l.workers))
+	return float64(1+min(2*old, len(l.observed))) / (span.Seconds() * float64(l.workers))
 }
 
 // explained reports whether a crash by chance is likelier than the limit before a run reaches
 // the given age.
 func (l *Ledger) explained(age time.Duration, limit float64) bool {
-	return l.chanceRate()*age.Seconds() > limit
+	return l.chanceRate(crashWindow)*age.Seconds() > limit
+}
+
+// tooMany reports whether so many workers have crashed under a task, in the time that its runs
+// took, that it was hardly chance.
+func (l *Ledger) tooMany(r *Record) bool {
+	n := len(slices.Compact(slices.Sorted(slices.Values(r.All))))
+	if n < maxCrashes || len(l.observed) == 0 {
+		return false
+	}
+	span := max(minCrashSpan, l.observed[len(l.observed)-1].at-l.observed[0].at)
+	mean, tail := l.chanceRate(span)*r.Time.Seconds(), 0.0
+	term := math.Exp(-mean)
+	for k := 1; k < n+20; k++ {
+		if term *= mean / float64(k); k >= n {
+			tail += term
+		}
+	}
+	return tail <= maxTotalChance
 }
 
 // odds returns how much better the crashes fit a class that brings them about than chance.
--- a/poison/danger.go
+++ b/poison/danger.go
@@ -19,8 +19,6 @@
 	// delayFactor and delayMargin widen a delay to the length of a probation.
 	delayFactor = 2
 	delayMargin = 30 * time.Millisecond
-	// firstProbation is the probation of a class of which no crash has been seen.
-	firstProbation = delayFactor*firstDelay + delayMargin
 	// youngFactor widens the probation of a class to the age up to which a run counts as a
 	// possible cause.
 	youngFactor = 1.5
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -73,6 +73,10 @@
 	// Members holds the indexes of the gang's tasks on the worker of each crash that may have
 	// caused it. An empty entry, or one that is missing, stands for any.
 	Members [][]int `cbor:"7,keyasint,omitempty"`
+	// All holds the worker of each crash of a run whose age is known, also of those that a later
+	// run disproved, and Time how long these runs went on.
+	All  []string      `cbor:"8,keyasint,omitempty"`
+	Time time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Empty reports whether no crash is recorded.
@@ -184,6 +188,9 @@
 		r.Members = append(r.Members, run.Members)
 	}
 	r.Workers, r.Ages = append(r.Workers, worker), append(r.Ages, run.Age)
+	if run.Age > 0 && !run.Gang {
+		r.All, r.Time = append(r.All, worker), r.Time+run.Age
+	}
 }
 
 // addMembers adds members of a gang on another worker that crashed under the same run.
@@ -403,6 +410,8 @@
 		limit = maxInconclusiveCrashes
 	}
 	switch {
+	case !run.Gang && l.tooMany(run.Record):
+		return true
 	case crashes >= limit && workers >= minWorkers, crashes >= maxInconclusiveCrashes:
 		return true
 	case !culprit || workers < minWorkers:
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -450,3 +450,21 @@
 		require.Equal(t, n+1 == maxInconclusiveCrashes, finding == Guilty, n)
 	}
 }
+
+// A task that crashed its workers at another age each time was started without end.
+func TestCrashesAtAnyAgeAreCapped(t *testing.T) {
+	for _, byChance := range []int{0, 60} {
+		var l Ledger
+		l.Started(packs, 48, 0)
+		for n := range byChance {
+			l.Judge(Crash{Worker: fmt.Sprint("c", n), At: time.Duration(n) * time.Second / 3, Runs: []Run{{Record: &Record{}, Class: packs, Number: 1, Age: time.Minute}}})
+		}
+		r := &Record{}
+		for n, age := range []time.Duration{200 * time.Millisecond, 900 * time.Millisecond, 1800 * time.Millisecond, 3 * time.Second} {
+			r.Outlived(age)
+			at := time.Duration(byChance/3+4*n) * time.Second
+			finding := l.Judge(Crash{Worker: fmt.Sprint(n), At: at, Runs: []Run{{Record: r, Class: checks, Number: uint64(n), Age: age}}})[0]
+			require.Equal(t, n == maxCrashes-1 && byChance == 0, finding == Guilty, "crash %d beside %d by chance", n, byChance)
+		}
+	}
+}
