poison: clearing classes doesn't depend on map order, and crashes of many count for no number

Found by reading: Expire pruned, judged and deleted classes in one pass over a map, while the odds of a queue depend on the evidence of all its teams, so that replays could differ. Crashes of many workers counted among those at any ages, though the rate of crashes by chance leaves them out: power that fails four times could have failed an innocent job. Rates of starts are read without a change, also for times before the last start.

--- a/poison/chance.go
+++ b/poison/chance.go
@@ -50,20 +50,18 @@
 }
 
 func (r *rate) add(n float64, now time.Duration) {
-	r.decay(now)
-	r.value += n
+	r.value, r.at = r.decayed(now)+n, now
 }
 
-func (r *rate) decay(now time.Duration) {
-	r.value *= math.Exp(-(now - r.at).Seconds() / rateMemory.Seconds())
-	r.at = now
+// decayed returns the value at a time, or now if the last start was later.
+func (r *rate) decayed(at time.Duration) float64 {
+	return r.value * math.Exp(-max(0, at-r.at).Seconds()/rateMemory.Seconds())
 }
 
 // perSecond returns the starts a second on a worker.
-func (r *rate) perSecond(now time.Duration) float64 {
-	r.decay(now)
-	seen := max(minRateTime, now-r.first).Seconds()
-	return r.value / (rateMemory.Seconds() * (1 - math.Exp(-seen/rateMemory.Seconds())))
+func (r *rate) perSecond(at time.Duration) float64 {
+	seen := max(minRateTime, at-r.first).Seconds()
+	return r.decayed(at) / (rateMemory.Seconds() * (1 - math.Exp(-seen/rateMemory.Seconds())))
 }
 
 // observation is a crash that was not one of many at the same moment.
--- a/poison/danger.go
+++ b/poison/danger.go
@@ -324,15 +324,20 @@
 // Expire forgets the classes that have not crashed a worker for long, or whose part in the
 // crashes was chance.
 func (l *Ledger) Expire(now time.Duration) {
+	l.observed = slices.DeleteFunc(l.observed, func(o observation) bool { return now-o.at > crashWindow })
+	for _, d := range l.classes {
+		d.evidence = slices.DeleteFunc(d.evidence, func(e evidence) bool { return now-e.at > memory })
+	}
+	var cleared []Class // the odds of a queue depend on all of its classes
 	for class, d := range l.classes {
-		old := func(e evidence) bool { return now-e.at > memory }
-		d.evidence = slices.DeleteFunc(d.evidence, old)
 		exact := slices.ContainsFunc(d.evidence, func(e evidence) bool { return e.exact })
 		if len(d.evidence) == 0 || !exact && (d.survived >= acquittal || d.endangered && l.odds(class) < 1) {
-			delete(l.classes, class)
+			cleared = append(cleared, class)
 		}
 	}
-	l.observed = slices.DeleteFunc(l.observed, func(o observation) bool { return now-o.at > crashWindow })
+	for _, class := range cleared {
+		delete(l.classes, class)
+	}
 	maps.DeleteFunc(l.starts, func(_ Class, r *rate) bool { return now-r.at > rateMemory })
 	for address, at := range l.selfCrash {
 		if now-at > selfMemory {
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -74,7 +74,7 @@
 	// caused it. An empty entry, or one that is missing, stands for any.
 	Members [][]int `cbor:"7,keyasint,omitempty"`
 	// All holds the worker of each crash of a run whose age is known, also of those that a later
-	// run disproved, and Time how long these runs went on.
+	// run disproved, but not of crashes of many. Time is how long these runs went on.
 	All  []string      `cbor:"8,keyasint,omitempty"`
 	Time time.Duration `cbor:"9,keyasint,omitempty"`
 }
@@ -188,9 +188,6 @@
 		r.Members = append(r.Members, run.Members)
 	}
 	r.Workers, r.Ages = append(r.Workers, worker), append(r.Ages, run.Age)
-	if run.Age > 0 && !run.Gang {
-		r.All, r.Time = append(r.All, worker), r.Time+run.Age
-	}
 }
 
 // addMembers adds members of a gang on another worker that crashed under the same run.
@@ -389,6 +386,9 @@
 		return Unsuspected // it would be the cause by chance only
 	}
 	r.addCrash(c.Worker, run)
+	if run.Age > 0 && !run.Gang && !c.Mass {
+		r.All, r.Time = append(r.All, c.Worker), r.Time+run.Age
+	}
 	if culprit {
 		r.prove(run.Age)
 	}
