--- a/ruleset/ruleset.go
+++ b/ruleset/ruleset.go
@@ -10,6 +10,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/cowslipgap/cowslipgap/cell"
 	"github.com/cowslipgap/cowslipgap/evacuation"
@@ -23,11 +24,20 @@
 	Queues  []Queue
 	Teams   map[string]cell.Team
 	Keys    map[string]string // name of the team by key
+	Limits  Limits
 	// Evacuated holds the zones that operators request to send no work to. It may change
 	// while Version stays the same.
 	Evacuated evacuation.Orders
 }
 
+// Limits are the operators' limits on requests; 0: none.
+type Limits struct {
+	MaxHeadBytes int64
+	MaxBodyBytes int64
+	HeadTimeout  time.Duration // from the first byte of a request to the end of its head
+	IdleTimeout  time.Duration // between two requests of a connection
+}
+
 // Queue is one queue and the calls that belong to it.
 type Queue struct {
 	workload.Queue
