cellhost: jobs that wait for the cell's answer have a bound in sum

Cause, by reading: each host bounds what its callers send, but all hosts pass jobs to one owner, where nothing bounds them together: 30 hosts with 18 MB each are more than its memory.

A job that finds no room at the owner is refused before it reaches the cell, with 503 and a time to come back that is spread over callers, and counted (turnedAway). Nothing gives way here, so golang.org/x/sync/semaphore does it.

Test: TestJobsBeyondTheBoundAreTurnedAway: the third job of two that fit does not reach the cell, and is accepted once one has been answered.

--- a/cellhost/cellhost.go
+++ b/cellhost/cellhost.go
@@ -18,12 +18,16 @@
 package cellhost
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/cowslipgap/cowslipgap/cell"
 	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
@@ -100,6 +104,8 @@
 	// LinkMbps is the bandwidth of this host in megabits per second; 0 if unknown.
 	LinkMbps float64
 	MemoryMB int64 // memory available to this host; 0 if unknown
+	// JobBytes bounds the jobs that wait here for the answer of the cell, in sum; 0: no bound.
+	JobBytes int64
 	Cell     cell.Config
 	// EvacuationBound is how long after an operator's request to evacuate a zone work may
 	// still start there; 0 if there is no such bound.
@@ -115,6 +121,7 @@
 	once             sync.Once
 	startedAt        cell.Instant
 	events           chan any
+	waitingJobs      *semaphore.Weighted // bytes of the jobs that wait for the answer of the cell
 	peers            peer.Pool
 	rules            atomic.Pointer[ruleset.Rules]
 	rulesConfirmedAt atomic.Int64 // cell.Instant at which the store last confirmed the rules
@@ -143,6 +150,7 @@
 func (h *Host) init() {
 	h.once.Do(func() {
 		h.events = make(chan any, eventQueueSize)
+		h.waitingJobs = semaphore.NewWeighted(cmp.Or(h.JobBytes, math.MaxInt64))
 		h.commits = make(chan writeRequest, 4)
 		h.ownerDoubted = make(chan struct{}, 1)
 		h.dispatcher.polls = make(chan struct{}, maxDirectPolls)
--- a/cellhost/client_calls.go
+++ b/cellhost/client_calls.go
@@ -232,6 +232,15 @@
 	call := pendingCall{id: h.nextID.Add(1), answer: make(chan cell.Answer, 1)}
 	switch r.Kind {
 	case kindSubmit:
+		size := int64(r.Job.MaxSize())
+		if h.JobBytes > 0 {
+			size = min(size, h.JobBytes)
+		}
+		if !h.waitingJobs.TryAcquire(size) {
+			h.Counts.TurnedAway.Add(1)
+			return Outcome{Verdict: cell.Refused, Unavailable: true, RetryAfter: cell.OutageDelay(r.Job, 0, 0), Reason: "too many jobs wait for an answer"}, answered
+		}
+		defer h.waitingJobs.Release(size)
 		call.event = cell.Submit{Reply: call.id, Job: r.Job, Zone: r.Zone}
 	case kindCancel:
 		call.event = cell.Cancel{Reply: call.id, ID: r.ID}
--- a/cellhost/client_calls_test.go
+++ b/cellhost/client_calls_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/cowslipgap/cowslipgap/cell"
 	"github.com/cowslipgap/cowslipgap/workload"
@@ -46,6 +47,36 @@
 	})
 }
 
+// TestJobsBeyondTheBoundAreTurnedAway lets jobs wait for the cell's answer until no more may.
+func TestJobsBeyondTheBoundAreTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		job := func(i int) *workload.Job {
+			return &workload.Job{ID: fmt.Sprintf("aa0000000000000%d", i), Steps: []workload.Step{{Count: 1}}}
+		}
+		h := newOwner(&fakeStore{})
+		h.JobBytes = 2*int64(job(1).MaxSize()) + 1
+		h.waitingJobs = semaphore.NewWeighted(h.JobBytes)
+		answers := make(chan Outcome, 2)
+		for i := range 2 {
+			go func() { answers <- h.Submit(t.Context(), job(i)) }()
+		}
+		synctest.Wait()
+		out := h.Submit(t.Context(), job(3))
+		require.Equal(t, cell.Refused, out.Verdict)
+		require.True(t, out.Unavailable)
+		require.False(t, out.Unanswered)
+		require.Positive(t, out.RetryAfter)
+		require.Len(t, h.events, 2, "a job that is turned away does not reach the cell")
+		require.EqualValues(t, 1, h.Counts.TurnedAway.Load())
+		for range 2 {
+			(<-h.events).(pendingCall).answer <- cell.Answer{Verdict: cell.Accepted}
+			require.Equal(t, cell.Accepted, (<-answers).Verdict)
+		}
+		go func() { (<-h.events).(pendingCall).answer <- cell.Answer{Verdict: cell.Accepted} }()
+		require.Equal(t, cell.Accepted, h.Submit(t.Context(), job(3)).Verdict)
+	})
+}
+
 // TestOwnerTellsWhyAJobFailed guards against a reason that is lost on the way from the owner.
 func TestOwnerTellsWhyAJobFailed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/cellhost/metrics.go
+++ b/cellhost/metrics.go
@@ -14,7 +14,7 @@
 
 // Counters holds the counters and latencies of a Host since its start.
 type Counters struct {
-	Accepted, Refused, Unanswered, Claims, OwnershipLosses, Commits, Resent, Starts, WorkerPolls, Advice atomic.Int64
+	Accepted, Refused, Unanswered, TurnedAway, Claims, OwnershipLosses, Commits, Resent, Starts, WorkerPolls, Advice atomic.Int64
 
 	Submit   meter.Latency // from the submission of a job to the answer
 	Commit   meter.Latency // from the first write of a commit to its confirmation
@@ -43,7 +43,7 @@
 	return expvar.Func(func() any {
 		c := &h.Counts
 		return map[string]any{
-			"accepted": c.Accepted.Load(), "refused": c.Refused.Load(), "unanswered": c.Unanswered.Load(),
+			"accepted": c.Accepted.Load(), "refused": c.Refused.Load(), "unanswered": c.Unanswered.Load(), "turnedAway": c.TurnedAway.Load(),
 			"claims": c.Claims.Load(), "deposals": c.OwnershipLosses.Load(), "commits": c.Commits.Load(), "commitsResent": c.Resent.Load(),
 			"starts": c.Starts.Load(), "looks": c.WorkerPolls.Load(), "adviceCalls": c.Advice.Load(),
 			"submitLatency": c.Submit.Summary(), "commitLatency": c.Commit.Summary(),
