peer, platform: connections and messages of entry hosts have a bound in sum

Cause: drpc buffers up to 4 MB for each connection that sends the beginning of a message, and takes any number of connections.

Change: the port is an ingress.Port; a call is marked as received when its handler begins. Messages wait for room instead of taking it: their senders do not come back, and a lost batch of commands makes a relay fail. Room for a large message is taken for a whole batch at once; a trial that charged as bytes came let two of them wait for each other. A message that stops for a second gives way to those that wait, one that stops for ingress.message_timeout_ms is closed.

Test: peer TestLargeMessagesWaitForRoom: twelve messages of 1 MB through 4 MB, beside connections that stopped: each is answered.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -25,9 +25,11 @@
 	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/resource"
 )
 
@@ -37,8 +39,10 @@
 	rpcAsk      = "/cowslipgap.Peer/Ask"
 	rpcCall     = "/cowslipgap.Peer/Call"
 
-	dialTimeout    = 2 * time.Second
-	maxIdlePerAddr = 32
+	dialTimeout = 2 * time.Second
+	// acceptRetryDelay is the wait after a temporary failure to accept a connection.
+	acceptRetryDelay = 100 * time.Millisecond
+	maxIdlePerAddr   = 32
 )
 
 var (
@@ -191,6 +195,14 @@
 // receiver adapts a method of server to drpc.Receiver.
 func receiver[In, Out any](call func(*server, context.Context, *In) (*Out, error)) drpc.Receiver {
 	return func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
+		if conn, ok := drpcctx.Transport(ctx); ok {
+			if conn, ok := conn.(accounted); ok {
+				if !conn.Complete() {
+					return nil, errors.New("peer: the call gave way to others")
+				}
+				defer conn.Rest()
+			}
+		}
 		out, err := call(srv.(*server), ctx, in.(*In))
 		if err != nil {
 			return nil, err
@@ -199,13 +211,40 @@
 	}
 }
 
+// accounted is a connection whose listener accounts for what calls hold, such as that of
+// an ingress.Port.
+type accounted interface {
+	Complete() bool // the call has been received; false if it gave way to others
+	Rest()          // the call has been handled
+}
+
 // Serve handles calls until ctx is done or the listener fails.
 func Serve(ctx context.Context, listener net.Listener, secret string, service Service) error {
 	mux := drpcmux.New()
 	if err := mux.Register(&server{service, secret}, description{}); err != nil {
 		return errors.Wrap(err, "register peer service")
 	}
-	return errors.Wrap(drpcserver.New(mux).Serve(ctx, listener), "serve peers")
+	ctx, cancel := context.WithCancel(ctx)
+	defer context.AfterFunc(ctx, func() { _ = listener.Close() })()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	srv := drpcserver.New(mux)
+	for {
+		conn, err := listener.Accept()
+		var temporary interface{ Temporary() bool }
+		switch {
+		case err != nil && ctx.Err() != nil:
+			return nil
+		case errors.As(err, &temporary) && temporary.Temporary():
+			pause.Sleep(ctx, acceptRetryDelay)
+		case err != nil:
+			return errors.Wrap(err, "serve peers")
+		default:
+			// The error ends the connection; its caller learns that.
+			calls.Go(func() { _ = srv.ServeOne(drpcctx.WithTransport(ctx, conn), conn) })
+		}
+	}
 }
 
 // Pool reuses connections to other entry hosts. The zero value is ready to use.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -4,12 +4,18 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcwire"
 
+	"github.com/cowslipgap/cowslipgap/budget"
+	"github.com/cowslipgap/cowslipgap/crowd"
+	"github.com/cowslipgap/cowslipgap/ingress"
 	"github.com/cowslipgap/cowslipgap/peer"
 	"github.com/cowslipgap/cowslipgap/resource"
 )
@@ -65,6 +71,51 @@
 	require.True(t, errors.Is(err, peer.ErrUnreachable))
 }
 
+// TestLargeMessagesWaitForRoom sends more at once than the port has room for, beside
+// connections on which a message stops: each call is answered, and nothing stays charged.
+func TestLargeMessagesWaitForRoom(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	port := &ingress.Port{
+		Listener: listener, Budget: &budget.Budget{Limit: 4 << 20}, HeadWeight: 2, WaitForRoom: 50 * time.Millisecond,
+		Timeouts: func() ingress.Timeouts { return ingress.Timeouts{Stall: 10 * time.Second} },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var most atomic.Int64
+	done := make(chan error, 1)
+	go func() {
+		done <- peer.Serve(ctx, port, "", peer.Service{Call: func(_ context.Context, m *peer.Message) (*peer.Message, error) {
+			most.Store(max(most.Load(), port.Usage().Bytes))
+			return &peer.Message{Body: m.Body[:1]}, nil
+		}})
+	}()
+	frame := drpcwire.AppendFrame(nil, drpcwire.Frame{ID: drpcwire.ID{Stream: 1, Message: 1}, Kind: drpcwire.KindInvoke, Done: true, Data: make([]byte, 1<<20)})
+	silent := crowd.Crowd{Addr: listener.Addr().String(), Conns: 3, Data: frame[:len(frame)-1]}
+	defer silent.Close()
+	go silent.Send()
+	var p peer.Pool
+	defer p.Close()
+	errs := make(chan error, 12)
+	for range cap(errs) {
+		go func() {
+			reply, err := p.Call(t.Context(), listener.Addr().String(), make([]byte, 1<<20))
+			if err == nil && len(reply) != 1 {
+				err = errors.Newf("reply of %d bytes", len(reply))
+			}
+			errs <- err
+		}()
+	}
+	for range cap(errs) {
+		require.NoError(t, <-errs)
+	}
+	require.Positive(t, most.Load())
+	require.LessOrEqual(t, most.Load(), int64(4<<20))
+	silent.Close()
+	require.Eventually(t, func() bool { return port.Usage().Bytes < 4<<10 }, 10*time.Second, 10*time.Millisecond)
+	cancel()
+	require.NoError(t, <-done)
+}
+
 // BenchmarkGreetingSize reports the encoded size of a Greeting by its number of
 // teams.
 func BenchmarkGreetingSize(b *testing.B) {
