asynclog, platform: queued log lines have a bound in bytes

Cause: the queue of 8,192 lines had none, and the log line of a malformed job quotes the number that could not be decoded, as long as the body.

TestQueuedBytesAreBounded, with a blocked writer.

--- a/asynclog/asynclog.go
+++ b/asynclog/asynclog.go
@@ -1,5 +1,5 @@
 // Package asynclog writes log lines without blocking the caller. Lines pass through a
-// bounded queue. Lines that arrive while the queue is full are dropped and counted,
+// queue of bounded length and size. Lines that arrive while the queue is full are dropped and counted,
 // and their number is logged later.
 //
 // # Usage
@@ -22,10 +22,14 @@
 // write call costs more than formatting a line.
 const flushInterval = 20 * time.Millisecond
 
+// maxQueuedBytes bounds the lines that are queued or being written.
+const maxQueuedBytes = 8 << 20
+
 // Writer is an io.Writer that queues lines and writes them in the background. Each call
 // of Write must pass one whole line.
 type Writer struct {
 	lines     chan []byte
+	queued    atomic.Int64 // bytes of the lines that are queued or being written
 	dropped   atomic.Int64
 	done      chan struct{}
 	closeOnce sync.Once
@@ -42,11 +46,16 @@
 // Write queues one line, or drops it if the queue is full. It never blocks and never
 // fails.
 func (w *Writer) Write(line []byte) (int, error) {
-	select {
-	case w.lines <- bytes.Clone(line):
-	default:
-		w.dropped.Add(1)
+	size := int64(len(line))
+	if w.queued.Add(size) <= maxQueuedBytes {
+		select {
+		case w.lines <- bytes.Clone(line):
+			return len(line), nil
+		default:
+		}
 	}
+	w.queued.Add(-size)
+	w.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -63,12 +72,13 @@
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
 	var buf bytes.Buffer
-	reported := int64(0)
+	reported, queued := int64(0), int64(0)
 	for {
 		quitting := false
 		select {
 		case line := <-w.lines:
 			buf.Write(line)
+			queued += int64(len(line))
 		case <-w.quit:
 			quitting = true
 		}
@@ -79,6 +89,7 @@
 			select {
 			case line := <-w.lines:
 				buf.Write(line)
+				queued += int64(len(line))
 			default:
 				more = false
 			}
@@ -89,6 +100,8 @@
 		}
 		// A failure to write the log cannot be reported anywhere.
 		_, _ = out.Write(buf.Bytes())
+		w.queued.Add(-queued)
+		queued = 0
 		buf.Reset()
 		if quitting {
 			return
--- a/asynclog/asynclog_test.go
+++ b/asynclog/asynclog_test.go
@@ -46,6 +46,25 @@
 	require.EqualValues(t, 1000, int64(strings.Count(text, `"msg":"line"`))+logWriter.Dropped())
 }
 
+// TestQueuedBytesAreBounded logs long lines while the writer is blocked.
+func TestQueuedBytesAreBounded(t *testing.T) {
+	const lines, size, most = 100, 300 << 10, 8 << 20
+	w := &blockedWriter{gate: make(chan struct{})}
+	logWriter := asynclog.New(w, lines)
+	line := append(bytes.Repeat([]byte("l"), size-1), '\n')
+	for range lines {
+		_, _ = logWriter.Write(line) // never fails
+	}
+	require.EqualValues(t, lines-most/size, logWriter.Dropped())
+	close(w.gate)
+	require.Eventually(t, func() bool { // what has been written makes room
+		before := logWriter.Dropped()
+		_, _ = logWriter.Write(line)
+		return logWriter.Dropped() == before
+	}, 10*time.Second, 10*time.Millisecond)
+	logWriter.Close()
+}
+
 func BenchmarkWriteToFullQueue(b *testing.B) {
 	w := &blockedWriter{gate: make(chan struct{})}
 	logWriter := asynclog.New(w, 8)
