host, gateway, settings: bound what clients make our own interface hold

Change: both ports are ingress.Ports; maxConnections (a third of the process's descriptors by default), maxRequestBytes, maxMessageBytes, maxHeaderBytes and four timeouts in [bounds], checked, also maxRequestBytes against maxBodyBytes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,10 +15,10 @@
 	"encoding/json"
 	"expvar"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/zeromicro/go-zero/rest"
@@ -27,6 +27,7 @@
 	"github.com/cowslipgap/cowslipgap/catalog"
 	"github.com/cowslipgap/cowslipgap/document"
 	"github.com/cowslipgap/cowslipgap/httplog"
+	"github.com/cowslipgap/cowslipgap/ingress"
 	"github.com/cowslipgap/cowslipgap/job"
 	"github.com/cowslipgap/cowslipgap/record"
 	"github.com/cowslipgap/cowslipgap/refusal"
@@ -155,13 +156,21 @@
 	return token
 }
 
+// decodedShare is how many times its length a body takes until the call is answered: the
+// bytes that were read, and the payload in the task and on its way to a worker.
+const decodedShare = 3
+
 // readBody reads and decodes a body of bounded size, and returns its bytes.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, out any) ([]byte, *refusal.Refusal) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.Settings.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
+	data, err := ingress.ReadBody(w, r, g.Settings.MaxBodyBytes, time.Now().Add(g.Settings.BodyTimeout))
+	if err == nil && !ingress.Hold(r, decodedShare*int64(len(data))) {
+		err = ingress.ErrBusy
+	}
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, ingress.ErrTooLarge):
 		return nil, refusal.New(refusal.TooLarge, "the body is larger than %d bytes", g.Settings.MaxBodyBytes)
+	case errors.Is(err, ingress.ErrBusy):
+		return nil, refusal.New(refusal.Overloaded, "too many requests are in progress").WithRetryAfter(time.Second)
 	case err != nil:
 		return nil, refusal.New(refusal.BadRequest, "the body cannot be read: %v", err)
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -26,10 +26,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
+	"github.com/cowslipgap/cowslipgap/budget"
 	"github.com/cowslipgap/cowslipgap/catalog"
 	"github.com/cowslipgap/cowslipgap/control"
 	"github.com/cowslipgap/cowslipgap/gateway"
+	"github.com/cowslipgap/cowslipgap/ingress"
 	"github.com/cowslipgap/cowslipgap/lease"
 	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
@@ -47,6 +50,16 @@
 	// balancerNoticePeriod is how long a leaving host keeps accepting requests,
 	// so that the load balancer notices that its readiness check fails.
 	balancerNoticePeriod = 500 * time.Millisecond
+	// messageWeight is how many bytes each byte of a message between hosts takes while it
+	// is received.
+	messageWeight = 2
+	// messageWait is how long a message between hosts may stop before it gives way to others
+	// that wait for room.
+	messageWait = time.Second
+	// maxDefaultConnections bounds the default of Settings.MaxConnections, and
+	// fallbackMaxConnections is that default if the limit on descriptors is unknown.
+	maxDefaultConnections  = 1500
+	fallbackMaxConnections = 300
 )
 
 // ErrStart marks the errors with which Start fails.
@@ -72,15 +85,15 @@
 	lastToken            atomic.Uint64
 	counters             counters
 
-	events       chan envelope
-	http         *http.Server
-	httpListener net.Listener
-	peerListener net.Listener
-	cancel       context.CancelFunc
-	wg           sync.WaitGroup
-	loopDone     chan struct{} // closed when the control goroutine has ended
-	fenced       chan struct{} // closed when another host has taken over the session
-	fencedOnce   sync.Once
+	events     chan envelope
+	http       *http.Server
+	callers    *ingress.Port
+	peers      *ingress.Port
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
+	loopDone   chan struct{} // closed when the control goroutine has ended
+	fenced     chan struct{} // closed when another host has taken over the session
+	fencedOnce sync.Once
 }
 
 // Start opens the listeners and serves in the background until Shutdown or
@@ -106,7 +119,7 @@
 		h.cancel()
 		return errors.Mark(err, ErrStart)
 	}
-	h.spawn(func() { _ = peer.Serve(ctx, h.peerListener, h.Settings.PeerKey, h.service()) })
+	h.spawn(func() { _ = peer.Serve(ctx, h.peers, h.Settings.PeerKey, h.service()) })
 	h.spawn(func() { h.pollShared(ctx) })
 	h.spawn(func() { h.pollZone(ctx) })
 	h.spawn(func() { h.pollWorkers(ctx) })
@@ -125,18 +138,44 @@
 	}()
 }
 
+// listen opens the ports, whose connections and requests in progress are bounded.
 func (h *Host) listen() error {
+	s := h.Settings
+	maxConns := s.MaxConnections
+	if maxConns == 0 {
+		maxConns = defaultMaxConnections()
+	}
+	h.callers = &ingress.Port{
+		MaxConns: maxConns, Budget: &budget.Budget{Limit: s.MaxRequestBytes}, HeadWeight: ingress.HTTPHeadWeight,
+		Timeouts: func() ingress.Timeouts {
+			return ingress.Timeouts{Head: s.HeaderTimeout, Idle: s.IdleTimeout, Write: s.WriteTimeout}
+		},
+	}
+	h.peers = &ingress.Port{
+		MaxConns: maxConns, Budget: &budget.Budget{Limit: s.MaxMessageBytes}, HeadWeight: messageWeight, WaitForRoom: messageWait,
+		Timeouts: func() ingress.Timeouts { return ingress.Timeouts{Stall: s.BodyTimeout, Write: s.WriteTimeout} },
+	}
 	var err error
-	if h.httpListener, err = net.Listen("tcp", h.Settings.HTTPAddr); err != nil {
-		return errors.Wrapf(err, "listen for callers on %s", h.Settings.HTTPAddr)
+	if h.callers.Listener, err = net.Listen("tcp", s.HTTPAddr); err != nil {
+		return errors.Wrapf(err, "listen for callers on %s", s.HTTPAddr)
 	}
-	if h.peerListener, err = net.Listen("tcp", h.Settings.PeerAddr); err != nil {
-		_ = h.httpListener.Close()
-		return errors.Wrapf(err, "listen for entry hosts on %s", h.Settings.PeerAddr)
+	if h.peers.Listener, err = net.Listen("tcp", s.PeerAddr); err != nil {
+		_ = h.callers.Close()
+		return errors.Wrapf(err, "listen for entry hosts on %s", s.PeerAddr)
 	}
 	return nil
 }
 
+// defaultMaxConnections returns a third of the descriptors that the process may open: for
+// callers, for other entry hosts, and for what the host itself opens.
+func defaultMaxConnections() int {
+	var files unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &files); err != nil {
+		return fallbackMaxConnections
+	}
+	return int(min(files.Cur/3, maxDefaultConnections))
+}
+
 // newSession returns a session ID: the host's name and a random suffix.
 func newSession(name string) string {
 	id := make([]byte, sessionIDBytes)
@@ -178,19 +217,19 @@
 
 // HTTPAddr returns the address that the host listens on for callers and
 // operators.
-func (h *Host) HTTPAddr() string { return h.httpListener.Addr().String() }
+func (h *Host) HTTPAddr() string { return h.callers.Addr().String() }
 
 // PeerAddr returns the address at which other entry hosts reach this one.
 func (h *Host) PeerAddr() string {
 	if h.Settings.PeerAdvertise != "" {
 		return h.Settings.PeerAdvertise
 	}
-	return h.peerListener.Addr().String()
+	return h.peers.Addr().String()
 }
 
 // ListenPeerAddr returns the address that the host listens on for other entry
 // hosts.
-func (h *Host) ListenPeerAddr() string { return h.peerListener.Addr().String() }
+func (h *Host) ListenPeerAddr() string { return h.peers.Addr().String() }
 
 // Session returns the session ID, which identifies this process.
 func (h *Host) Session() string { return h.session }
@@ -211,9 +250,12 @@
 	if err != nil {
 		return err
 	}
-	h.http = &http.Server{Handler: h.closeWhileLeaving(handler), ReadHeaderTimeout: 5 * time.Second}
+	h.http = &http.Server{
+		Handler: h.callers.Handler(h.closeWhileLeaving(handler)), MaxHeaderBytes: int(h.Settings.MaxHeaderBytes),
+		ConnState: h.callers.ConnState, ConnContext: ingress.ConnContext,
+	}
 	h.spawn(func() {
-		if err := h.http.Serve(h.httpListener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := h.http.Serve(h.callers); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			h.Log.Error("host: serving callers failed", "err", err.Error())
 		}
 	})
@@ -255,6 +297,9 @@
 	m := new(expvar.Map).Init()
 	m.Set("summary", expvar.Func(func() any { return h.Summary() }))
 	m.Set("counters", expvar.Func(func() any { return h.Counters() }))
+	m.Set("ingress", expvar.Func(func() any {
+		return map[string]ingress.Usage{"callers": h.callers.Usage(), "entryHosts": h.peers.Usage()}
+	}))
 	return m
 }
 
@@ -283,7 +328,7 @@
 func (h *Host) Kill() {
 	h.cancel()
 	_ = h.http.Close()
-	_ = h.peerListener.Close()
+	_ = h.peers.Close()
 	h.pool.Close()
 	<-h.loopDone
 	h.wg.Wait()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -46,7 +46,15 @@
 	PeerKey     string // the secret between entry hosts, from a file
 
 	MaxBodyBytes     int64
-	MaxQueuedPerTeam int // maximum number of waiting tasks per team
+	MaxHeaderBytes   int64
+	MaxConnections   int   // connections of callers, and as many of entry hosts; 0: a third of the process's descriptors
+	MaxRequestBytes  int64 // requests of callers in progress, in sum
+	MaxMessageBytes  int64 // messages of entry hosts in progress, in sum
+	HeaderTimeout    time.Duration
+	BodyTimeout      time.Duration
+	IdleTimeout      time.Duration // between two requests of a connection
+	WriteTimeout     time.Duration // for a client that does not read its answer
+	MaxQueuedPerTeam int           // maximum number of waiting tasks per team
 	MaxDeadline      time.Duration
 	DefaultDeadline  time.Duration
 	DrainTimeout     time.Duration
@@ -61,6 +69,9 @@
 	LogLevel string
 }
 
+// requestsInBudget is how many of the largest bodies the budget for requests must hold.
+const requestsInBudget = 8
+
 // field describes one key of the file.
 type field struct {
 	section, key string
@@ -87,6 +98,14 @@
 	secretField("keys", "operatorKeyFile", func(s *Settings) *string { return &s.OperatorKey }),
 	secretField("keys", "peerKeyFile", func(s *Settings) *string { return &s.PeerKey }),
 	intField("bounds", "maxBodyBytes", 1<<20, 1<<10, 64<<20, func(s *Settings, n int64) { s.MaxBodyBytes = n }, func(s *Settings) int64 { return s.MaxBodyBytes }),
+	intField("bounds", "maxHeaderBytes", 64<<10, 1<<10, 1<<20, func(s *Settings, n int64) { s.MaxHeaderBytes = n }, func(s *Settings) int64 { return s.MaxHeaderBytes }),
+	intField("bounds", "maxConnections", 0, 0, 1<<20, func(s *Settings, n int64) { s.MaxConnections = int(n) }, func(s *Settings) int64 { return int64(s.MaxConnections) }),
+	intField("bounds", "maxRequestBytes", 32<<20, 1<<20, 1<<40, func(s *Settings, n int64) { s.MaxRequestBytes = n }, func(s *Settings) int64 { return s.MaxRequestBytes }),
+	intField("bounds", "maxMessageBytes", 32<<20, 16<<20, 1<<40, func(s *Settings, n int64) { s.MaxMessageBytes = n }, func(s *Settings) int64 { return s.MaxMessageBytes }),
+	millisField("bounds", "headerTimeoutMillis", 5000, 100, 60_000, func(s *Settings) *time.Duration { return &s.HeaderTimeout }),
+	millisField("bounds", "bodyTimeoutMillis", 30_000, 100, 600_000, func(s *Settings) *time.Duration { return &s.BodyTimeout }),
+	millisField("bounds", "idleTimeoutMillis", 120_000, 1000, 3_600_000, func(s *Settings) *time.Duration { return &s.IdleTimeout }),
+	millisField("bounds", "writeTimeoutMillis", 10_000, 100, 600_000, func(s *Settings) *time.Duration { return &s.WriteTimeout }),
 	intField("bounds", "maxQueuedPerTeam", 20_000, 1, 10_000_000, func(s *Settings, n int64) { s.MaxQueuedPerTeam = int(n) }, func(s *Settings) int64 { return int64(s.MaxQueuedPerTeam) }),
 	millisField("bounds", "maxDeadlineMillis", 600_000, 10, 86_400_000, func(s *Settings) *time.Duration { return &s.MaxDeadline }),
 	millisField("bounds", "defaultDeadlineMillis", 60_000, 10, 86_400_000, func(s *Settings) *time.Duration { return &s.DefaultDeadline }),
@@ -273,6 +292,9 @@
 	if s.HostLease < 3*s.Heartbeat {
 		problems = append(problems, path+": [lease] hostLeaseMillis must be at least three times heartbeatMillis")
 	}
+	if s.MaxBodyBytes > s.MaxRequestBytes/requestsInBudget {
+		problems = append(problems, path+": [bounds] maxRequestBytes must be at least "+strconv.Itoa(requestsInBudget)+" times maxBodyBytes")
+	}
 	if s.DefaultDeadline > s.MaxDeadline {
 		problems = append(problems, path+": [bounds] defaultDeadlineMillis must be at most maxDeadlineMillis")
 	}
