cell: accepted jobs have a bound in memory

What callers saw: the owner ended for want of memory after some whole bodies of legal size, each a job of its own, and each host that took the cell over after it.

Cause: a job's tasks, steps and occurrences take 400 to 1,300 bytes each from its acceptance to its end (newJob makes them all at once). Only a job's own number of tasks was bounded.

Evidence: TestAcceptedJobsLeaveOwnerWithinItsLimits submits 256 jobs of three shapes to a host of 96 MB.

Change: admission estimates what a job takes, and refuses one that finds no room with a time to come back. The bound is 40% of the memory of the smallest host that the owner knows, as any host may have to take over, or work.max_bytes. Jobs that were accepted stay, also if a smaller host joins. Counted in the cell's summary.

TestMemoryOfAJobIsNotUnderestimated measures the estimate against the heap.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -148,6 +148,10 @@
 	if c.tooLong(spec) {
 		return refuse("its description is too long", maxRetryDelay)
 	}
+	if memory := memoryOf(spec); !c.work.fits(memory, c.MaxWorkMemory) {
+		c.work.refused++
+		return refuse("the accepted jobs take too much memory", workRetryDelay)
+	}
 	if c.exceedsCeiling(spec) {
 		return refuse("it needs more than its team's limit", maxRetryDelay)
 	}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -60,6 +60,7 @@
 	MaxRowBytes     int           // maximum size of a row's value in the store; 0: defaultMaxRowBytes
 	MaxResults      int           // results that a worker's report holds at most; 0: any number
 	MaxPolicyAge    time.Duration // age of the last reading of the policy above which nothing starts; 0: any age
+	MaxWorkMemory   int64         // bytes that accepted jobs may take; 0: no limit. WorkLimit events change it
 	MaxCapacityAge  time.Duration // age of what a worker last said of its capacity above which nothing starts there; 0: any age
 }
 
@@ -105,6 +106,7 @@
 	heldUse         map[string]resource.Vector // resources that held tasks may use, by team
 	listedOnce      bool                       // the workers were listed since the claim
 
+	work             workRoom
 	commits          commitState
 	learned          learnedState
 	lastHousekeeping Instant
@@ -157,6 +159,7 @@
 	c.aboveShare, c.intakes = map[string]bool{}, intakeList{}
 	c.recovered, c.listedOnce = false, false
 	c.held, c.heldUse = map[string][]*task{}, nil
+	c.work = workRoom{refused: c.work.refused}
 }
 
 // Owner reports whether this host owns the cell.
@@ -175,6 +178,8 @@
 		c.policyReadAt = max(c.policyReadAt, e.ReadAt)
 	case AdviceHosts:
 		c.hosts = e.Hosts
+	case WorkLimit:
+		c.MaxWorkMemory = e.Memory
 	case Claimed:
 		c.restore(e)
 	case Deposed:
@@ -393,11 +398,14 @@
 	Suspects   int    `json:"suspects"`           // tasks under which a worker crashed, whose next run is on probation
 	Endangered int    `json:"endangeredClasses"`  // queues of a team whose tasks crash workers
 	AtRisk     int    `json:"workersAtRisk"`      // workers with a run on probation
+	WorkBytes  int64  `json:"workBytes"`          // memory that accepted jobs take
+	WorkLimit  int64  `json:"workLimitBytes"`     // and may take; 0: no limit
+	NoRoom     int    `json:"refusedForMemory"`   // jobs refused for want of it, since the process started
 }
 
 // Summary returns the current counts.
 func (c *Cell) Summary() Summary {
-	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom(), Evicted: c.eviction.runs, LostWork: int(c.eviction.lost), Promised: c.promises.Len(), AboveShare: len(c.aboveShare), Copies: c.hastening.copies, Moves: c.hastening.moves, Restored: c.learned.restored, Learned: len(c.learned.row), Suspects: c.suspects(), Endangered: c.crashes.ledger.Endangered(), AtRisk: len(c.crashes.onProbation)}
+	summary := Summary{Owner: c.owner, Token: c.token, Live: len(c.live), Ended: len(c.ended), Waiting: len(c.waiting), Workers: len(c.workers), Withheld: c.startsWithheld, Uneven: len(c.uneven), KeepsRoom: len(c.waiting) > 0 && c.demand.keepsRoom(), Evicted: c.eviction.runs, LostWork: int(c.eviction.lost), Promised: c.promises.Len(), AboveShare: len(c.aboveShare), Copies: c.hastening.copies, Moves: c.hastening.moves, Restored: c.learned.restored, Learned: len(c.learned.row), Suspects: c.suspects(), Endangered: c.crashes.ledger.Endangered(), AtRisk: len(c.crashes.onProbation), WorkBytes: c.work.held, WorkLimit: c.MaxWorkMemory, NoRoom: c.work.refused}
 	for _, w := range c.workers {
 		summary.Running += len(w.runs)
 		if w.usable(c.now.Steady) {
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -405,4 +405,6 @@
 func (c *Cell) dropWorkingState(j *job) {
 	j.spec, j.occurrences, j.more = nil, nil, nil
 	delete(c.live, j.id)
+	c.work.add(-j.memory)
+	j.memory = 0
 }
--- a/cell/event.go
+++ b/cell/event.go
@@ -134,6 +134,10 @@
 // AdviceHosts holds the entry hosts that can call the advice service.
 type AdviceHosts struct{ Hosts []string }
 
+// WorkLimit changes how many bytes accepted jobs may take. Any host may have to take over
+// the cell, so the one with the least memory decides. Jobs that have been accepted stay.
+type WorkLimit struct{ Memory int64 }
+
 // PollResult is the outcome of a Poll.
 type PollResult struct {
 	Token    uint64 // of the command, as in all outcomes of commands; 0: of the current claim
--- a/cell/job.go
+++ b/cell/job.go
@@ -17,6 +17,7 @@
 	storing       bool           // the job's specification has been sent to the store
 	rows          int            // rows of its specification in the store
 	tasks         int            // of all its occurrences
+	memory        int64          // bytes that it takes until it ends
 	main          part           // its first part
 	more          []*part        // its other parts, in order
 	receivedAt    Instant        // when it was first submitted
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -86,6 +86,8 @@
 // addJob adds a job to the working state.
 func (c *Cell) addJob(j *job) {
 	c.jobs[j.id], c.live[j.id] = j, j
+	j.memory = memoryOf(j.spec)
+	c.work.add(j.memory)
 	c.pendingJobs = append(c.pendingJobs, j)
 	c.setObjective(j)
 	for _, o := range j.occurrences {
--- a/cellhost/cellhost.go
+++ b/cellhost/cellhost.go
@@ -104,6 +104,9 @@
 	// LinkMbps is the bandwidth of this host in megabits per second; 0 if unknown.
 	LinkMbps float64
 	MemoryMB int64 // memory available to this host; 0 if unknown
+	// WorkBytes bounds the memory that accepted jobs take at the owner; 0: workShare of the
+	// memory of the smallest host, if that is known.
+	WorkBytes int64
 	// JobBytes bounds the jobs that wait here for the answer of the cell, in sum; 0: no bound.
 	JobBytes int64
 	Cell     cell.Config
@@ -190,6 +193,7 @@
 	cfg := h.Cell
 	cfg.MaxPolicyAge = h.maxRequestsAge()
 	cfg.MaxCapacityAge = h.maxCapacityAge()
+	cfg.MaxWorkMemory = h.workLimit()
 	state := cell.New(cfg)
 	pending := map[uint64]chan cell.Answer{}
 	timer := time.NewTimer(idleRoundInterval)
--- a/cellhost/hosts.go
+++ b/cellhost/hosts.go
@@ -20,6 +20,25 @@
 	relayWorkersPerMbps = 20
 )
 
+// workShare is the share of the memory of the smallest host that accepted jobs may take.
+const workShare = 0.4
+
+// workLimit returns how many bytes accepted jobs may take at the owner; 0: no limit.
+func (h *Host) workLimit() int64 {
+	if h.WorkBytes > 0 {
+		return h.WorkBytes
+	}
+	smallest := h.MemoryMB
+	h.ownership.mu.Lock()
+	defer h.ownership.mu.Unlock()
+	for _, info := range h.ownership.hosts.byName {
+		if info.MemoryMB > 0 && (smallest == 0 || info.MemoryMB < smallest) {
+			smallest = info.MemoryMB
+		}
+	}
+	return int64(workShare * float64(smallest<<20))
+}
+
 // hostInfo describes an entry host to the others. Zero limits are unknown.
 type hostInfo struct {
 	Addr     string  `cbor:"1,keyasint"`
--- a/cellhost/ownership.go
+++ b/cellhost/ownership.go
@@ -372,6 +372,7 @@
 	headSince    cell.Instant // when this version of the head row was first read
 	ownerSuspect bool         // the owner failed to answer the last heartbeat
 	postedHosts  string       // names of the hosts last posted to the cell
+	workLimit    int64        // last posted to the cell
 	lastMemberAt cell.Instant // when this owner last had a member
 	hadMembers   bool         // this owner has had members
 	expiredSince cell.Instant // since when this owner has been unable to read the operators' requests; 0: it is able
@@ -418,6 +419,10 @@
 		h.Log.Info("entry hosts", "present", hosts)
 		h.post(ctx, cell.AdviceHosts{Hosts: hosts})
 	}
+	if limit := h.workLimit(); limit != k.workLimit {
+		k.workLimit = limit
+		h.post(ctx, cell.WorkLimit{Memory: limit})
+	}
 	if h.ownership.commitsStalled(h.Now()) {
 		k.offer(ctx)
 	}
