cellhost: a new owner lists the workers at once

What callers saw: a successor started nothing for up to 0.4 s after its claim, until the next regular reading of the list.

Cause: the list is read every 0.4 s by a loop that does nothing while its host does not own the cell, and that did not learn of a claim.

Evidence: TestNewOwnerListsTheWorkersAtOnce, red without the signal (the list comes 336 ms after the claim, on the paused clock).

Change: a claim wakes the loop. firstStartAfterClaim in the metrics is the time from a claim that found accepted jobs to the first start.

--- a/cellhost/cellhost.go
+++ b/cellhost/cellhost.go
@@ -29,7 +29,6 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/cowslipgap/cowslipgap/cell"
-	"github.com/cowslipgap/cowslipgap/pause"
 	"github.com/cowslipgap/cowslipgap/peer"
 	"github.com/cowslipgap/cowslipgap/ruleset"
 	"github.com/cowslipgap/cowslipgap/workload"
@@ -131,6 +130,8 @@
 	requestsReadAt   atomic.Int64 // cell.Instant as of which the operators' requests were last read
 	ownership        ownership
 	ownerDoubted     chan struct{} // the owner may have changed
+	claimed          chan struct{} // this host has claimed the cell
+	claimedAt        atomic.Int64  // cell.Instant of the claim, until the first start after it; 0: none
 	dispatcher       dispatcher
 	carrier          carrier
 	commits          chan writeRequest
@@ -156,6 +157,7 @@
 		h.waitingJobs = semaphore.NewWeighted(cmp.Or(h.JobBytes, math.MaxInt64))
 		h.commits = make(chan writeRequest, 4)
 		h.ownerDoubted = make(chan struct{}, 1)
+		h.claimed = make(chan struct{}, 1)
 		h.dispatcher.polls = make(chan struct{}, maxDirectPolls)
 		if h.Now == nil {
 			start := time.Now()
@@ -275,6 +277,8 @@
 // pollWorkerList posts the store's list of workers to the cell while this host
 // owns it.
 func (h *Host) pollWorkerList(ctx context.Context) {
+	timer := time.NewTimer(workerListInterval)
+	defer timer.Stop()
 	for ctx.Err() == nil {
 		if h.ownership.owns() {
 			callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -287,6 +291,11 @@
 				h.Log.Debug("workers cannot be listed", "error", err)
 			}
 		}
-		pause.Sleep(ctx, workerListInterval)
+		timer.Reset(workerListInterval)
+		select {
+		case <-timer.C:
+		case <-h.claimed:
+		case <-ctx.Done():
+		}
 	}
 }
--- a/cellhost/effects.go
+++ b/cellhost/effects.go
@@ -54,6 +54,9 @@
 		}
 	case cell.Start:
 		h.Counts.Starts.Add(1)
+		if at := h.claimedAt.Swap(0); at > 0 {
+			h.Counts.FirstStart.Observe(h.Now() - cell.Instant(at))
+		}
 		h.dispatch(ctx, e.Worker, e)
 	case cell.Stop:
 		h.dispatch(ctx, e.Worker, e)
--- a/cellhost/metrics.go
+++ b/cellhost/metrics.go
@@ -20,6 +20,8 @@
 	Commit   meter.Latency // from the first write of a commit to its confirmation
 	Takeover meter.Latency // from a successful claim to acting as the owner
 	Waited   meter.Latency // from a job's acceptance to its first start
+	// FirstStart is from a successful claim that found accepted jobs to the first start.
+	FirstStart meter.Latency
 
 	Traffic meter.Traffic // bytes exchanged, by purpose
 
@@ -47,7 +49,7 @@
 			"claims": c.Claims.Load(), "deposals": c.OwnershipLosses.Load(), "commits": c.Commits.Load(), "commitsResent": c.Resent.Load(),
 			"starts": c.Starts.Load(), "looks": c.WorkerPolls.Load(), "adviceCalls": c.Advice.Load(),
 			"submitLatency": c.Submit.Summary(), "commitLatency": c.Commit.Summary(),
-			"takeoverLatency": c.Takeover.Summary(), "firstStartWait": c.Waited.Summary(), "traffic": c.Traffic.Summary(),
+			"takeoverLatency": c.Takeover.Summary(), "firstStartWait": c.Waited.Summary(), "firstStartAfterClaim": c.FirstStart.Summary(), "traffic": c.Traffic.Summary(),
 			"usagePercent": h.usage().metrics(), "passedOver": h.ownership.passedOver(),
 			"ready": h.Ready(), "rulesAgeMillis": h.RulesAge().Milliseconds(), "cell": h.summary.Load(),
 			"evacuatedZones": h.evacuatedZones(),
--- a/cellhost/ownership.go
+++ b/cellhost/ownership.go
@@ -678,10 +678,17 @@
 	h.ownership.claimedAt = h.Now()
 	h.ownership.mu.Unlock()
 	h.planRelaysForRoster(workers)
+	if len(jobs) > 0 {
+		h.claimedAt.Store(int64(claimedAt))
+	}
 	claimed := cell.Claimed{Token: head.Token, Sent: head.sent, Previous: hadOwner, PreviousReadAt: head.previousReadAt, Jobs: jobs, Workers: workers}
 	claimed.Learned, claimed.LearnedFailure = learned()
 	h.post(ctx, claimed)
 	h.post(ctx, cell.AdviceHosts{Hosts: []string{h.Name}})
+	select {
+	case h.claimed <- struct{}{}: // nothing starts before the workers are listed
+	default:
+	}
 	go h.announce(ctx, head.HeadRow)
 }
 
--- a/cellhost/takeover_test.go
+++ b/cellhost/takeover_test.go
@@ -188,6 +188,35 @@
 	}
 }
 
+// TestNewOwnerListsTheWorkersAtOnce guards against a new owner that starts nothing until the
+// next regular reading of the list.
+func TestNewOwnerListsTheWorkersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{latency: 4 * time.Millisecond}
+		h := newSuccessor(f, 10*time.Millisecond)
+		listed := make(chan cell.Instant, 10)
+		h.ListWorkers = func(context.Context) ([]cell.WorkerInfo, error) {
+			listed <- h.Now()
+			return nil, nil
+		}
+		go func() {
+			for range h.events { // stands in for the cell
+			}
+		}()
+		ctx, cancel := context.WithCancel(t.Context())
+		go h.pollWorkerList(ctx)
+		time.Sleep(workerListInterval + 50*time.Millisecond)
+		require.Empty(t, listed)
+		h.claim(ctx, f.head, h.Now())
+		owns := h.Now()
+		require.Equal(t, owns, <-listed)
+		require.Equal(t, workerListInterval, <-listed-owns)
+		cancel()
+		synctest.Wait()
+		close(h.events)
+	})
+}
+
 // TestHostThatLeavesDuringTakeoverResigns stops a host in the middle of a takeover. The
 // host must not own the cell until its process ends: the others would have to wait
 // until the head row has been unchanged for long enough.
