control: accepted jobs have a bound in memory, by payload and tasks

What callers saw: at our own interface, whole bodies of legal size, each a job, take a host's memory; a body of 40 bytes may ask for a million tasks.

Cause: jobs are kept with their payload and an entry for each task until an hour after their end, with a bound on neither in sum.

Evidence: TestAcceptedJobsAtOwnInterfaceLeaveHostWithinItsLimits.

Change: maxJobBytes (512 MB by default).

--- a/control/control.go
+++ b/control/control.go
@@ -44,6 +44,7 @@
 	// WritesPerSecond is the rate at which all entry hosts together may write
 	// heartbeats and journal segments to the table.
 	WritesPerSecond int
+	MaxJobBytes     int64 // memory that accepted jobs may take; 0: no bound
 }
 
 // State is the control state of one entry host.
@@ -72,6 +73,7 @@
 	retryBudget     retryBudget
 	dispatching     map[string]*dispatchState
 	dispatchOrder   []string
+	journalingBytes int64          // memory of the jobs that wait for their journal write
 	journalWaiters  map[uint64]any // operations that wait for a journal write, by token of the batch
 	nextID          uint64
 	adopting        map[string]time.Time // sessions whose journal is being read, and since when
--- a/control/job.go
+++ b/control/job.go
@@ -88,11 +88,16 @@
 		s.emit(JobAnswer{Token: ev.Token, Refusal: r})
 		return
 	}
+	if r := s.memoryRefusal(ev.Job); r != nil {
+		s.emit(JobAnswer{Token: ev.Token, Refusal: r})
+		return
+	}
 	j := ev.Job
 	if j.ID == "" {
 		j.ID = s.newJobID()
 	}
 	j.Accepted = s.now
+	s.journalingBytes += j.Memory()
 	b := segment.Batch{Entries: []job.Entry{{Accept: &j}}, Droppable: true}
 	if j.RequestID != "" {
 		b.Guard = newRequestGuard(j.Team, j.RequestID, requestRow{Hash: ev.Hash, Job: j.ID})
@@ -100,6 +105,22 @@
 	s.appendJournal(pendingJob{ev.Token, j, ev.Hash}, b)
 }
 
+// jobRetryDelay is the time after which a job may be sent again that found no memory.
+const jobRetryDelay = 5 * time.Second
+
+// memoryRefusal returns the refusal for a job that finds no room beside the accepted ones, or
+// nil.
+func (s *State) memoryRefusal(j job.Job) *refusal.Refusal {
+	switch memory := j.Memory(); {
+	case s.MaxJobBytes <= 0 || s.acceptedJobs.Memory()+s.journalingBytes+memory <= s.MaxJobBytes:
+		return nil
+	case memory > s.MaxJobBytes:
+		return refusal.New(refusal.TooLarge, "the job takes about %d bytes of memory, more than accepted jobs may", memory)
+	default:
+		return refusal.New(refusal.Overloaded, "the accepted jobs take too much memory").WithRetryAfter(jobRetryDelay)
+	}
+}
+
 // betterGangHost returns the address of a host that has the slots for a gang job,
 // if this host cannot run all its tasks at once. A gang is placed by the host that
 // keeps the job.
@@ -183,6 +204,7 @@
 }
 
 func (s *State) jobJournaled(p pendingJob, r segment.Result) {
+	s.journalingBytes -= p.job.Memory()
 	if existing, ok := decodeRequestRow(r); ok && existing.Hash == p.hash && existing.Job != "" {
 		s.emit(JobAnswer{Token: p.answerToken, ID: existing.Job})
 		return
--- a/host/host.go
+++ b/host/host.go
@@ -210,7 +210,7 @@
 	p.MaxQueued, p.TaskLease, p.ClockMargin = s.MaxQueuedPerTeam, s.TaskLease, s.ClockMargin
 	return control.Config{
 		Session: h.session, Name: s.Name, Zone: s.Zone, PeerAddr: h.PeerAddr(), HTTPAddr: h.HTTPAddr(),
-		Heartbeat: s.Heartbeat, Placement: p, WritesPerSecond: s.WritesPerSecond,
+		Heartbeat: s.Heartbeat, Placement: p, WritesPerSecond: s.WritesPerSecond, MaxJobBytes: s.MaxJobBytes,
 		Rules: lease.Rules{Lease: s.HostLease, Margin: s.ClockMargin, SoloLimit: s.SoloLimit},
 	}
 }
--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -16,6 +17,8 @@
 
 	"github.com/cowslipgap/cowslipgap/crowd"
 	"github.com/cowslipgap/cowslipgap/footprint"
+	"github.com/cowslipgap/cowslipgap/gateway"
+	"github.com/cowslipgap/cowslipgap/resource"
 )
 
 const (
@@ -138,3 +141,37 @@
 		})
 	}
 }
+
+// TestAcceptedJobsAtOwnInterfaceLeaveHostWithinItsLimits submits many jobs with large payloads, and many of
+// many tasks. An ordinary request is served beside those that were accepted.
+func TestAcceptedJobsAtOwnInterfaceLeaveHostWithinItsLimits(t *testing.T) {
+	for name, body := range map[string]gateway.SubmitBody{
+		"payloads": {Class: "batch", Payload: json.RawMessage(`"` + strings.Repeat("x", crowdBody) + `"`), Need: resource.Vector{Slots: 1000}},
+		"tasks":    {Class: "batch", Tasks: 100_000, Payload: json.RawMessage(`{}`), Need: resource.Vector{Slots: 1000}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, "cam-pho")
+			f.addTeam("touring")
+			h := f.hosts[0]
+			file, err := os.OpenFile(h.settingsPath, os.O_APPEND|os.O_WRONLY, 0)
+			require.NoError(t, err)
+			_, err = file.WriteString("[bounds]\nmaxJobBytes = 33554432\n")
+			require.NoError(t, err)
+			require.NoError(t, file.Close())
+			f.restartWithFewFiles(h)
+			requireWithinLimits := watch(t, h)
+			accepted := 0
+			for range 300 {
+				if _, err := f.callerClient(h, "touring").SubmitJob(t.Context(), body); err == nil {
+					accepted++
+				}
+			}
+			t.Logf("%d accepted", accepted)
+			f.eventually("an ordinary request is served", func() bool {
+				_, err := f.callerClient(h, "touring").Submit(t.Context(), lookupRequest())
+				return err == nil
+			})
+			requireWithinLimits()
+		})
+	}
+}
--- a/job/job.go
+++ b/job/job.go
@@ -108,10 +108,21 @@
 
 // Tracker holds jobs by ID. The zero Tracker is empty and ready to use.
 type Tracker struct {
-	jobs  map[string]*State
-	teams map[string]map[string]*State // by team and job ID
+	jobs   map[string]*State
+	teams  map[string]map[string]*State // by team and job ID
+	memory int64
 }
 
+// jobBytes and taskBytes are what a job and each of its tasks take, beside the payload.
+const jobBytes, taskBytes = 600, 160
+
+// Memory returns the bytes that a tracker holds for the job until it expires, without the
+// outputs of its tasks.
+func (j *Job) Memory() int64 { return jobBytes + int64(len(j.Payload)) + taskBytes*int64(j.Tasks) }
+
+// Memory returns the bytes that the tracker holds for its jobs.
+func (t *Tracker) Memory() int64 { return t.memory }
+
 // Apply applies an entry. Applying the same entry again has no effect.
 func (t *Tracker) Apply(e Entry) {
 	switch {
@@ -140,6 +151,10 @@
 		t.jobs = map[string]*State{}
 		t.teams = map[string]map[string]*State{}
 	}
+	if before := t.jobs[s.Job.ID]; before != nil {
+		t.memory -= before.Job.Memory()
+	}
+	t.memory += s.Job.Memory()
 	t.jobs[s.Job.ID] = s
 	if t.teams[s.Job.Team] == nil {
 		t.teams[s.Job.Team] = map[string]*State{}
@@ -251,6 +266,7 @@
 func (t *Tracker) RemoveExpired(now time.Time) {
 	for id, s := range t.jobs {
 		if s.Open == 0 && now.Sub(s.EndedAt) > Retention {
+			t.memory -= s.Job.Memory()
 			delete(t.jobs, id)
 			delete(t.teams[s.Job.Team], id)
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,6 +50,7 @@
 	MaxConnections   int   // connections of callers, and as many of entry hosts; 0: a third of the process's descriptors
 	MaxRequestBytes  int64 // requests of callers in progress, in sum
 	MaxMessageBytes  int64 // messages of entry hosts in progress, in sum
+	MaxJobBytes      int64 // accepted jobs until they expire, in sum
 	HeaderTimeout    time.Duration
 	BodyTimeout      time.Duration
 	IdleTimeout      time.Duration // between two requests of a connection
@@ -102,6 +103,7 @@
 	intField("bounds", "maxConnections", 0, 0, 1<<20, func(s *Settings, n int64) { s.MaxConnections = int(n) }, func(s *Settings) int64 { return int64(s.MaxConnections) }),
 	intField("bounds", "maxRequestBytes", 32<<20, 1<<20, 1<<40, func(s *Settings, n int64) { s.MaxRequestBytes = n }, func(s *Settings) int64 { return s.MaxRequestBytes }),
 	intField("bounds", "maxMessageBytes", 32<<20, 16<<20, 1<<40, func(s *Settings, n int64) { s.MaxMessageBytes = n }, func(s *Settings) int64 { return s.MaxMessageBytes }),
+	intField("bounds", "maxJobBytes", 512<<20, 8<<20, 1<<40, func(s *Settings, n int64) { s.MaxJobBytes = n }, func(s *Settings) int64 { return s.MaxJobBytes }),
 	millisField("bounds", "headerTimeoutMillis", 5000, 100, 60_000, func(s *Settings) *time.Duration { return &s.HeaderTimeout }),
 	millisField("bounds", "bodyTimeoutMillis", 30_000, 100, 600_000, func(s *Settings) *time.Duration { return &s.BodyTimeout }),
 	millisField("bounds", "idleTimeoutMillis", 120_000, 1000, 3_600_000, func(s *Settings) *time.Duration { return &s.IdleTimeout }),
