--- a/footprint/footprint.go
+++ b/footprint/footprint.go
@@ -4,16 +4,25 @@
 //
 //	f, err := footprint.Read(cmd.Process.Pid)
 //	fmt.Println(f.PeakMemory, f.Descriptors)
+//
+//	stop := footprint.Watch(cmd.Process.Pid)
+//	...
+//	largest, err := stop()
 package footprint
 
 import (
 	"fmt"
 	"os"
 	"strings"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
+// watchInterval is the time between two readings of a process that is watched.
+const watchInterval = 20 * time.Millisecond
+
 // Footprint is what a process holds.
 type Footprint struct {
 	PeakMemory  int64 // largest resident memory since the start of the process, in bytes
@@ -44,3 +53,32 @@
 	f.PeakMemory, f.Descriptors = kilobytes<<10, len(files)
 	return f, nil
 }
+
+// Watch reads the footprint of a process until the returned function is called, which
+// returns the largest values that were read. It fails if the process has ended by then.
+func Watch(pid int) (stop func() (Footprint, error)) {
+	var largest Footprint
+	quit := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			if f, err := Read(pid); err == nil {
+				largest.PeakMemory = max(largest.PeakMemory, f.PeakMemory)
+				largest.Descriptors = max(largest.Descriptors, f.Descriptors)
+			}
+			select {
+			case <-time.After(watchInterval):
+			case <-quit:
+				return
+			}
+		}
+	})
+	return func() (Footprint, error) {
+		close(quit)
+		wg.Wait()
+		last, err := Read(pid)
+		largest.PeakMemory = max(largest.PeakMemory, last.PeakMemory)
+		largest.Descriptors = max(largest.Descriptors, last.Descriptors)
+		return largest, err
+	}
+}
--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -8,7 +8,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -57,27 +56,10 @@
 // that the same process still runs and never held more than its limits.
 func watch(t *testing.T, h *entryHost) func() {
 	t.Helper()
-	pid := h.cmd.Process.Pid
-	most := footprint.Footprint{}
-	quit := make(chan struct{})
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		for {
-			if f, err := footprint.Read(pid); err == nil {
-				most = footprint.Footprint{PeakMemory: max(most.PeakMemory, f.PeakMemory), Descriptors: max(most.Descriptors, f.Descriptors)}
-			}
-			select {
-			case <-time.After(20 * time.Millisecond):
-			case <-quit:
-				return
-			}
-		}
-	})
+	stop := footprint.Watch(h.cmd.Process.Pid)
 	return func() {
 		t.Helper()
-		close(quit)
-		wg.Wait()
-		_, err := footprint.Read(pid)
+		most, err := stop()
 		require.NoError(t, err, "the process has ended")
 		t.Logf("peak memory %.1f MB, %d descriptors", float64(most.PeakMemory)/(1<<20), most.Descriptors)
 		require.Less(t, most.PeakMemory, int64(crowdMemory), "memory")
