ingress: receive buffers are the kernel's own

Traced beside ten busy processes: the message had received nothing for 1.0007 s, as a receive buffer of 32 KB with segments of 64 KB makes the sender wait for its persist timer once the buffer was full; one of 12 runs failed. Without the small buffer 12 of 12 passed beside the same load.

Change: only the send buffer is limited. What a connection has received and the process has not read yet is bounded by the kernel for each connection. All crowd tests pass, alone: 18 to 67 MB.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -40,9 +40,9 @@
 	smallMessage, largeMessage = 32 << 10, 5 << 19
 	// refusalTimeout bounds the writing of a refusal.
 	refusalTimeout = 100 * time.Millisecond
-	// socketBytes is the size of the buffers that the kernel is asked to keep for each
-	// connection, in each direction.
-	socketBytes = 32 << 10
+	// sendBytes is the size of the buffer that the kernel is asked to keep for what a client
+	// has not read. Small receive buffers stall senders on links with large segments.
+	sendBytes = 32 << 10
 )
 
 // Timeouts bound the phases of a connection; 0: no bound.
@@ -120,7 +120,7 @@
 		if err != nil {
 			return nil, err
 		}
-		limitSocketBuffers(conn)
+		limitSendBuffer(conn)
 		if c := p.add(conn); c != nil {
 			return c, nil
 		}
@@ -129,12 +129,11 @@
 	}
 }
 
-// limitSocketBuffers limits what the kernel keeps for a connection. The limit is only
-// advisory.
-func limitSocketBuffers(conn net.Conn) {
+// limitSendBuffer limits what the kernel keeps of answers that are not read. The limit is
+// only advisory.
+func limitSendBuffer(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetReadBuffer(socketBytes)
-		_ = tcp.SetWriteBuffer(socketBytes)
+		_ = tcp.SetWriteBuffer(sendBytes)
 	}
 }
 
