--- a/review/_stand3/worker.go
+++ b/review/_stand3/worker.go
@@ -13,7 +13,6 @@
 
 const (
 	holdMax     = 6 * time.Second
-	stopTime    = 150 * time.Millisecond // at most bounds.stop_timeout_ms
 	gangTimeout = 3 * time.Second
 	saveEvery   = time.Second
 	restoreTime = 250 * time.Millisecond
@@ -501,7 +500,7 @@
 	k.closed[o.Task] = max(k.closed[o.Task], o.Run)
 	if r := k.runs[o.Task]; r != nil && r.number == o.Run {
 		k.w.logf("stop %s.%d on %s token %d", o.Task, o.Run, k.name, o.Token)
-		time.AfterFunc(stopTime, func() {
+		time.AfterFunc(k.w.stopTime, func() {
 			k.w.mu.Lock()
 			defer k.w.mu.Unlock()
 			k.finish(r, "stopped")
