--- a/review/_stand3/worker.go
+++ b/review/_stand3/worker.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	holdMax     = 6 * time.Second
 	gangTimeout = 3 * time.Second
 	saveEvery   = time.Second
 	restoreTime = 250 * time.Millisecond
@@ -200,7 +199,13 @@
 		late = k.w.latePick(k, r.URL.Path, &o)
 	}
 	k.w.mu.Unlock()
-	if cut {
+	held := false
+	if r.URL.Path == "/-/run-start" && !cut {
+		k.w.mu.Lock()
+		held = k.w.holdStart != nil && k.w.holdStart(k, &o)
+		k.w.mu.Unlock()
+	}
+	if cut || held {
 		<-r.Context().Done()
 		return
 	}
@@ -287,7 +292,7 @@
 		return
 	}
 	d := k.clock0.Add(time.Duration(deadlineMS) * time.Millisecond)
-	if limit := time.Now().Add(holdMax); d.After(limit) {
+	if limit := time.Now().Add(k.w.holdMax); d.After(limit) {
 		d = limit
 	}
 	if d.After(k.lease) {
@@ -498,7 +503,9 @@
 		return "fence"
 	}
 	k.closed[o.Task] = max(k.closed[o.Task], o.Run)
-	if r := k.runs[o.Task]; r != nil && r.number == o.Run {
+	if r := k.runs[o.Task]; r == nil || r.number != o.Run {
+		k.w.logf("stop %s.%d on %s, where it is not, acknowledged", o.Task, o.Run, k.name)
+	} else {
 		k.w.logf("stop %s.%d on %s token %d", o.Task, o.Run, k.name, o.Token)
 		time.AfterFunc(k.w.stopTime, func() {
 			k.w.mu.Lock()
--- a/review/_stand3/world.go
+++ b/review/_stand3/world.go
@@ -11,9 +11,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -144,19 +146,22 @@
 	t0         time.Time
 	advice     string
 	latePick   func(k *worker, path string, o *order) bool
+	holdStart  func(k *worker, o *order) bool // whether a start is held up on its way
 	settings   map[string]string
 	queueExtra map[string]any
 	advised    bool
 	eligible   func(step, worker string) bool
 	version    int
 	stopTime   time.Duration // that a stop takes, within bounds.stop_timeout_ms
+	holdMax    time.Duration // bounds.hold_max_ms
 	closers    []func()
+	closed     atomic.Bool // no process is started any more
 	stopBeats  chan struct{}
 	recMu      sync.Mutex
 }
 
 func newWorld(record string) *world {
-	w := &world{store: newStore(), jobs: map[string]*job{}, gangs: map[string]*gangRun{}, t0: time.Now(), settings: map[string]string{}, stopBeats: make(chan struct{}), stopTime: 150 * time.Millisecond}
+	w := &world{store: newStore(), jobs: map[string]*job{}, gangs: map[string]*gangRun{}, t0: time.Now(), settings: map[string]string{}, stopBeats: make(chan struct{}), stopTime: 150 * time.Millisecond, holdMax: 6 * time.Second}
 	dir, err := os.MkdirTemp("", "review3-")
 	check(err)
 	w.dir = dir
@@ -291,8 +296,6 @@
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	log      *os.File
-	exits    int // ends by itself
-	stopping bool
 }
 
 func freePorts(n int) []int {
@@ -348,10 +351,29 @@
 	cmd := exec.Command(binary(), "serve")
 	cmd.Env = []string{"COWSLIPGAP_BOOT=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + h.w.dir, "LANG=C"}
 	cmd.Stdout, cmd.Stderr = h.log, h.log
-	check(cmd.Start())
-	h.cmd, h.stopping = cmd, false
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if h.w.closed.Load() {
+		return // the scenario has ended
+	}
+	done := make(chan error)
+	starts <- func() { done <- cmd.Start() }
+	check(<-done)
+	h.cmd = cmd
 }
 
+// starts runs what starts processes on one thread, which lives as long as this process: they end
+// with the thread that has started them.
+var starts = func() chan<- func() {
+	c := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for start := range c {
+			start()
+		}
+	}()
+	return c
+}()
+
 func binary() string {
 	if b := os.Getenv("COWSLIPGAPD"); b != "" {
 		return b
@@ -362,7 +384,6 @@
 // kill ends the process, and starts it again after the given time unless that is 0.
 func (h *host) kill(sig syscall.Signal, again time.Duration) {
 	h.mu.Lock()
-	h.stopping = true
 	cmd := h.cmd
 	h.w.logf("%v to %s", sig, h.name)
 	_ = cmd.Process.Signal(sig)
@@ -425,6 +446,7 @@
 
 func (w *world) close() {
 	close(w.stopBeats)
+	w.closed.Store(true)
 	for _, h := range w.hosts {
 		h.mu.Lock()
 		_ = h.cmd.Process.Signal(syscall.SIGCONT)
