--- a/review/_stand3/scenario_moved.go
+++ b/review/_stand3/scenario_moved.go
@@ -73,7 +73,11 @@
 		if o == nil {
 			panic("no host owns the cell")
 		}
-		go o.kill(syscall.SIGKILL, 3*time.Second)
+		if os.Getenv("TROUBLE") == "term" {
+			go o.kill(syscall.SIGTERM, 300*time.Millisecond) // planned work in place of the kill
+		} else {
+			go o.kill(syscall.SIGKILL, 3*time.Second)
+		}
 	}
 	deadline := time.Now().Add(60 * time.Second)
 	for time.Now().Before(deadline) {
