cell: a job is accepted only with an encoding that can be read again

Callers: a job with a first time before the year 0 was answered 200 by the owner and 504, for ever, by the other hosts. A step with over 131,072 entries in `after` was accepted too, and no later owner could load the cell.

Cause: the specification was encoded when its commit was put together, after the job had been admitted. A failure was logged ("cannot encode row") and the commit, without a row for the job, counted the job as stored. Encoding and decoding have different limits: lists of any length are written, up to 131,072 entries are read.

What became of the call from another host was in no log; it is now in the reason of "job not accepted".

Change: the bytes are encoded, and read again, before a job is admitted, and these bytes are stored. A new verdict, Malformed, travels from the owner to the host that was asked; that host answers 400 with the reason. The same check is made at the port, so that each host rejects the job at once. A request that cannot be encoded is not taken for one that may have arrived. Only the part that holds the specification makes a job count as stored.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -44,19 +44,31 @@
 	}
 	c.recordArrival(e.Job, e.Zone)
 	decision := c.decideAdmission(e.Job)
+	var encoded []byte
+	if decision.reason == "" {
+		e.Job.ReceivedAt = c.now.Wall.Add(decision.firstSeen - c.now.Steady)
+		var err error
+		if encoded, err = e.Job.EncodeNew(); err != nil {
+			decision.malformed, decision.reason = true, err.Error()
+		}
+	}
 	c.recordPromise(e.Job, decision)
 	c.logInfo("job "+decision.outcome(), slog.String("id", e.Job.ID), slog.String("queue", e.Job.Queue.Name),
 		slog.String("team", e.Job.Team), slog.String("reason", decision.reason), slog.Duration("retryAfter", decision.retryAfter),
 		slog.Duration("wait", decision.wait), slog.Duration("slack", decision.slack), slog.Float64("cores", decision.cores), slog.Bool("beyondRate", decision.beyondRate),
 		slog.Duration("sinceFirst", c.now.Steady-decision.firstSeen), slog.Bool("late", decision.late),
 		slog.Duration("commitAge", c.now.Steady-c.commits.confirmedAt))
+	if decision.malformed {
+		c.emit(Answer{Reply: e.Reply, Verdict: Malformed, Reason: decision.reason})
+		return
+	}
 	if decision.reason != "" {
 		c.emit(Answer{Reply: e.Reply, Verdict: Refused, RetryAfter: decision.retryAfter, Reason: decision.reason})
 		return
 	}
-	e.Job.ReceivedAt = c.now.Wall.Add(decision.firstSeen - c.now.Steady)
 	j := newJob(e.Job, workload.Progress{Team: e.Job.Team}, 0)
 	j.restoreParts(workload.Progress{}, nil, c.partTasks())
+	j.encoded = encoded
 	j.receivedAt, j.acceptedAt = decision.firstSeen, c.now.Steady
 	j.beyondRate, j.acceptedLate = decision.beyondRate, decision.late
 	if !decision.beyondRate {
@@ -103,6 +115,7 @@
 // admissionDecision is the decision on a submitted job and the figures behind it.
 type admissionDecision struct {
 	reason     string // why it is refused; "" if it is accepted
+	malformed  bool   // it can never be served
 	retryAfter time.Duration
 	wait       time.Duration // expected wait
 	slack      time.Duration // wait that its objective allows
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -374,7 +374,9 @@
 // starts its placed runs, and finishes the job if it has ended.
 func (c *Cell) handlePartStored(write partWrite) {
 	j := write.part.job
-	j.stored = true
+	if write.part == &j.main {
+		j.stored, j.encoded = true, nil
+	}
 	if write.part == &j.main && write.state > j.reportedState {
 		j.reportedState = write.state
 		if write.state.Final() {
--- a/cell/effect.go
+++ b/cell/effect.go
@@ -51,11 +51,12 @@
 
 // Outcomes of a caller's request.
 const (
-	Accepted Verdict = iota
-	Refused          // the job has not run and never will
-	Unknown          // no such job
-	NotOwner         // the caller must ask the cell's owner
-	Lost             // the cell changes owner; the next owner knows the outcome of the request
+	Accepted  Verdict = iota
+	Refused           // the job has not run and never will
+	Unknown           // no such job
+	NotOwner          // the caller must ask the cell's owner
+	Lost              // the cell changes owner; the next owner knows the outcome of the request
+	Malformed         // the job can never be served; it has not run and never will
 )
 
 // Command holds the fields common to all commands to a worker.
--- a/cell/job.go
+++ b/cell/job.go
@@ -13,6 +13,7 @@
 	spec          *workload.Job // nil once the job has ended, while its steps may still have runs
 	progress      workload.Progress
 	reportedState workload.State // state reported to callers: the stored one, or Active
+	encoded       []byte         // its specification, until that is stored
 	stored        bool           // the store has the job's specification
 	storing       bool           // the job's specification has been sent to the store
 	rows          int            // rows of its specification in the store
--- a/cell/part.go
+++ b/cell/part.go
@@ -164,9 +164,8 @@
 
 // jobRows returns the rows of a job's specification, each with a share of its encoding.
 func (c *Cell) jobRows(j *job) []Row {
-	value := c.encodeRow(Jobs, j.id, j.spec.Encode).Value
 	var rows []Row
-	for share := range slices.Chunk(value, c.maxRowBytes()) {
+	for share := range slices.Chunk(j.encoded, c.maxRowBytes()) {
 		rows = append(rows, Row{Table: Jobs, Key: rowKey(j.id, len(rows)), Value: share})
 	}
 	return rows
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -1170,6 +1170,8 @@
 					f.submitNow(j)
 				})
 			}
+		case Malformed:
+			j.refused = true
 		default:
 			f.after(50*time.Millisecond, func() { f.submitNow(j) })
 		}
--- a/cellhost/client_calls.go
+++ b/cellhost/client_calls.go
@@ -1,7 +1,9 @@
 package cellhost
 
 import (
+	"cmp"
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -130,7 +132,7 @@
 // Once it may have taken effect, only an owner's answer can tell the result.
 func (h *Host) resolve(ctx context.Context, r request) Outcome {
 	start := h.Now()
-	mayHaveEffect := false
+	mayHaveEffect, failure := false, ""
 	margin := answerMargin
 	if deadline, ok := ctx.Deadline(); ok {
 		margin = min(margin, time.Until(deadline)/10)
@@ -141,13 +143,13 @@
 			timeout = min(timeout, time.Until(deadline)-margin)
 		}
 		if timeout <= 0 || ctx.Err() != nil {
-			return h.unresolved(r, mayHaveEffect)
+			return h.unresolved(r, mayHaveEffect, failure)
 		}
 		out, result := h.attempt(ctx, r, timeout)
 		switch result {
 		case answered:
-			if mayHaveEffect && r.Kind == kindSubmit && out.Verdict == cell.Refused {
-				return h.unresolved(r, true) // an earlier attempt may still take effect
+			if mayHaveEffect && r.Kind == kindSubmit && (out.Verdict == cell.Refused || out.Verdict == cell.Malformed) {
+				return h.unresolved(r, true, "") // an earlier attempt may still take effect
 			}
 			return out
 		case effectUnknown:
@@ -158,23 +160,26 @@
 			mayHaveEffect, maxWait = false, ownerWait/3 // a read has no effect and can be repeated
 		}
 		if !mayHaveEffect && h.Now()-start > maxWait {
-			return h.unresolved(r, false)
+			return h.unresolved(r, false, failure)
 		}
+		failure = cmp.Or(out.Reason, failure)
 		pause.Sleep(ctx, ownerRetryDelay)
 	}
 }
 
-// unresolved returns the Outcome of a request that no owner has answered. Callers whose
-// jobs are refused return spread in time, the later the longer no owner has answered.
-func (h *Host) unresolved(r request, mayHaveEffect bool) Outcome {
+// unresolved returns the Outcome of a request that no owner has answered; failure says why the
+// last attempt failed, if that is known. Callers whose jobs are refused return spread in time,
+// the later the longer no owner has answered.
+func (h *Host) unresolved(r request, mayHaveEffect bool, failure string) Outcome {
+	reason := func(text string) string { return strings.TrimSuffix(text+": "+failure, ": ") }
 	if mayHaveEffect {
-		return Outcome{Unanswered: true, Reason: "the owner's answer was lost"}
+		return Outcome{Unanswered: true, Reason: reason("the owner's answer was lost")}
 	}
 	wait := retryAfter
 	if r.Job != nil {
 		wait = cell.OutageDelay(r.Job, h.ownerlessFor(), 0)
 	}
-	return Outcome{Verdict: cell.Refused, Unavailable: true, RetryAfter: wait, Reason: "the cell has no owner in reach"}
+	return Outcome{Verdict: cell.Refused, Unavailable: true, RetryAfter: wait, Reason: reason("the cell has no owner in reach")}
 }
 
 // ownerlessFor returns the time since this host last saw a working owner, itself or
@@ -210,12 +215,14 @@
 	r.Forwarded, r.Timeout = true, timeout
 	out, err := h.callPeer(ctx, owner.Addr, r, timeout)
 	switch {
+	case errors.Is(err, errNotEncoded):
+		return Outcome{Verdict: cell.Malformed, Reason: err.Error()}, answered
 	case errors.Is(err, peer.ErrUnreachable):
 		h.doubtOwner()
-		return Outcome{}, noEffect
+		return Outcome{Reason: err.Error()}, noEffect
 	case err != nil:
 		h.doubtOwner()
-		return Outcome{}, effectUnknown
+		return Outcome{Reason: err.Error()}, effectUnknown
 	case out.Outcome.Verdict == cell.NotOwner && !out.Outcome.Unanswered:
 		h.doubtOwner()
 		return Outcome{}, noEffect
--- a/cellhost/peer_calls.go
+++ b/cellhost/peer_calls.go
@@ -111,7 +111,7 @@
 		return reply{}
 	}
 	if r.Kind == kindSubmit && (r.Job == nil || r.Job.Validate() != nil) {
-		return reply{Outcome: Outcome{Verdict: cell.Refused, Reason: "malformed job"}}
+		return reply{Outcome: Outcome{Verdict: cell.Malformed, Reason: "malformed job"}}
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
@@ -245,12 +245,15 @@
 	return out.Advice
 }
 
+// errNotEncoded reports that a request cannot be sent to any host.
+var errNotEncoded = errors.New("cellhost: request cannot be encoded")
+
 // callPeer sends a request to the host at addr.
 func (h *Host) callPeer(ctx context.Context, addr string, r request, timeout time.Duration) (reply, error) {
 	var out reply
 	body, err := cbor.Marshal(r)
 	if err != nil {
-		return out, errors.Wrap(err, "encode peer request")
+		return out, errors.Mark(errors.Wrap(err, "encode peer request"), errNotEncoded)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -24,7 +24,8 @@
 	"github.com/cowslipgap/cowslipgap/resource"
 )
 
-// ErrMalformed marks errors from decoding stored data or parsing a task name.
+// ErrMalformed marks errors from decoding stored data, parsing a task name, or encoding a job
+// that cannot be stored.
 var ErrMalformed = errors.New("workload: malformed")
 
 // State is the state of a job as reported to callers.
@@ -144,7 +145,8 @@
 )
 
 // ValidateNew returns an error if a new job asks for amounts or times that no schedule can
-// hold. Stored jobs, which earlier versions may have accepted, need not meet this.
+// hold, or cannot be stored. Stored jobs, which earlier versions may have accepted, need not
+// meet this.
 func (j *Job) ValidateNew() error {
 	if err := j.Validate(); err != nil {
 		return err
@@ -164,7 +166,8 @@
 			}
 		}
 	}
-	return nil
+	_, err := j.EncodeNew()
+	return err
 }
 
 // jobEncoder keeps all of a time: the library's default is whole seconds.
@@ -184,6 +187,17 @@
 	return data, errors.Wrapf(err, "encode job %s", j.ID)
 }
 
+// EncodeNew encodes a new job for storage. It returns an error that matches [ErrMalformed] if
+// the job cannot be encoded, or could not be read again by its next owner.
+func (j *Job) EncodeNew() ([]byte, error) {
+	data, err := j.Encode()
+	if err != nil {
+		return nil, errors.Mark(err, ErrMalformed)
+	}
+	_, err = DecodeJob(data)
+	return data, errors.Wrap(err, "read the encoded job again")
+}
+
 // MaxSize returns an upper bound of the size of the encoded job in bytes.
 func (j *Job) MaxSize() int {
 	const jobBytes, stepBytes, numberBytes = 320, 240, 9 // without texts and lists
