cell: a job beyond the limits of each owner is rejected for good

Callers: a job of more than 20,000 tasks, or of a description that no commit holds, was answered 429 with Retry-After 15, each time anew. It can never be served.

Change: both are answered with the verdict Malformed, as 400 with the reason. A job beyond its team's ceiling is still asked to come back, as the operators may raise that.

Red before: TestJobBeyondTheLimitsIsRejectedForGood (Refused).

--- a/cell/accepted_test.go
+++ b/cell/accepted_test.go
@@ -91,3 +91,23 @@
 		requireKnown(t, spec, rows)
 	}
 }
+
+// Callers of a job that is beyond the limits of each owner were told to come back with it.
+func TestJobBeyondTheLimitsIsRejectedForGood(t *testing.T) {
+	many, long := jobOf("5c0e7a21d94b3600", 1, maxTasks+1, 0), jobOf("5c0e7a21d94b3601", 12_000, 1, 0)
+	for i := range long.Steps {
+		long.Steps[i].Label = "a label that is not short"
+	}
+	for _, spec := range []*workload.Job{many, long} {
+		c := New(Config{})
+		now := Clock{Steady: time.Second, Wall: time.Unix(1.7e9, 0)}
+		c.Update(now, Claimed{Token: 1, Sent: now.Steady})
+		effects := c.Update(now, Submit{Reply: 1, Job: spec})
+		i := slices.IndexFunc(effects, func(effect any) bool { _, is := effect.(Answer); return is })
+		require.GreaterOrEqual(t, i, 0)
+		answer := effects[i].(Answer)
+		require.Equal(t, Malformed, answer.Verdict)
+		require.NotEmpty(t, answer.Reason)
+		require.Zero(t, answer.RetryAfter)
+	}
+}
--- a/cell/admission.go
+++ b/cell/admission.go
@@ -156,10 +156,12 @@
 		tasks += spec.Steps[i].Count * spec.Occurrences()
 	}
 	if tasks > maxTasks {
-		return refuse("too many tasks", maxRetryDelay)
+		r.reason, r.malformed = "too many tasks", true
+		return r
 	}
 	if c.tooLong(spec) {
-		return refuse("its description is too long", maxRetryDelay)
+		r.reason, r.malformed = "its description is too long", true
+		return r
 	}
 	if memory := memoryOf(spec); !c.work.fits(memory, c.MaxWorkMemory) {
 		c.work.refused++
