cell: a row that cannot be decoded keeps no owner from the others

Callers: with one row in bad form in any table of the cell, each host failed to load it, and nothing was served by any. A version that writes rows which another cannot read, or the empty rows that an encoding error left, would do.

Cause: the load gave up at the first error. That guarded accepted work: an owner that skipped a job would lose it.

Change: what cannot be decoded is passed over by row and named in the log ("row cannot be read", with table, key and reason). A job of which a row cannot be decoded, or whose specification is missing beside its progress, is known: its stored state is told, it may be cancelled, it does not run, and its rows stay until it is cancelled. If a row of the roster is passed over, held tasks wait for the whole lease time.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -74,37 +74,38 @@
 	owner   bool
 	token   uint64
 
-	jobs            map[string]*job
-	live            map[string]*job // jobs that have not ended
-	ended           []*job          // ended jobs, in the order in which they ended
-	workers         map[string]*worker
-	sortedWorkers   []*worker       // all workers, sorted by ID
-	replaced        map[string]life // workers at whose address another one answers, until they leave the list
-	teams           map[string]*teamUse
-	policy          map[string]Team
-	evacuated       evacuation.Orders
-	policyReadAt    Instant                 // when the policy was last read, or confirmed as current
-	startsWithheld  bool                    // the policy is too old to start anything
-	hosts           []string                // hosts that can call the advice service
-	callsInFlight   map[string]int          // calls to the advice service in flight, by host
-	longCalls       map[string]string       // step of the long call in flight, by host
-	backoffs        map[string]*hostBackoff // hosts whose last call failed
-	allHostsBusy    [callClasses]bool       // in this placement round, by class of the call
-	deniedAt        [callClasses]Instant    // when a call last found no host, by class
-	shortCallLoad   float64                 // average number of hosts busy with short calls
-	shortCallLoadAt Instant                 // when shortCallLoad was computed
-	mediumCalls     map[string]bool         // hosts whose long call is a medium one
-	waiting         []*step                 // ready steps with tasks to start
-	pendingJobs     []*job                  // jobs that may have steps to become ready
-	statsByQueue    map[string]*queueStats
-	uneven          map[string]float64 // usual speed of the services with workers of uneven speeds
-	hastening       hastening
-	speedsCheckedAt Instant // when the speeds were last compared
-	recovered       bool
-	recoverBy       Instant                    // when recovery ends at the latest
-	held            map[string][]*task         // tasks that may still have a run of an earlier owner, by worker
-	heldUse         map[string]resource.Vector // resources that held tasks may use, by team
-	listedOnce      bool                       // the workers were listed since the claim
+	jobs             map[string]*job
+	live             map[string]*job // jobs that have not ended
+	ended            []*job          // ended jobs, in the order in which they ended
+	workers          map[string]*worker
+	sortedWorkers    []*worker       // all workers, sorted by ID
+	replaced         map[string]life // workers at whose address another one answers, until they leave the list
+	teams            map[string]*teamUse
+	policy           map[string]Team
+	evacuated        evacuation.Orders
+	policyReadAt     Instant                 // when the policy was last read, or confirmed as current
+	startsWithheld   bool                    // the policy is too old to start anything
+	hosts            []string                // hosts that can call the advice service
+	callsInFlight    map[string]int          // calls to the advice service in flight, by host
+	longCalls        map[string]string       // step of the long call in flight, by host
+	backoffs         map[string]*hostBackoff // hosts whose last call failed
+	allHostsBusy     [callClasses]bool       // in this placement round, by class of the call
+	deniedAt         [callClasses]Instant    // when a call last found no host, by class
+	shortCallLoad    float64                 // average number of hosts busy with short calls
+	shortCallLoadAt  Instant                 // when shortCallLoad was computed
+	mediumCalls      map[string]bool         // hosts whose long call is a medium one
+	waiting          []*step                 // ready steps with tasks to start
+	pendingJobs      []*job                  // jobs that may have steps to become ready
+	statsByQueue     map[string]*queueStats
+	uneven           map[string]float64 // usual speed of the services with workers of uneven speeds
+	hastening        hastening
+	speedsCheckedAt  Instant // when the speeds were last compared
+	recovered        bool
+	recoverBy        Instant                    // when recovery ends at the latest
+	held             map[string][]*task         // tasks that may still have a run of an earlier owner, by worker
+	heldUse          map[string]resource.Vector // resources that held tasks may use, by team
+	rosterUnreadable bool                       // earlier owners may have used workers that are not known
+	listedOnce       bool                       // the workers were listed since the claim
 
 	work             workRoom
 	commits          commitState
@@ -157,7 +158,7 @@
 	c.promises, c.shares = promise.Book{}, fairshare.Ledger{}
 	c.crashes = crashState{}
 	c.aboveShare, c.intakes = map[string]bool{}, intakeList{}
-	c.recovered, c.listedOnce = false, false
+	c.recovered, c.listedOnce, c.rosterUnreadable = false, false, false
 	c.held, c.heldUse = map[string][]*task{}, nil
 	c.work = workRoom{refused: c.work.refused}
 }
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -395,7 +395,8 @@
 	for _, r := range write.evicted {
 		c.stopEvicted(r)
 	}
-	if write.part == &j.main && write.state.Final() && j.spec != nil {
+	if write.part == &j.main && write.state.Final() && (j.spec != nil || j.unreadable) {
+		j.unreadable = false
 		c.stopJob(j)
 		c.dropWorkingState(j)
 		j.endedAt = c.now.Steady
--- a/cell/effect.go
+++ b/cell/effect.go
@@ -29,6 +29,11 @@
 	Learned               // digest.State of what the owner has learned, in one row
 )
 
+var tableNames = [...]string{Jobs: "jobs", Progress: "progress", Roster: "roster", Learned: "learned"}
+
+// String returns the name of the table in logs.
+func (t Table) String() string { return tableNames[t] }
+
 // Row is one row of a Commit.
 type Row struct {
 	Table Table
--- a/cell/event.go
+++ b/cell/event.go
@@ -29,8 +29,9 @@
 	// was first read; 0: with this event. It sent its last confirmed commit before.
 	PreviousReadAt Instant
 	Jobs           []StoredJob
-	Workers        []WorkerRef // workers that earlier owners may have used
-	Learned        []byte      // row of what the last owner had learned; empty if there is none
+	Workers        []WorkerRef     // workers that earlier owners may have used
+	Unreadable     []UnreadableRow // rows that are in neither, or of jobs that cannot be run
+	Learned        []byte          // row of what the last owner had learned; empty if there is none
 	// LearnedFailure is why that row could not be read, or empty.
 	LearnedFailure string
 }
@@ -43,6 +44,8 @@
 	Rows     int // rows of its specification
 	Progress *workload.Progress
 	More     []StoredPart // progress of later tasks, in order
+	// Unreadable reports that the job has not ended and one of its rows cannot be decoded.
+	Unreadable bool
 }
 
 // StoredPart is the stored progress of a job's tasks from an ordinal on.
--- a/cell/job.go
+++ b/cell/job.go
@@ -15,6 +15,7 @@
 	reportedState workload.State // state reported to callers: the stored one, or Active
 	encoded       []byte         // its specification, until that is stored
 	stored        bool           // the store has the job's specification
+	unreadable    bool           // one of its rows cannot be decoded: it has no spec, and does not run
 	storing       bool           // the job's specification has been sent to the store
 	rows          int            // rows of its specification in the store
 	tasks         int            // of all its occurrences
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -37,12 +37,17 @@
 	}
 	c.restoreLearned(e) // before the jobs, whose objectives depend on it
 	baseRun := e.Token * runsPerClaim
-	live := 0
+	live, unreadable := 0, 0
 	for _, stored := range e.Jobs {
 		progress := workload.Progress{}
 		if stored.Progress != nil {
 			progress = *stored.Progress
 		}
+		if stored.Unreadable {
+			unreadable++
+			c.holdUnreadable(stored, progress)
+			continue
+		}
 		if progress.State.Final() {
 			j := &job{id: stored.ID, progress: progress, reportedState: progress.State, stored: true, deleted: true, rows: stored.Rows, endedAt: c.now.Steady}
 			c.jobs[j.id] = j
@@ -74,13 +79,29 @@
 		c.addJob(j)
 		c.recallSuspects(j)
 	}
+	for _, row := range e.Unreadable {
+		c.rosterUnreadable = c.rosterUnreadable || row.Table == Roster
+		c.emit(LogRecord{Level: slog.LevelError, Text: "row cannot be read", Attrs: []slog.Attr{slog.String("table", row.Table.String()), slog.String("key", row.Key), slog.String("reason", row.Reason)}})
+	}
 	c.commits.rosterRows = len(c.rosterShares(e.Workers))
 	for _, ref := range e.Workers {
 		w := newWorker(WorkerInfo{ID: ref.ID, Addr: ref.Addr, Service: ref.Service}, c.now.Steady)
 		w.onRoster, w.wasLeaving, w.endsSoon = true, ref.Leaving, ref.Leaving
 		c.addWorker(w)
 	}
-	c.logInfo("cell claimed", slog.Uint64("token", e.Token), slog.Int("jobs", live), slog.Int("ended", len(e.Jobs)-live), slog.Int("workers", len(e.Workers)))
+	c.logInfo("cell claimed", slog.Uint64("token", e.Token), slog.Int("jobs", live), slog.Int("ended", len(e.Jobs)-live-unreadable), slog.Int("unreadable", unreadable), slog.Int("workers", len(e.Workers)))
+}
+
+// holdUnreadable keeps a job that this version cannot run. Callers are told its stored state, and
+// may cancel it. Until then its rows stay, for a version that can read them.
+func (c *Cell) holdUnreadable(stored StoredJob, progress workload.Progress) {
+	progress.Steps = nil
+	j := &job{id: stored.ID, progress: progress, reportedState: progress.State, stored: true, unreadable: true, rows: stored.Rows}
+	j.main = part{job: j, stored: true}
+	for _, p := range stored.More {
+		j.more = append(j.more, &part{job: j, first: p.First, stored: true})
+	}
+	c.jobs[j.id] = j
 }
 
 // addJob adds a job to the working state.
@@ -118,6 +139,9 @@
 		return
 	}
 	if c.now.Steady < c.recoverBy {
+		if c.rosterUnreadable {
+			return // a worker that is not known may run held tasks
+		}
 		for _, w := range c.sortedWorkers {
 			if w.onRoster && (!w.synced || w.resultsLeft) {
 				return
--- a/cellhost/cellhost.go
+++ b/cellhost/cellhost.go
@@ -68,7 +68,7 @@
 	Write func(ctx context.Context, version uint64, head Head, puts, drops []cell.Row) (uint64, *HeadRow, error)
 	// Load reads what a new owner needs: the stored jobs, and the workers that
 	// earlier owners may have used.
-	Load func(ctx context.Context) ([]cell.StoredJob, []cell.WorkerRef, error)
+	Load func(ctx context.Context) (cell.Stored, error)
 	// LoadLearned reads the row of what the last owner had learned, which is empty if there
 	// is none. A new owner can do without it, and without the function.
 	LoadLearned func(ctx context.Context) ([]byte, error)
--- a/cellhost/ownership.go
+++ b/cellhost/ownership.go
@@ -634,8 +634,7 @@
 // the owner. hadOwner reports whether an earlier owner may have left work on workers.
 func (h *Host) takeOver(ctx context.Context, head *claimedHead, hadOwner bool) {
 	claimedAt := h.Now()
-	var jobs []cell.StoredJob
-	var workers []cell.WorkerRef
+	var stored cell.Stored
 	refreshCtx, stopRefresh := context.WithCancel(ctx)
 	defer stopRefresh()
 	loadCtx, cancelLoad := context.WithCancel(ctx)
@@ -652,7 +651,7 @@
 	for loadCtx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(loadCtx, loadTimeout)
 		var err error
-		jobs, workers, err = h.Load(callCtx)
+		stored, err = h.Load(callCtx)
 		cancel()
 		if err == nil || loadCtx.Err() != nil {
 			break
@@ -677,11 +676,11 @@
 	h.ownership.members = nil
 	h.ownership.claimedAt = h.Now()
 	h.ownership.mu.Unlock()
-	h.planRelaysForRoster(workers)
-	if len(jobs) > 0 {
+	h.planRelaysForRoster(stored.Workers)
+	if len(stored.Jobs) > 0 {
 		h.claimedAt.Store(int64(claimedAt))
 	}
-	claimed := cell.Claimed{Token: head.Token, Sent: head.sent, Previous: hadOwner, PreviousReadAt: head.previousReadAt, Jobs: jobs, Workers: workers}
+	claimed := cell.Claimed{Token: head.Token, Sent: head.sent, Previous: hadOwner, PreviousReadAt: head.previousReadAt, Jobs: stored.Jobs, Workers: stored.Workers, Unreadable: stored.Unreadable}
 	claimed.Learned, claimed.LearnedFailure = learned()
 	h.post(ctx, claimed)
 	h.post(ctx, cell.AdviceHosts{Hosts: []string{h.Name}})
