cell: a row that cannot be stored holds up no other, and nothing that depends on it goes on

Callers: a commit with one row that the store rejects for good (400) was sent again without end. No other row of the cell was stored meanwhile, under any owner that the caller's next attempt reached: all callers got 504. Progress that cannot be encoded was logged and written as an empty row: its ends were acknowledged, its starts sent, and no later owner could load the cell.

Cause: a commit is accepted or rejected whole, and 400 was taken for an outage. The error of encodeRow was only logged.

Change: cellhost tells the cell that a commit is rejected (ErrRowsRejected, cell.CommitRejected). Its parts are sent again in commits of half as many until one is rejected alone (cell/rejected.go), so at most some thirteen small commits pass before all others are stored. A job of which nothing is stored is then refused as Malformed, 400; no task of it has started. Another part is tried again after 1 s to 30 s, and what depends on it waits: starts, stops, answers, and acknowledgements of later results. Encoding returns its error, which goes the same way; encodeRow, which swallowed it, is gone. Learned state that cannot be encoded is left out, as nothing depends on it; a roster that cannot be stored gives its new workers no work.

Why it works: a part keeps its place in the queue (its mark), from which the acknowledgements are taken, until it is stored.

Left: while a part of an accepted job is held, acknowledgements of all later results wait with it.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -102,16 +102,21 @@
 			c.emit(Answer{Reply: reply, Verdict: Refused, RetryAfter: wait, Reason: reasonStoreOut})
 		}
 		c.logInfo("job refused", slog.String("id", j.id), slog.String("reason", reasonStoreOut), slog.Duration("commitAge", commitAge), slog.Duration("retryAfter", wait))
-		if !j.beyondRate {
-			c.team(j.team()).allowance++
-		}
-		delete(c.jobs, j.id)
-		c.dropWorkingState(j)
+		c.forgetUnsent(j)
 	}
 	clear(c.commits.dirty[len(kept):])
 	c.commits.dirty = kept
 }
 
+// forgetUnsent removes a job of which nothing is stored.
+func (c *Cell) forgetUnsent(j *job) {
+	if !j.beyondRate {
+		c.team(j.team()).allowance++
+	}
+	delete(c.jobs, j.id)
+	c.dropWorkingState(j)
+}
+
 // admissionDecision is the decision on a submitted job and the figures behind it.
 type admissionDecision struct {
 	reason     string // why it is refused; "" if it is accepted
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -61,7 +61,9 @@
 	MaxResults      int           // results that a worker's report holds at most; 0: any number
 	MaxPolicyAge    time.Duration // age of the last reading of the policy above which nothing starts; 0: any age
 	MaxWorkMemory   int64         // bytes that accepted jobs may take; 0: no limit. WorkLimit events change it
-	MaxCapacityAge  time.Duration // age of what a worker last said of its capacity above which nothing starts there; 0: any age
+	// EncodeProgress encodes the progress of a job for its row; nil: its Encode.
+	EncodeProgress func(*workload.Progress) ([]byte, error)
+	MaxCapacityAge time.Duration // age of what a worker last said of its capacity above which nothing starts there; 0: any age
 }
 
 // Cell is the state of one cell on one host. While the host does not own the cell,
@@ -206,6 +208,8 @@
 		return e.Token
 	case Committed:
 		return e.Token
+	case CommitRejected:
+		return e.Token
 	}
 	return 0
 }
@@ -227,6 +231,8 @@
 		c.countQueued(e)
 	case Committed:
 		c.handleCommitted(e)
+	case CommitRejected:
+		c.handleCommitRejected(e)
 	case Listed:
 		c.handleListed(e)
 	case PollResult:
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -43,6 +43,7 @@
 	drops       []Row     // rows to delete
 	rosterDirty bool      // the roster must be written
 	rosterRows  int       // rows of the roster that may be in the store
+	rejections  rejections
 }
 
 // pendingCommit holds what to do once a commit is confirmed.
@@ -51,6 +52,10 @@
 	parts   []partWrite
 	acks    map[*worker]resultAck
 	workers []*worker // workers on the roster that it writes
+	drops   []Row
+
+	roster    bool // it writes the roster
+	partsOnly bool // it writes no other rows, and deletes none
 }
 
 // resultAck is the sequence number of a run result in one incarnation of a worker.
@@ -67,6 +72,9 @@
 	cancels []uint64       // cancellations to answer
 	placed  []*run         // runs to start
 	evicted []*run         // runs to stop to make room
+	mark    uint64         // of the part
+	specs   bool           // the job's specification is in it
+	added   []*part        // parts that were split off
 }
 
 // markDirty queues a job's first part, which holds the state of the job, for the next commit.
@@ -93,6 +101,7 @@
 // flush sends a commit if one is due and none is in flight.
 func (c *Cell) flush() {
 	commits := &c.commits
+	c.retryHeld()
 	since := c.now.Steady - commits.lastSent
 	due := len(commits.dirty) > 0 || len(commits.drops) > maxRows/2 || commits.rosterDirty || len(commits.unstored) > 0
 	wait := maxCommitInterval
@@ -110,21 +119,31 @@
 	p := &pendingCommit{seq: commits.seq}
 	effect := Commit{Token: c.token, Seq: commits.seq}
 	size := 0
-	if commits.rosterDirty {
+	whole := commits.rejections.mostParts == 0
+	p.partsOnly = !whole
+	if commits.rosterDirty && whole && c.now.Steady >= commits.rejections.rosterAfter {
 		commits.rosterDirty = false
 		effect.Puts, effect.Drops = c.rosterRows(p)
 		for _, row := range effect.Puts {
 			size += len(row.Value)
 		}
 	}
-	if row, due := c.learnedRow(); due {
-		size += len(row.Value)
-		effect.Puts = append(effect.Puts, row)
+	if whole {
+		if row, due := c.learnedRow(); due {
+			size += len(row.Value)
+			effect.Puts = append(effect.Puts, row)
+		}
 	}
 	rowsForJobs := maxRows - min(reservedDrops, len(commits.drops))
-	for len(commits.dirty) > 0 && effect.rows() < rowsForJobs && size < maxBytes {
+	for len(commits.dirty) > 0 && effect.rows() < rowsForJobs && size < maxBytes && (whole || len(p.parts) < commits.rejections.mostParts) {
 		room := commitRoom{rows: maxRows - effect.rows(), bytes: maxBytes - size, all: effect.rows() == 0}
-		rows, taken := c.takePart(commits.next(), p, room)
+		part := commits.next()
+		rows, taken, err := c.takePart(part, p, room)
+		if err != nil {
+			commits.dirty = commits.dirty[1:]
+			c.cannotStore(part, err.Error())
+			continue
+		}
 		if !taken {
 			break // it is the first of the next commit
 		}
@@ -134,8 +153,9 @@
 			effect.Puts = append(effect.Puts, row)
 		}
 	}
-	if n := min(len(commits.drops), max(0, maxRows-effect.rows())); n > 0 {
-		effect.Drops = append(effect.Drops, commits.drops[:n]...)
+	if n := min(len(commits.drops), max(0, maxRows-effect.rows())); n > 0 && whole {
+		p.drops = slices.Clone(commits.drops[:n])
+		effect.Drops = append(effect.Drops, p.drops...)
 		commits.drops = commits.drops[n:]
 	}
 	p.acks = c.storedResults()
@@ -151,8 +171,8 @@
 	if p != main && main.dirty && p.job.progress.State.Final() {
 		if i := slices.Index(s.dirty, main); i > 0 {
 			s.dirty = slices.Insert(slices.Delete(s.dirty, i, i+1), 0, main)
-			main.mark = p.mark
 		}
+		main.mark = min(main.mark, p.mark)
 	}
 	return s.dirty[0]
 }
@@ -166,6 +186,9 @@
 	if len(commits.dirty) > 0 {
 		taken = commits.dirty[0].mark - 1
 	}
+	for _, p := range commits.rejections.held {
+		taken = min(taken, p.mark-1)
+	}
 	acks := map[*worker]resultAck{}
 	for _, w := range commits.unstored {
 		if w.markedAt > taken {
@@ -213,27 +236,30 @@
 
 // takePart returns the rows that store the current state of a part, and adds it to the commit.
 // A job without a row of progress is queued. If the rows do not fit into what is left of the
-// commit, it changes nothing.
-func (c *Cell) takePart(p *part, commit *pendingCommit, room commitRoom) (rows []Row, taken bool) {
+// commit, or cannot be encoded, it changes nothing.
+func (c *Cell) takePart(p *part, commit *pendingCommit, room commitRoom) (rows []Row, taken bool, err error) {
 	j := p.job
 	final := j.progress.State.Final()
 	if p != &j.main && final {
 		p.dirty, p.evicted = false, nil
-		return nil, true // the row is deleted, or will be
+		return nil, true, nil // the row is deleted, or will be
+	}
+	specs, progress, pieces, err := c.partRows(p)
+	if err != nil {
+		return nil, false, err
 	}
-	specs, progress, pieces := c.partRows(p)
 	rows = slices.Concat(specs, progress)
 	size := 0
 	for _, row := range rows {
 		size += len(row.Value)
 	}
 	if (len(rows) > room.rows || size > room.bytes) && !room.all {
-		return nil, false
+		return nil, false, nil
 	}
-	write := partWrite{part: p, state: j.progress.State, placed: p.unstoredRuns(), evicted: p.evicted}
+	write := partWrite{part: p, state: j.progress.State, placed: p.unstoredRuns(), evicted: p.evicted, mark: p.mark, specs: len(specs) > 0}
 	p.dirty, p.evicted = false, nil
 	p.stored = p.stored || len(progress) > 0
-	p.split(pieces)
+	write.added = p.split(pieces)
 	if len(specs) > 0 {
 		j.storing, j.rows = true, len(specs)
 	}
@@ -246,24 +272,26 @@
 		j.deleted = true // a later commit deletes the rows; they are harmless until then
 		c.commits.drops = append(c.commits.drops, j.obsoleteRows()...)
 	}
-	return rows, true
+	return rows, true, nil
 }
 
 // partRows returns the rows of a part, with the job's specification if that is not stored yet,
 // and the pieces that the part has to be split into.
-func (c *Cell) partRows(p *part) (specs, progress []Row, pieces []piece) {
+func (c *Cell) partRows(p *part) (specs, progress []Row, pieces []piece, err error) {
 	j := p.job
 	first, state := p == &j.main, j.progress.State
 	if first && !j.stored && !j.storing && j.spec != nil && !state.Final() {
 		specs = c.jobRows(j)
 	}
-	pieces = c.encodePart(p)
+	if pieces, err = c.encodePart(p); err != nil {
+		return nil, nil, nil, err
+	}
 	if p.stored || first && state != workload.Queued || len(pieces) > 1 || !pieces[0].empty {
 		for _, piece := range pieces {
 			progress = append(progress, piece.row)
 		}
 	}
-	return specs, progress, pieces
+	return specs, progress, pieces, nil
 }
 
 // obsoleteRows returns the rows of an ended job that are not needed any more: all but the
@@ -281,16 +309,6 @@
 	return list
 }
 
-// encodeRow returns a row. Encoding the stored types never fails; if it did, the row
-// would be empty and its reader would report it as malformed.
-func (c *Cell) encodeRow(table Table, key string, encode func() ([]byte, error)) Row {
-	value, err := encode()
-	if err != nil {
-		c.emit(LogRecord{Level: slog.LevelError, Text: "cannot encode row", Attrs: []slog.Attr{slog.String("key", key), slog.Any("error", err)}})
-	}
-	return Row{Table: table, Key: key, Value: value}
-}
-
 // rosterRows returns the rows that list the workers that this cell may use, and those to
 // delete because there are fewer workers now.
 func (c *Cell) rosterRows(p *pendingCommit) (puts, drops []Row) {
@@ -298,10 +316,15 @@
 	for _, w := range c.sortedWorkers {
 		refs = append(refs, WorkerRef{ID: w.ID, Addr: w.Addr, Service: w.Service, Leaving: w.leaving()})
 	}
-	p.workers = slices.Clone(c.sortedWorkers)
 	for _, share := range c.rosterShares(refs) {
-		puts = append(puts, c.encodeRow(Roster, rosterKey(len(puts)), func() ([]byte, error) { return cbor.Marshal(share) }))
+		value, err := cbor.Marshal(share)
+		if err != nil {
+			c.rosterRejected(err.Error())
+			return nil, nil // its workers get no work
+		}
+		puts = append(puts, Row{Table: Roster, Key: rosterKey(len(puts)), Value: value})
 	}
+	p.workers, p.roster = slices.Clone(c.sortedWorkers), true
 	for n := len(puts); n < c.commits.rosterRows; n++ {
 		drops = append(drops, Row{Table: Roster, Key: rosterKey(n)})
 	}
@@ -351,6 +374,7 @@
 		return
 	}
 	c.commits.inFlight = nil
+	c.commits.rejections.accepted()
 	c.commits.latency = c.now.Steady - c.commits.lastSent
 	c.commits.confirmedAt = max(c.commits.confirmedAt, e.Sent)
 	for _, write := range p.parts {
--- a/cell/event.go
+++ b/cell/event.go
@@ -99,6 +99,14 @@
 	Sent  Instant
 }
 
+// CommitRejected reports that the store rejects a Commit for good, whole: it has changed
+// nothing and never will.
+type CommitRejected struct {
+	Token  uint64 // of the Commit; 0: of the current claim
+	Seq    uint64
+	Reason string
+}
+
 // Listed is the complete list of workers in the store.
 type Listed struct{ Workers []WorkerInfo }
 
--- a/cell/learned.go
+++ b/cell/learned.go
@@ -52,7 +52,12 @@
 	if state.Empty() {
 		return Row{}, false
 	}
-	row := c.encodeRow(Learned, LearnedKey, func() ([]byte, error) { return state.Encode(c.now.Wall) })
+	value, err := state.Encode(c.now.Wall)
+	if err != nil {
+		c.emit(LogRecord{Level: slog.LevelError, Text: "learned state not stored", Attrs: []slog.Attr{slog.Any("error", err)}})
+		return Row{}, false // nothing depends on it
+	}
+	row := Row{Table: Learned, Key: LearnedKey, Value: value}
 	if c.now.Steady-l.writtenAt < learnedRefresh && digest.Same(row.Value, l.row) {
 		return Row{}, false
 	}
--- a/cell/part.go
+++ b/cell/part.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -39,11 +40,13 @@
 // also holds the state of the job.
 type part struct {
 	job        *job
-	first, end int    // range of its tasks' ordinals in the job
-	stored     bool   // its row is stored, or in a commit that is not confirmed yet
-	dirty      bool   // queued for the next commit
-	mark       uint64 // commitState.marked when it was last queued
-	evicted    []*run // runs to stop to make room, once that is stored
+	first, end int           // range of its tasks' ordinals in the job
+	stored     bool          // its row is stored, or in a commit that is not confirmed yet
+	dirty      bool          // queued for the next commit
+	mark       uint64        // commitState.marked when it was last queued
+	evicted    []*run        // runs to stop to make room, once that is stored
+	heldFor    time.Duration // how long it waits after the store rejected it
+	heldUntil  Instant
 }
 
 // piece is a row of a part and the range of its tasks.
@@ -140,26 +143,42 @@
 }
 
 // encodePart returns the rows of a part: one, or several if one would be too long.
-func (c *Cell) encodePart(p *part) []piece {
+func (c *Cell) encodePart(p *part) ([]piece, error) {
 	return c.encodeRange(p.job, p.first, p.end, nil)
 }
 
-func (c *Cell) encodeRange(j *job, first, end int, list []piece) []piece {
+func (c *Cell) encodeRange(j *job, first, end int, list []piece) ([]piece, error) {
 	record := j.progressRecord(first, end)
-	row := c.encodeRow(Progress, rowKey(j.id, first), record.Encode)
+	row := Row{Table: Progress, Key: rowKey(j.id, first)}
+	var err error
+	if row.Value, err = c.encodeProgress(&record); err != nil {
+		return nil, err
+	}
 	limit := c.maxRowBytes()
 	if len(row.Value) > limit && end-first > 1 {
 		middle := first + (end-first)/2
-		return c.encodeRange(j, middle, end, c.encodeRange(j, first, middle, list))
+		if list, err = c.encodeRange(j, first, middle, list); err != nil {
+			return nil, err
+		}
+		return c.encodeRange(j, middle, end, list)
 	}
 	if len(row.Value) > limit {
 		c.emit(LogRecord{Level: slog.LevelError, Text: "progress does not fit into a row", Attrs: []slog.Attr{slog.String("key", row.Key), slog.Int("bytes", len(row.Value))}})
 		for i := range record.Steps {
 			record.Steps[i].Checkpoints, record.Steps[i].Crashes = nil, nil // its next run starts from nothing
 		}
-		row = c.encodeRow(Progress, row.Key, record.Encode)
+		if row.Value, err = c.encodeProgress(&record); err != nil {
+			return nil, err
+		}
 	}
-	return append(list, piece{first: first, end: end, row: row, empty: len(record.Steps) == 0})
+	return append(list, piece{first: first, end: end, row: row, empty: len(record.Steps) == 0}), nil
+}
+
+func (c *Cell) encodeProgress(p *workload.Progress) ([]byte, error) {
+	if c.EncodeProgress != nil {
+		return c.EncodeProgress(p)
+	}
+	return p.Encode()
 }
 
 // jobRows returns the rows of a job's specification, each with a share of its encoding.
@@ -171,10 +190,10 @@
 	return rows
 }
 
-// split replaces a part by its pieces.
-func (p *part) split(pieces []piece) {
+// split replaces a part by its pieces, and returns the new parts.
+func (p *part) split(pieces []piece) []*part {
 	if len(pieces) < 2 {
-		return
+		return nil
 	}
 	j := p.job
 	p.end = pieces[0].end
@@ -184,6 +203,7 @@
 	}
 	at, _ := slices.BinarySearchFunc(j.more, added[0].first, func(p *part, n int) int { return cmp.Compare(p.first, n) })
 	j.more = slices.Insert(j.more, at, added...)
+	return added
 }
 
 // progressRecord returns the progress of the tasks in a range in the form that is stored. The
--- a/cell/part_test.go
+++ b/cell/part_test.go
@@ -319,7 +319,8 @@
 				p := c.commits.dirty[0]
 				c.commits.dirty = c.commits.dirty[1:]
 				first, end := p.first, p.end
-				puts, taken := c.takePart(p, &pendingCommit{}, commitRoom{all: true})
+				puts, taken, err := c.takePart(p, &pendingCommit{}, commitRoom{all: true})
+				require.NoError(t, err)
 				require.True(t, taken)
 				for _, row := range puts {
 					require.LessOrEqual(t, len(row.Value), c.MaxRowBytes)
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -93,6 +93,8 @@
 	rowBytes  int                           // limit on a value in base64, if not simRowBytes
 	roster    []WorkerRef
 	learned   []byte
+	rejects   func(Row) bool // rows that it rejects; nil: none
+	rejected  int            // commits that it rejected
 }
 
 type simJob struct {
@@ -409,6 +411,11 @@
 		if rows := len(e.Puts) + len(e.Drops) + 2; rows > 100 {
 			f.violate("STORE", "%d entries in one transaction", rows)
 		}
+		if f.store.rejects != nil && slices.ContainsFunc(e.Puts, f.store.rejects) {
+			f.store.rejected++
+			f.send(c, CommitRejected{Token: e.Token, Seq: e.Seq, Reason: "as the test wants"})
+			return
+		}
 		if !f.checkSize(e) {
 			f.after(50*time.Millisecond, func() { f.writeCommit(c, token, e, sent) })
 			return
--- a/cellhost/effects.go
+++ b/cellhost/effects.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cowslipgap/cowslipgap/cell"
 	"github.com/cowslipgap/cowslipgap/pause"
 )
@@ -204,6 +206,10 @@
 				h.handleAnswer(ctx, head, start, w)
 				return
 			}
+			if errors.Is(w.err, ErrRowsRejected) {
+				h.post(ctx, cell.CommitRejected{Token: head.Token, Seq: head.Seq, Reason: w.err.Error()})
+				return
+			}
 			h.ownership.commitFailed(h, w.err)
 			if unanswered == 0 {
 				pause.Sleep(ctx, commitRetryDelay)
--- a/cellhost/ownership.go
+++ b/cellhost/ownership.go
@@ -98,6 +98,10 @@
 // may still serve other hosts.
 var ErrStoreRefused = errors.New("cellhost: refused by the store")
 
+// ErrRowsRejected marks errors of writes that the store rejects for good, as one of the rows is
+// not one that it takes.
+var ErrRowsRejected = errors.New("cellhost: rows rejected by the store")
+
 // ownership holds what a host knows about the ownership of the cell.
 type ownership struct {
 	mu           sync.Mutex
