--- a/document/document.go
+++ b/document/document.go
@@ -1,6 +1,6 @@
 // Package document strictly decodes JSON from untrusted sources. It rejects what
-// the standard decoder accepts: unknown and duplicate fields, text that is not
-// UTF-8, nesting deeper than MaxDepth, and data after the value.
+// the standard decoder accepts: unknown and duplicate fields, text that cannot be
+// kept as it is, nesting deeper than MaxDepth, and data after the value.
 //
 // # Usage
 //
@@ -14,6 +14,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"strconv"
 	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
@@ -27,8 +28,8 @@
 
 // Decode decodes data into out.
 func Decode(data []byte, out any) error {
-	if !utf8.Valid(data) {
-		return errors.Mark(errors.New("the text is not valid UTF-8"), ErrMalformed)
+	if err := CheckText(data); err != nil {
+		return err
 	}
 	if err := checkStructure(data); err != nil {
 		return errors.Mark(err, ErrMalformed)
@@ -41,6 +42,51 @@
 	return nil
 }
 
+// CheckText returns an error that matches [ErrMalformed] if a JSON document has text in which the
+// standard decoder replaces characters: bytes that are not UTF-8, or an escape of half a
+// surrogate pair.
+func CheckText(data []byte) error {
+	if !utf8.Valid(data) {
+		return errors.Mark(errors.New("the text is not valid UTF-8"), ErrMalformed)
+	}
+	high := false // an escape of the first half of a pair comes before
+	for i := 0; i < len(data); i++ {
+		r := escapedSurrogate(data[i:])
+		if high != (r >= firstLow) {
+			return errors.Mark(errors.New("the text has half a surrogate pair"), ErrMalformed)
+		}
+		high = r > 0 && r < firstLow
+		switch {
+		case r > 0:
+			i += escapeBytes - 1
+		case data[i] == '\\':
+			i++ // the escaped character
+		}
+	}
+	if high {
+		return errors.Mark(errors.New("the text has half a surrogate pair"), ErrMalformed)
+	}
+	return nil
+}
+
+const (
+	escapeBytes                        = 6 // of an escape by number
+	firstHigh, firstLow, lastSurrogate = 0xd800, 0xdc00, 0xdfff
+)
+
+// escapedSurrogate returns the half of a surrogate pair that the data begins with as an escape,
+// or 0.
+func escapedSurrogate(data []byte) uint64 {
+	if len(data) < escapeBytes || data[0] != '\\' || data[1] != 'u' {
+		return 0
+	}
+	r, err := strconv.ParseUint(string(data[2:escapeBytes]), 16, 16)
+	if err != nil || r < firstHigh || r > lastSurrogate {
+		return 0
+	}
+	return r
+}
+
 // container is an object or array that has not ended yet.
 type container struct {
 	object    bool            // false for an array
--- a/document/document_test.go
+++ b/document/document_test.go
@@ -22,6 +22,8 @@
 		"empty": "", "truncated": `{"name":"x"`, "unknown field": `{"nom":"x"}`, "duplicate field": `{"name":"x","name":"y"}`,
 		"trailing data": `{"name":"x"} 1`, "not UTF-8": "{\"name\":\"\xff\"}", "too deep": `{"data":` + deep + `}`,
 		"nested duplicate field": `{"data":{"a":1,"a":2}}`,
+		"half a pair":            `{"name":"\ud83d"}`, "half a pair at the end": `{"name":"x","data":"\uD83D`, "second half": `{"name":"\udE00"}`,
+		"halves in the wrong order": `{"name":"\ude00\ud83d"}`, "half a pair and a letter": `{"name":"\ud83d\u0041"}`, "two first halves": `{"name":"\ud83d\ud83d\ude00"}`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			var b body
@@ -31,6 +33,8 @@
 	var b body
 	require.NoError(t, document.Decode([]byte(`{"name":"x","data":[{"a":1},{"a":2}]}`), &b))
 	require.Equal(t, "x", b.Name)
+	require.NoError(t, document.Decode([]byte(`{"name":"\ud83d\ude00 \\ud83d \u00e9 \\\ud83d\ude00"}`), &b))
+	require.Equal(t, "\U0001f600 \\ud83d \u00e9 \\\U0001f600", b.Name)
 }
 
 // FuzzDecode checks that an accepted document is valid JSON and is still
