cell: a start that a worker rejects as malformed goes to another one, ever more rarely

Callers: a job whose start one worker answers with 400 was sent to that worker again and again, a gang without end: accepted gangs never ran (LOST). If each worker rejects it, 50 starts a second went out for each task.

Cause: a rejected start counted like one that found no room: a pause of 20 ms, then the same choice of worker.

Change: the task prefers other workers, as after a failed run, and the pause of its step doubles up to 1 s until a start is taken. The job stays accepted and runs once its starts are taken.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -277,10 +277,7 @@
 	if finding == poison.Unsuspected || j.progress.State.Final() {
 		return
 	}
-	if t.avoid == nil {
-		t.avoid = map[string]bool{}
-	}
-	t.avoid[w.ID] = true
+	t.avoidWorker(w)
 	c.logInfo("run suspected", slog.String("task", t.name), slog.Uint64("run", run.Number), slog.String("worker", w.ID),
 		slog.Duration("age", run.Age), slog.Int("crashes", len(record.Workers)), slog.Int("proofs", record.Proofs))
 	if finding == poison.Guilty {
--- a/cell/job.go
+++ b/cell/job.go
@@ -56,6 +56,7 @@
 	tasks           []*task
 	tasksLeft       int // tasks that are not done
 	tasksWithRuns   int
+	rejectedStarts  int     // starts that workers rejected as malformed since the last one that was taken
 	ready           bool    // its dependencies are done and its occurrence is due to start
 	readyAt         Instant // when it became ready under this owner
 	waiting         bool    // in Cell.waiting
@@ -276,3 +277,11 @@
 	}
 	return list
 }
+
+// avoidWorker makes other workers preferred for the task's next run.
+func (t *task) avoidWorker(w *worker) {
+	if t.avoid == nil {
+		t.avoid = map[string]bool{}
+	}
+	t.avoid[w.ID] = true
+}
--- a/cell/report.go
+++ b/cell/report.go
@@ -209,10 +209,7 @@
 // reached the maximum number of attempts of the queue, but never for long-running tasks.
 func (c *Cell) taskFailed(t *task, w *worker, n uint64) {
 	s := t.step
-	if t.avoid == nil {
-		t.avoid = map[string]bool{}
-	}
-	t.avoid[w.ID] = true
+	t.avoidWorker(w)
 	failedRuns := &t.failedRuns
 	if s.spec.Gang {
 		failedRuns = &s.failedRuns
--- a/cell/run.go
+++ b/cell/run.go
@@ -16,6 +16,9 @@
 	startTimeout = 2 * time.Second
 	// refusalBackoff is the pause before a step is placed again after a refused start.
 	refusalBackoff = 20 * time.Millisecond
+	// maxRejectionBackoff bounds that pause for a step whose starts are rejected as malformed
+	// one after the other. It doubles with each, as another worker need not take them either.
+	maxRejectionBackoff = time.Second
 )
 
 // command returns the common fields of a command to w.
@@ -145,6 +148,7 @@
 			c.confirmRun(r, e.Received)
 		}
 		c.markActive(r.task.step.job)
+		r.task.step.rejectedStarts = 0
 		return
 	case NoAnswer:
 		if r.state == starting {
@@ -165,6 +169,9 @@
 	}
 	c.logLoss("start refused", w, slog.String("task", e.Task), slog.Uint64("run", e.Run), slog.Int("failure", int(e.Failure)))
 	r.task.step.notBefore = c.now.Steady + refusalBackoff
+	if e.Failure == Invalid {
+		c.startRejected(r)
+	}
 	c.dropRun(r)
 	if e.Failure.replaceable() {
 		c.replaceMember(r, "start refused")
@@ -173,6 +180,17 @@
 	}
 }
 
+// startRejected prefers other workers for a task whose start its worker rejected as malformed.
+func (c *Cell) startRejected(r *run) {
+	s := r.task.step
+	r.task.avoidWorker(r.w)
+	if s.spec.Gang {
+		s.tasks[0].avoidWorker(r.w)
+	}
+	s.notBefore = c.now.Steady + min(refusalBackoff<<s.rejectedStarts, maxRejectionBackoff)
+	s.rejectedStarts = min(s.rejectedStarts+1, 10)
+}
+
 // answered reports whether the worker has answered.
 func (f Failure) answered() bool { return f != NoAnswer && f != NotSent && f != Withheld }
 
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -139,10 +139,12 @@
 	cutOffFrom       map[*Cell]bool     // owners that cannot reach it
 	gone             bool
 	crashes          int
-	answersLost      bool   // what it answers does not arrive
-	refuses          bool   // connections to it are refused
-	replaced         bool   // another worker answers at its address
-	failing          bool   // every run on it fails
+	answersLost      bool             // what it answers does not arrive
+	refuses          bool             // connections to it are refused
+	replaced         bool             // another worker answers at its address
+	failing          bool             // every run on it fails
+	invalid          func(Start) bool // starts that it rejects as malformed; nil: none
+	rejectedStarts   int
 	lastReported     uint64 // sequence number of the last reported result
 	pendingPoll      func() // answers the poll that waits for a result
 	sizes            []simSize
@@ -610,6 +612,9 @@
 		return Expired
 	case e.Ticket != "" && e.Ticket != w.ticket():
 		return BadTicket
+	case w.invalid != nil && w.invalid(e):
+		w.rejectedStarts++
+		return Invalid
 	}
 	w.token = e.Token
 	if r := w.runs[e.Task]; r != nil && r.number == e.Run {
