peer: a message that no host would take is not sent, and payloads are bounded by it

Callers (both interfaces): a request that had to be forwarded, and was longer than the 4 MB that a host reads, ended the connection. The sender took that for a call that may have had an effect: 504 or "outcome unknown", each time anew. At our own interface a payload of 1 MB of characters that JSON escapes takes 6 MB between hosts, so one host accepted it and another never did.

Change: a message that cannot be encoded or is too long is peer.ErrUnsendable, certainly without effect: 400 on the platform, 413 at our own interface. The gateway bounds the encoded payload, so that each host gives the same answer.

--- a/cellhost/client_calls.go
+++ b/cellhost/client_calls.go
@@ -215,7 +215,7 @@
 	r.Forwarded, r.Timeout = true, timeout
 	out, err := h.callPeer(ctx, owner.Addr, r, timeout)
 	switch {
-	case errors.Is(err, errNotEncoded):
+	case errors.Is(err, peer.ErrUnsendable):
 		return Outcome{Verdict: cell.Malformed, Reason: err.Error()}, answered
 	case errors.Is(err, peer.ErrUnreachable):
 		h.doubtOwner()
--- a/cellhost/peer_calls.go
+++ b/cellhost/peer_calls.go
@@ -245,15 +245,12 @@
 	return out.Advice
 }
 
-// errNotEncoded reports that a request cannot be sent to any host.
-var errNotEncoded = errors.New("cellhost: request cannot be encoded")
-
 // callPeer sends a request to the host at addr.
 func (h *Host) callPeer(ctx context.Context, addr string, r request, timeout time.Duration) (reply, error) {
 	var out reply
 	body, err := cbor.Marshal(r)
 	if err != nil {
-		return out, errors.Mark(errors.Wrap(err, "encode peer request"), errNotEncoded)
+		return out, errors.Mark(errors.Wrap(err, "encode peer request"), peer.ErrUnsendable)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -14,6 +14,7 @@
 
 	"github.com/cowslipgap/cowslipgap/class"
 	"github.com/cowslipgap/cowslipgap/job"
+	"github.com/cowslipgap/cowslipgap/peer"
 	"github.com/cowslipgap/cowslipgap/refusal"
 	"github.com/cowslipgap/cowslipgap/resource"
 	"github.com/cowslipgap/cowslipgap/task"
@@ -26,6 +27,9 @@
 	maxNeedAmount = 1 << 40
 	// defaultLookupDeadline is the deadline of a lookup that does not set one.
 	defaultLookupDeadline = 5 * time.Second
+	// maxPayloadBytes bounds an encoded payload to what one host may send to another, beside
+	// the other fields of a task.
+	maxPayloadBytes = peer.MaxMessageBytes - 64<<10
 )
 
 var requestIDPattern = regexp.MustCompile(`^[A-Za-z0-9._~-]{1,128}$`)
@@ -75,12 +79,28 @@
 	if !b.Need.Fits(limit) {
 		return "", refusal.New(refusal.BadRequest, "need %+v has an amount above %d", b.Need, int64(maxNeedAmount))
 	}
+	if n := b.encodedPayload(); n > maxPayloadBytes {
+		return "", refusal.New(refusal.TooLarge, "the payload has %d bytes in encoded form, %d are allowed", n, maxPayloadBytes)
+	}
 	if b.RequestID != "" && !requestIDPattern.MatchString(b.RequestID) {
 		return "", refusal.New(refusal.BadRequest, "requestId must be 1 to 128 letters, digits and . _ ~ -")
 	}
 	return c, nil
 }
 
+// encodedPayload returns the size of the payload as hosts encode it: some characters take an
+// escape.
+func (b *SubmitBody) encodedPayload() int {
+	n := len(b.Payload)
+	for _, c := range b.Payload {
+		switch c {
+		case '<', '>', '&', 0xe2: // the last begins the line separators, among others
+			n += len(`\u003c`) - 1
+		}
+	}
+	return n
+}
+
 // authenticate returns the team of a call. It refuses the call if the host is
 // not ready, unless the host is leaving.
 func (g *Gateway) authenticate(r *http.Request, queue string) (string, *refusal.Refusal) {
--- a/host/effects.go
+++ b/host/effects.go
@@ -195,6 +195,9 @@
 		}
 		result.Unsent = errors.Is(err, peer.ErrUnreachable)
 	}
+	if errors.Is(err, peer.ErrUnsendable) {
+		result.Refusal = refusal.New(refusal.TooLarge, "the task cannot be sent to another host: %v", err)
+	}
 	h.post(result)
 }
 
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -166,6 +166,9 @@
 	if errors.Is(err, peer.ErrUnreachable) {
 		return refusal.New(refusal.NotReady, "the host that holds the job is unreachable").WithRetryAfter(time.Second)
 	}
+	if errors.Is(err, peer.ErrUnsendable) {
+		return refusal.New(refusal.TooLarge, "the request cannot be sent to another host: %v", err)
+	}
 	if err != nil {
 		return refusal.New(refusal.OutcomeLost, "the host that holds the job did not answer: %v", err).WithRetryAfter(time.Second)
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -43,12 +43,16 @@
 	// acceptRetryDelay is the wait after a temporary failure to accept a connection.
 	acceptRetryDelay = 100 * time.Millisecond
 	maxIdlePerAddr   = 32
+	// MaxMessageBytes is the size of the longest message that a host takes, encoded.
+	MaxMessageBytes = 4<<20 - 1<<10
 )
 
 var (
 	// ErrUnreachable reports that no connection could be made, so the call
 	// certainly had no effect.
 	ErrUnreachable = errors.New("peer: unreachable")
+	// ErrUnsendable reports that no host would take the message, so it was not sent.
+	ErrUnsendable = errors.New("peer: message cannot be sent")
 	// ErrNoReply reports that the call was sent but returned no reply. It may
 	// have taken effect.
 	ErrNoReply = errors.New("peer: no reply")
@@ -124,7 +128,16 @@
 // codec encodes drpc messages as CBOR.
 type codec struct{}
 
-func (codec) Marshal(msg drpc.Message) ([]byte, error) { return cbor.Marshal(msg) }
+func (codec) Marshal(msg drpc.Message) ([]byte, error) {
+	data, err := cbor.Marshal(msg)
+	if err == nil && len(data) > MaxMessageBytes {
+		err = errors.Newf("it has %d bytes, %d are allowed", len(data), MaxMessageBytes)
+	}
+	if err != nil {
+		return nil, errors.Mark(err, ErrUnsendable)
+	}
+	return data, nil
+}
 
 func (codec) Unmarshal(data []byte, msg drpc.Message) error { return cbor.Unmarshal(data, msg) }
 
@@ -300,7 +313,11 @@
 	}
 	if err := conn.Invoke(ctx, rpc, codec{}, in, out); err != nil {
 		p.discard(addr, conn)
-		return errors.Mark(errors.Wrapf(err, "call %s at %s", rpc, addr), ErrNoReply)
+		err = errors.Wrapf(err, "call %s at %s", rpc, addr)
+		if errors.Is(err, ErrUnsendable) {
+			return err
+		}
+		return errors.Mark(err, ErrNoReply)
 	}
 	p.release(addr, conn)
 	return nil
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -135,3 +135,29 @@
 		})
 	}
 }
+
+// A message that was too long for its receiver ended the connection: the sender took it for a
+// call that may have had an effect, and the caller came back for ever.
+func TestMessageThatNoHostTakesIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { // ends with ctx
+		_ = peer.Serve(ctx, listener, "", peer.Service{Call: func(_ context.Context, m *peer.Message) (*peer.Message, error) {
+			return &peer.Message{Body: []byte{byte(len(m.Body) >> 20)}}, nil
+		}})
+	}()
+	var p peer.Pool
+	defer p.Close()
+	for size, sent := range map[int]bool{peer.MaxMessageBytes - 64: true, peer.MaxMessageBytes + 1: false, 8 << 20: false} {
+		reply, err := p.Call(t.Context(), listener.Addr().String(), make([]byte, size))
+		if sent {
+			require.NoError(t, err, size)
+			require.Equal(t, []byte{byte(size >> 20)}, reply)
+			continue
+		}
+		require.True(t, errors.Is(err, peer.ErrUnsendable), "%d bytes: %v", size, err)
+		require.False(t, errors.Is(err, peer.ErrNoReply))
+	}
+}
