--- a/cell/commit.go
+++ b/cell/commit.go
@@ -116,26 +116,43 @@
 	}
 	commits.seq++
 	commits.lastSent = c.now.Steady
-	p := &pendingCommit{seq: commits.seq}
+	p := &pendingCommit{seq: commits.seq, partsOnly: commits.rejections.mostParts > 0}
 	effect := Commit{Token: c.token, Seq: commits.seq}
-	size := 0
-	whole := commits.rejections.mostParts == 0
-	p.partsOnly = !whole
-	if commits.rosterDirty && whole && c.now.Steady >= commits.rejections.rosterAfter {
+	if !p.partsOnly {
+		c.addOtherRows(&effect, p)
+	}
+	c.addParts(&effect, p)
+	if n := min(len(commits.drops), max(0, maxRows-effect.rows())); n > 0 && !p.partsOnly {
+		p.drops = slices.Clone(commits.drops[:n])
+		effect.Drops = append(effect.Drops, p.drops...)
+		commits.drops = commits.drops[n:]
+	}
+	p.acks = c.storedResults()
+	commits.inFlight = p
+	c.emit(effect)
+}
+
+// addOtherRows adds the rows of the roster and of learned state that are due to a commit.
+func (c *Cell) addOtherRows(effect *Commit, p *pendingCommit) {
+	commits := &c.commits
+	if commits.rosterDirty && c.now.Steady >= commits.rejections.rosterAfter {
 		commits.rosterDirty = false
 		effect.Puts, effect.Drops = c.rosterRows(p)
-		for _, row := range effect.Puts {
-			size += len(row.Value)
-		}
 	}
-	if whole {
-		if row, due := c.learnedRow(); due {
-			size += len(row.Value)
-			effect.Puts = append(effect.Puts, row)
-		}
+	if row, due := c.learnedRow(); due {
+		effect.Puts = append(effect.Puts, row)
+	}
+}
+
+// addParts adds the parts that are due to a commit, as far as there is room.
+func (c *Cell) addParts(effect *Commit, p *pendingCommit) {
+	commits := &c.commits
+	size := 0
+	for _, row := range effect.Puts {
+		size += len(row.Value)
 	}
 	rowsForJobs := maxRows - min(reservedDrops, len(commits.drops))
-	for len(commits.dirty) > 0 && effect.rows() < rowsForJobs && size < maxBytes && (whole || len(p.parts) < commits.rejections.mostParts) {
+	for len(commits.dirty) > 0 && effect.rows() < rowsForJobs && size < maxBytes && (!p.partsOnly || len(p.parts) < commits.rejections.mostParts) {
 		room := commitRoom{rows: maxRows - effect.rows(), bytes: maxBytes - size, all: effect.rows() == 0}
 		part := commits.next()
 		rows, taken, err := c.takePart(part, p, room)
@@ -153,14 +170,6 @@
 			effect.Puts = append(effect.Puts, row)
 		}
 	}
-	if n := min(len(commits.drops), max(0, maxRows-effect.rows())); n > 0 && whole {
-		p.drops = slices.Clone(commits.drops[:n])
-		effect.Drops = append(effect.Drops, p.drops...)
-		commits.drops = commits.drops[n:]
-	}
-	p.acks = c.storedResults()
-	commits.inFlight = p
-	c.emit(effect)
 }
 
 // next returns the part that is stored next, which is then the first one queued. The later parts of
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -603,18 +603,8 @@
 
 // executeStart starts a run if the worker's rules allow it.
 func (f *simFleet) executeStart(w *simWorker, e Start) Failure {
-	switch {
-	case w.gone || w.cutOff || w.refuses:
-		return NoAnswer
-	case e.Token < w.token && f.fault != noFencing:
-		return Fenced
-	case e.LeaseUntil < f.workerClock():
-		return Expired
-	case e.Ticket != "" && e.Ticket != w.ticket():
-		return BadTicket
-	case w.invalid != nil && w.invalid(e):
-		w.rejectedStarts++
-		return Invalid
+	if failure := f.rejectStart(w, e); failure != None {
+		return failure
 	}
 	w.token = e.Token
 	if r := w.runs[e.Task]; r != nil && r.number == e.Run {
@@ -660,6 +650,24 @@
 	return None
 }
 
+// rejectStart returns why a worker does not take a start, or None.
+func (f *simFleet) rejectStart(w *simWorker, e Start) Failure {
+	switch {
+	case w.gone || w.cutOff || w.refuses:
+		return NoAnswer
+	case e.Token < w.token && f.fault != noFencing:
+		return Fenced
+	case e.LeaseUntil < f.workerClock():
+		return Expired
+	case e.Ticket != "" && e.Ticket != w.ticket():
+		return BadTicket
+	case w.invalid != nil && w.invalid(e):
+		w.rejectedStarts++
+		return Invalid
+	}
+	return None
+}
+
 // scheduleEnd ends a run once its work is done. A test may change the work meanwhile.
 func (f *simFleet) scheduleEnd(w *simWorker, name string, r *simRun) {
 	f.at(r.startedAt+r.work, func() {
