cell: a worker gets no work before the address at which it is now is stored

Cause, found by reading the path from the entry to the next owner's first poll and shown by two red tests: the roster was marked for the store for a new worker, one that leaves or one that is removed, not for one whose address or service changed, and the worker kept its permission to get work. The successor asked at the stored address, and took the 421 of the worker that is there for an end: it released the tasks held for it before it had read the list that names the other address.

Change: an entry with another address or service takes the worker off the roster until that is stored; a roster that is confirmed counts for a worker only if it has the present address and service. An owner that has not read the list of workers since its claim takes a 421 for no answer: the row may be of a version before. Recovery still waits for each worker of the inherited roster.

Why it works: a run is placed only on a life whose address the store has, so another worker at that address shows that this life has ended. Other fields of a roster row: the ID does not change, leaving was kept already.

--- a/cell/commit.go
+++ b/cell/commit.go
@@ -51,7 +51,7 @@
 	seq     uint64
 	parts   []partWrite
 	acks    map[*worker]resultAck
-	workers []*worker // workers on the roster that it writes
+	workers map[*worker]WorkerRef // workers on the roster that it writes
 	drops   []Row
 
 	roster    bool // it writes the roster
@@ -322,8 +322,10 @@
 // delete because there are fewer workers now.
 func (c *Cell) rosterRows(p *pendingCommit) (puts, drops []Row) {
 	var refs []WorkerRef
+	workers := make(map[*worker]WorkerRef, len(c.sortedWorkers))
 	for _, w := range c.sortedWorkers {
-		refs = append(refs, WorkerRef{ID: w.ID, Addr: w.Addr, Service: w.Service, Leaving: w.leaving()})
+		ref := WorkerRef{ID: w.ID, Addr: w.Addr, Service: w.Service, Leaving: w.leaving()}
+		refs, workers[w] = append(refs, ref), ref
 	}
 	for _, share := range c.rosterShares(refs) {
 		value, err := cbor.Marshal(share)
@@ -333,7 +335,7 @@
 		}
 		puts = append(puts, Row{Table: Roster, Key: rosterKey(len(puts)), Value: value})
 	}
-	p.workers, p.roster = slices.Clone(c.sortedWorkers), true
+	p.workers, p.roster = workers, true
 	for n := len(puts); n < c.commits.rosterRows; n++ {
 		drops = append(drops, Row{Table: Roster, Key: rosterKey(n)})
 	}
@@ -389,8 +391,8 @@
 	for _, write := range p.parts {
 		c.handlePartStored(write)
 	}
-	for _, w := range p.workers {
-		w.onRoster = true
+	for w, ref := range p.workers {
+		w.onRoster = ref.Addr == w.Addr && ref.Service == w.Service
 	}
 	for w, ack := range p.acks {
 		if ack.incarnation == w.incarnation { // sequence numbers restart with each incarnation
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -86,7 +86,7 @@
 	c.commits.rosterRows = len(c.rosterShares(e.Workers))
 	for _, ref := range e.Workers {
 		w := newWorker(WorkerInfo{ID: ref.ID, Addr: ref.Addr, Service: ref.Service}, c.now.Steady)
-		w.onRoster, w.wasLeaving, w.endsSoon = true, ref.Leaving, ref.Leaving
+		w.inherited, w.onRoster, w.wasLeaving, w.endsSoon = true, true, ref.Leaving, ref.Leaving
 		c.addWorker(w)
 	}
 	c.logInfo("cell claimed", slog.Uint64("token", e.Token), slog.Int("jobs", live), slog.Int("ended", len(e.Jobs)-live-unreadable), slog.Int("unreadable", unreadable), slog.Int("workers", len(e.Workers)))
@@ -143,7 +143,7 @@
 			return // a worker that is not known may run held tasks
 		}
 		for _, w := range c.sortedWorkers {
-			if w.onRoster && (!w.synced || w.resultsLeft) {
+			if (w.inherited || w.onRoster) && (!w.synced || w.resultsLeft) {
 				return
 			}
 		}
--- a/cell/report.go
+++ b/cell/report.go
@@ -18,7 +18,9 @@
 		if e.Sent < w.lifeSince {
 			return // from an address of an earlier life
 		}
-		c.replaced[w.ID] = life{w.Addr, w.StartedAt, w.listedStart}
+		if c.listedOnce {
+			c.replaced[w.ID] = life{w.Addr, w.StartedAt, w.listedStart}
+		}
 	}
 	if c.handleFatal(w, e.Failure) {
 		return
--- a/cell/roster.go
+++ b/cell/roster.go
@@ -58,6 +58,9 @@
 	if info.Addr != w.Addr || startedAt != w.StartedAt {
 		w.lifeSince = c.now.Steady
 	}
+	if info.Addr != w.Addr || info.Service != w.Service {
+		w.onRoster, c.commits.rosterDirty = false, true // a successor asks at the stored address
+	}
 	leaving, clock := w.leaving(), w.Clock
 	w.WorkerInfo = info
 	w.Clock, w.StartedAt = clock, startedAt
--- a/cell/run.go
+++ b/cell/run.go
@@ -218,6 +218,10 @@
 	case Fenced:
 		c.handleFenced(w)
 	case OtherWorker:
+		if !c.listedOnce {
+			w.failing = true // it may have moved since its address was stored
+			return true
+		}
 		c.recordReplaced(w)
 		c.removeLostWorker(w, "another worker answers at its address")
 	default:
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -52,7 +52,8 @@
 	evacuated      bool              // its availability zone is being evacuated
 	wasLeaving     bool              // it was leaving under the owner before; false once it has answered
 	endsSoon       bool              // it drains or, until it is listed, was leaving under the owner before
-	onRoster       bool              // on the stored roster, so that a successor would find it
+	onRoster       bool              // on the stored roster with its address, so that a successor would find it
+	inherited      bool              // it was on the roster of the owner before
 	synced         bool              // answered a poll since the claim or its last known restart
 	pollInFlight   bool              // a poll is in flight
 	polledAt       Instant           // when the last poll was sent
