ingress: the rest of a refused body is dropped before the answer

Cause: the answer was sent at once and the connection closed while the client still wrote; the reset overtakes the answer.

Change: what is left of the body is read and dropped first, for 250 ms and 8 MB at most; before, it was dropped after the answer, and only up to 256 KB. Nothing of it is kept, so the bounds are as before.

--- a/ingress/http.go
+++ b/ingress/http.go
@@ -13,9 +13,11 @@
 const (
 	// firstRead is the size of the buffer for a body before any of it is read.
 	firstRead = 4 << 10
-	// lingerTime is how long the rest of a body is read and dropped after the answer, so
-	// that the client can read it.
+	// lingerTime is how long the rest of a body is read and dropped before the answer: a
+	// client that still writes when the connection is closed may not read the answer.
 	lingerTime = 250 * time.Millisecond
+	// maxDropped bounds what is read and dropped of a body.
+	maxDropped = 8 << 20
 	// headerLineBytes is what a header line takes beside its text.
 	headerLineBytes = 100
 )
@@ -62,7 +64,7 @@
 		if r.ContentLength == 0 {
 			c.Complete()
 		}
-		out := &responseWriter{ResponseWriter: w, conn: c, dropsBody: 0 < r.ContentLength && r.ContentLength <= firstRead}
+		out := &responseWriter{ResponseWriter: w, conn: c, request: r, dropsBody: 0 < r.ContentLength && r.ContentLength <= firstRead}
 		next.ServeHTTP(out, r)
 		out.end()
 	})
@@ -84,11 +86,13 @@
 type responseWriter struct {
 	http.ResponseWriter
 	conn      *Conn
+	request   *http.Request
 	dropsBody bool // the server reads the rest of the body before it answers
+	stopped   bool // the body has stopped coming
 	ended     bool
 }
 
-// end bounds how long the rest of the body is read.
+// end reads and drops the rest of the body, and bounds how long that takes.
 func (w *responseWriter) end() {
 	if w.ended || w.conn.completed() {
 		return
@@ -98,10 +102,15 @@
 		w.Header().Set("Connection", "close")
 	}
 	_ = http.NewResponseController(w.ResponseWriter).SetReadDeadline(time.Now().Add(lingerTime)) // it fails if the connection is closed
+	if w.stopped || w.request.Header.Get("Expect") != "" {                                       // a client that waits for leave does not write
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(w.request.Body, maxDropped)) // what fails is not read
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *responseWriter) WriteHeader(status int) {
+	w.stopped = status == http.StatusRequestTimeout
 	w.end()
 	w.ResponseWriter.WriteHeader(status)
 }
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -225,6 +225,33 @@
 	s.eventually("nothing is held", func(u Usage) bool { return u.Bytes == 0 && u.Connections == 0 })
 }
 
+// A connection that is closed while its client writes is reset, and the client may not read the
+// answer. Clients read while they write, or afterwards; bodies come whole or in chunks.
+func TestRefusalsArriveAtClientsOfEachKind(t *testing.T) {
+	s := serve(t, &Port{})
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: waitTimeout}
+	for _, size := range []int{maxBody + 1, 300_000, 400_000, 1 << 20, 2 << 20} {
+		for path, status := range map[string]int{"/": http.StatusRequestEntityTooLarge, "/unknown": http.StatusNotFound} {
+			for range 20 {
+				for _, chunked := range []bool{false, true} {
+					r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.Addr().String()+path, strings.NewReader(strings.Repeat("a", size)))
+					require.NoError(t, err)
+					if chunked {
+						r.ContentLength = -1
+					}
+					resp, err := client.Do(r)
+					require.NoError(t, err, "%s, %d bytes", path, size)
+					require.NoError(t, resp.Body.Close())
+					require.Equal(t, status, resp.StatusCode)
+				}
+				c := s.dial(post(path, size) + strings.Repeat("a", size))
+				got, _ := c.answer()
+				require.Equal(t, status, got)
+			}
+		}
+	}
+}
+
 func TestRefusalOfASmallRequestKeepsTheConnection(t *testing.T) {
 	s := serve(t, &Port{})
 	c := s.dial(post("/unknown", 3) + "abc")
