cell: the poll beside an uncertain lease asks for a report at once

Cause: an idle worker may have started again unnoticed, and then a lease lasts for as long as the worker grants. The next report tells, but the poll that goes out with the placement could be held open for 1.5 s: that was decided before its own lease was granted, which is the uncertain one.

Change: the lease is granted first; the poll isn't held if an unnoticed life could keep its lease for longer than the known one, which is not so where the longest lease is 6 s.

--- a/cell/poll.go
+++ b/cell/poll.go
@@ -125,7 +125,12 @@
 	if w.mayAcknowledge(now) {
 		effect.Ack = w.lastStored
 	}
-	length := c.leaseLengthOn(w)
+	length, unsure := c.leaseLengthOn(w), w.unsureGrantAt > 0
+	if w.synced && !w.failing && length > 0 {
+		effect.LeaseUntil = c.grantLease(w, length)
+		// If an earlier life could be granted more, the report is wanted before the worker may end.
+		unsure = unsure || w.unsureLeaseEnd > w.leaseEnd
+	}
 	if w.synced && !w.failing {
 		effect.Wait = min(pollWait, max(minPollWait, length/pollsPerLease))
 		if w.endsSoon {
@@ -136,12 +141,9 @@
 				effect.Wait = 0
 			}
 		}
-		if len(w.strays) > 0 || len(w.runs) == 0 || w.unsureGrantAt > 0 {
+		if len(w.strays) > 0 || len(w.runs) == 0 || unsure {
 			effect.Wait = 0
 		}
 	}
-	if w.synced && !w.failing && length > 0 {
-		effect.LeaseUntil = c.grantLease(w, length)
-	}
 	c.emit(effect)
 }
