cell: a store that rejects everything refuses no job for good

Callers: while the store rejected each commit, whatever was in it, the jobs that were being stored were answered 400, which says that they can never be served.

Red before: TestStoreThatRejectsEverythingRefusesNoJobForGood, on the state without the wait.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -89,6 +89,10 @@
 	if commitAge <= maxCommitAge {
 		return
 	}
+	for _, p := range c.commits.rejections.held {
+		p.heldUntil = 0
+	}
+	c.retryHeld()
 	kept := c.commits.dirty[:0]
 	for _, p := range c.commits.dirty {
 		j := p.job
--- a/cell/commit.go
+++ b/cell/commit.go
@@ -409,6 +409,7 @@
 // starts its placed runs, and finishes the job if it has ended.
 func (c *Cell) handlePartStored(write partWrite) {
 	j := write.part.job
+	write.part.rejectedAt, write.part.heldFor = 0, 0
 	if write.part == &j.main {
 		j.stored, j.encoded = true, nil
 	}
--- a/cell/part.go
+++ b/cell/part.go
@@ -47,6 +47,7 @@
 	evicted    []*run        // runs to stop to make room, once that is stored
 	heldFor    time.Duration // how long it waits after the store rejected it
 	heldUntil  Instant
+	rejectedAt Instant // when the store first rejected a commit with it; 0: it has been stored since
 }
 
 // piece is a row of a part and the range of its tasks.
--- a/cell/rejected.go
+++ b/cell/rejected.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// proofDelay is the wait before a part is tried again that the store has rejected alone, when
+	// no other commit has been confirmed since: by then, one has been sent.
+	proofDelay = 3 * maxCommitInterval / 2
 	// heldDelay is the wait before a part that could not be stored is tried again, at first.
 	heldDelay = time.Second
 	// maxHeldDelay bounds that wait, which doubles with each try.
@@ -15,7 +18,7 @@
 
 // This file keeps a row that cannot be stored from holding up others. The store rejects a commit
 // as a whole, so the parts of a rejected one are sent again in commits of half as many, until one
-// is rejected alone. A job of which nothing is stored yet is then refused. What depends on other
+// is rejected alone, while others are confirmed. A job of which nothing is stored yet is then refused. What depends on other
 // parts (starts, stops, answers and acknowledgements) waits until they are stored.
 
 // rejections tracks what the store has rejected.
@@ -53,12 +56,15 @@
 		commits.rosterDirty, commits.rejections.rosterAfter = true, c.now.Steady+heldDelay
 		commits.rejections.mostParts = max(1, len(p.parts)/2)
 	case p.partsOnly && len(p.parts) == 1:
-		part := commits.dirty[0]
-		commits.dirty = slices.Delete(commits.dirty, 0, 1+len(p.parts[0].added))
-		for _, added := range p.parts[0].added {
-			c.cannotStore(added, e.Reason)
+		alone := slices.Clone(commits.dirty[:1+len(p.parts[0].added)])
+		commits.dirty = slices.Delete(commits.dirty, 0, len(alone))
+		for _, part := range slices.Backward(alone) {
+			if commits.confirmedAt > part.rejectedAt {
+				c.cannotStore(part, e.Reason)
+			} else {
+				c.hold(part, proofDelay) // the store may reject everything at present
+			}
 		}
-		c.cannotStore(part, e.Reason)
 	default:
 		commits.rejections.mostParts = max(1, len(p.parts)/2)
 	}
@@ -79,6 +85,9 @@
 	commits.dirty = slices.Insert(commits.dirty, 0, again...)
 	for _, q := range again {
 		q.dirty, q.mark = true, write.mark
+		if q.rejectedAt == 0 {
+			q.rejectedAt = c.now.Steady
+		}
 	}
 	p.evicted = slices.Concat(write.evicted, p.evicted)
 	if p != &j.main {
@@ -106,7 +115,12 @@
 		return
 	}
 	p.heldFor = p.nextDelay()
-	p.heldUntil = c.now.Steady + p.heldFor
+	c.hold(p, p.heldFor)
+}
+
+// hold keeps a part out of the commits for some time.
+func (c *Cell) hold(p *part, wait time.Duration) {
+	p.heldUntil = c.now.Steady + wait
 	c.commits.rejections.held = append(c.commits.rejections.held, p)
 }
 
--- a/cell/rejected_test.go
+++ b/cell/rejected_test.go
@@ -121,3 +121,25 @@
 	f.requireOthersCompleted("none")
 	require.Positive(t, f.store.rejected)
 }
+
+// A store that rejects everything for a while says nothing of any job: callers are asked to come
+// back.
+func TestStoreThatRejectsEverythingRefusesNoJobForGood(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 24)
+	f.submitLightLoad(12 * time.Second)
+	f.at(4*time.Second, func() { f.store.rejectsAll = true })
+	f.at(8*time.Second, func() { f.store.rejectsAll = false })
+	f.runUntil(60 * time.Second)
+	f.requireNoViolations()
+	f.requireAllEnded()
+	require.Positive(t, f.store.rejected)
+	refused := 0
+	for id, j := range inOrder(f.jobs) {
+		require.False(t, j.malformed, id)
+		if j.refused {
+			refused++
+		}
+	}
+	require.Positive(t, refused)
+}
--- a/cell/simfleet_test.go
+++ b/cell/simfleet_test.go
@@ -85,16 +85,17 @@
 }
 
 type simStore struct {
-	version   uint64
-	changedAt Instant                       // when the version last changed
-	token     uint64                        // the owner's fencing token
-	specs     map[string][]byte             // by row
-	progress  map[string]*workload.Progress // by row
-	rowBytes  int                           // limit on a value in base64, if not simRowBytes
-	roster    []WorkerRef
-	learned   []byte
-	rejects   func(Row) bool // rows that it rejects; nil: none
-	rejected  int            // commits that it rejected
+	version    uint64
+	changedAt  Instant                       // when the version last changed
+	token      uint64                        // the owner's fencing token
+	specs      map[string][]byte             // by row
+	progress   map[string]*workload.Progress // by row
+	rowBytes   int                           // limit on a value in base64, if not simRowBytes
+	roster     []WorkerRef
+	learned    []byte
+	rejects    func(Row) bool // rows that it rejects; nil: none
+	rejected   int            // commits that it rejected
+	rejectsAll bool           // it rejects each commit
 }
 
 type simJob struct {
@@ -103,6 +104,7 @@
 	actual        map[string]time.Duration // real duration of each task on a worker of speed 1
 	faulty        bool                     // every run fails
 	submittedAt   Instant
+	malformed     bool // refused for good
 	accepted      bool
 	refused       bool
 	refusals      int
@@ -415,7 +417,7 @@
 		if rows := len(e.Puts) + len(e.Drops) + 2; rows > 100 {
 			f.violate("STORE", "%d entries in one transaction", rows)
 		}
-		if f.store.rejects != nil && slices.ContainsFunc(e.Puts, f.store.rejects) {
+		if f.store.rejectsCommit(e) {
 			f.store.rejected++
 			f.send(c, CommitRejected{Token: e.Token, Seq: e.Seq, Reason: "as the test wants"})
 			return
@@ -458,6 +460,10 @@
 	})
 }
 
+func (s *simStore) rejectsCommit(e Commit) bool {
+	return s.rejectsAll || s.rejects != nil && slices.ContainsFunc(e.Puts, s.rejects)
+}
+
 // checkSize reports whether the store takes the rows of a commit.
 func (f *simFleet) checkSize(e Commit) bool {
 	total := 0
@@ -1193,7 +1199,7 @@
 				})
 			}
 		case Malformed:
-			j.refused = true
+			j.refused, j.malformed = true, true
 		default:
 			f.after(50*time.Millisecond, func() { f.submitNow(j) })
 		}
