--- a/cell/poll.go
+++ b/cell/poll.go
@@ -128,7 +128,7 @@
 	length, unsure := c.leaseLengthOn(w), w.unsureGrantAt > 0
 	if w.synced && !w.failing && length > 0 {
 		effect.LeaseUntil = c.grantLease(w, length)
-		// If an earlier life could be granted more, the report is wanted before the worker may end.
+		// A life that has not been noticed could keep its lease for longer; the report tells.
 		unsure = unsure || w.unsureLeaseEnd > w.leaseEnd
 	}
 	if w.synced && !w.failing {
--- a/ingress/http.go
+++ b/ingress/http.go
@@ -102,7 +102,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	_ = http.NewResponseController(w.ResponseWriter).SetReadDeadline(time.Now().Add(lingerTime)) // it fails if the connection is closed
-	if w.stopped || w.request.Header.Get("Expect") != "" {                                       // a client that waits for leave does not write
+	if w.stopped || w.request.Header.Get("Expect") != "" {
+		// A client that waits for leave to write does not write.
 		return
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(w.request.Body, maxDropped)) // what fails is not read
