cell tests: loads in which no row may be in bad form say so

Since AddSpec and AddProgress return no error, three tests no longer required that each row can be decoded. They require it of the loaded cell now, as strictly as before.

--- a/cell/accepted_test.go
+++ b/cell/accepted_test.go
@@ -52,7 +52,9 @@
 			stored.AddSpec(r.Key, r.Value)
 		}
 	}
-	jobs := stored.Cell().Jobs
+	loaded := stored.Cell()
+	require.Empty(t, loaded.Unreadable)
+	jobs := loaded.Jobs
 	require.Len(t, jobs, 1)
 	require.NotNil(t, jobs[0].Job)
 	require.Equal(t, spec.Steps, jobs[0].Job.Steps)
--- a/cell/part_test.go
+++ b/cell/part_test.go
@@ -171,7 +171,9 @@
 			rows.AddSpec(row.Key, row.Value)
 		}
 	}
-	jobs := rows.Cell().Jobs
+	stored := rows.Cell()
+	require.Empty(t, stored.Unreadable)
+	jobs := stored.Jobs
 	require.Len(t, jobs, 1)
 	require.Equal(t, spec.Spec, jobs[0].Job.Spec)
 	require.True(t, accepted(c.Update(clock, Committed{Seq: second.Seq, Sent: clock.Steady})))
@@ -203,7 +205,9 @@
 				if !forgotten {
 					rows.AddProgress(spec.ID, final)
 				}
-				jobs := rows.Cell().Jobs
+				stored := rows.Cell()
+				require.Empty(t, stored.Unreadable)
+				jobs := stored.Jobs
 				c := New(Config{MaxRowBytes: 492, StatusRetention: time.Minute})
 				clock := Clock{Steady: time.Hour, Wall: time.Unix(1, 0)}
 				c.Update(clock, Claimed{Token: 9, Sent: clock.Steady, Jobs: jobs})
@@ -343,7 +347,9 @@
 			for _, key := range slices.Sorted(maps.Keys(rows)) {
 				loaded.AddProgress(key, rows[key])
 			}
-			jobs := loaded.Cell().Jobs
+			stored := loaded.Cell()
+			require.Empty(t, stored.Unreadable)
+			jobs := stored.Jobs
 			require.Len(t, jobs, 1)
 			main := workload.Progress{}
 			if jobs[0].Progress != nil {
